--- /dev/null
+++ b/tests/http_test.cc
@@ -0,0 +1,80 @@
+#include "greengage/transport/http_server.h"
+
+#include <boost/asio.hpp>
+
+#include <thread>
+
+#include "greengage/transport/http_client.h"
+
+#include <criterion/criterion.h>
+
+namespace greengage {
+namespace {
+
+constexpr std::chrono::milliseconds kTimeout{5000};
+
+// Runs an echo server on a thread of its own.
+class EchoServer {
+ public:
+  EchoServer() {
+    server_ = HttpServer::Listen(
+                  context_, Endpoint{"127.0.0.1", 0},
+                  HttpServerLimits{.body_bytes = 1024},
+                  [](HttpRequest request, auto exchange) {
+                    exchange->Reply(HttpResponse{
+                        .body = request.path + "|" + request.parameters["a"] +
+                                "|" + request.body});
+                  })
+                  .value();
+    thread_ = std::thread([this] { context_.run(); });
+  }
+
+  ~EchoServer() {
+    context_.stop();
+    thread_.join();
+  }
+
+  Endpoint endpoint() const { return server_->endpoint(); }
+
+ private:
+  boost::asio::io_context context_;
+  std::shared_ptr<HttpServer> server_;
+  std::thread thread_;
+};
+
+}  // namespace
+
+Test(Http, AnswersWithPathParameterAndBody) {
+  EchoServer server;
+  const auto response = CallAndWait(
+      server.endpoint(),
+      HttpCall{.method = "POST", .target = "/x?a=b%20c", .body = "hello"},
+      kTimeout);
+  cr_assert(response.ok());
+  cr_assert(response->status == 200);
+  cr_assert(response->body == "/x|b c|hello");
+}
+
+Test(Http, RejectsAnOversizedBodyWithATypedError) {
+  EchoServer server;
+  const auto response = CallAndWait(
+      server.endpoint(),
+      HttpCall{.method = "POST", .target = "/", .body = std::string(2000, 'x')},
+      kTimeout);
+  cr_assert(response.ok());
+  cr_assert(response->status == 413);
+  cr_assert(response->body.find("too_large") != std::string::npos);
+}
+
+Test(Http, NothingIsSentToAClosedPort) {
+  Endpoint closed;
+  {
+    EchoServer server;
+    closed = server.endpoint();
+  }
+  const auto response = CallAndWait(closed, HttpCall{.target = "/"}, kTimeout);
+  cr_assert(!response.ok());
+  cr_assert(response.last_reason().kind == FailureKind::kConnectFailed);
+}
+
+}  // namespace greengage
