--- a/include/greengage/state/query.h
+++ b/include/greengage/state/query.h
@@ -50,6 +50,7 @@
   bool idempotent = true;
   uint32_t limit = 20;
   std::string text;
+  std::optional<uint64_t> key;  // Of a non-idempotent request.
   TimePoint deadline;
 };
 
