--- /dev/null
+++ b/src/transport/configuration_service.cc
@@ -0,0 +1,163 @@
+#include "greengage/transport/configuration_service.h"
+
+#include "greengage/protocol/configuration_file.h"
+#include "greengage/transport/log.h"
+
+namespace greengage {
+namespace {
+
+// Between two watches after the platform did not answer.
+constexpr std::chrono::milliseconds kWatchRetryDelay{500};
+
+WallTime NowWall() {
+  return std::chrono::system_clock::now();
+}
+
+}  // namespace
+
+ConfigurationService::ConfigurationService(boost::asio::io_context& context,
+                                           EventLog* events,
+                                           Hooks hooks)
+    : events_(events), hooks_(std::move(hooks)), retry_timer_(context) {}
+
+ConfigurationPtr ConfigurationService::current() const {
+  const std::lock_guard lock(mutex_);
+  return current_;
+}
+
+std::optional<ConfigurationText> ConfigurationService::current_text() const {
+  const std::lock_guard lock(mutex_);
+  if (!current_) {
+    return std::nullopt;
+  }
+  return ConfigurationText{current_->version, text_};
+}
+
+uint64_t ConfigurationService::version() const {
+  const std::lock_guard lock(mutex_);
+  return current_ ? current_->version : 0;
+}
+
+void ConfigurationService::SetWatching(bool watching) {
+  {
+    const std::lock_guard lock(mutex_);
+    if (watching_ == watching) {
+      return;
+    }
+    watching_ = watching;
+  }
+  events_->Record(
+      NowWall(), watching ? EventKind::kWatchStarted : EventKind::kWatchStopped,
+      "", "configuration");
+  Watch();
+}
+
+void ConfigurationService::Watch() {
+  uint64_t after = 0;
+  {
+    const std::lock_guard lock(mutex_);
+    if (!watching_ || watch_open_ || stopped_) {
+      return;
+    }
+    watch_open_ = true;
+    after = current_ ? current_->version : 0;
+  }
+  hooks_.watch(after,
+               [weak = weak_from_this()](Result<ConfigurationText> result) {
+                 if (const auto self = weak.lock()) {
+                   self->OnWatched(std::move(result));
+                 }
+               });
+}
+
+void ConfigurationService::OnWatched(Result<ConfigurationText> result) {
+  const bool down =
+      !result && result.last_reason().kind == FailureKind::kUnavailable;
+  OnPlatformState(down);
+  bool again = true;
+  if (result) {
+    const Result<Done> offered = Offer(*result);
+    again = offered.ok();
+  }
+  const std::lock_guard lock(mutex_);
+  watch_open_ = false;
+  if (stopped_) {
+    return;
+  }
+  retry_timer_.expires_after(down || !again ? kWatchRetryDelay
+                                            : std::chrono::milliseconds(0));
+  retry_timer_.async_wait([weak = weak_from_this()](auto error) {
+    const auto self = weak.lock();
+    if (!error && self) {
+      self->Watch();
+    }
+  });
+}
+
+void ConfigurationService::OnPlatformState(bool down) {
+  if (platform_down_.exchange(down) != down) {
+    events_->Record(NowWall(),
+                    down ? EventKind::kPlatformDown : EventKind::kPlatformBack,
+                    "", "platform");
+  }
+}
+
+void ConfigurationService::OnHeard(uint64_t heard, const Instance& source) {
+  uint64_t after = 0;
+  {
+    const std::lock_guard lock(mutex_);
+    after = current_ ? current_->version : 0;
+    if (heard <= after || heard <= fetching_ || stopped_) {
+      return;
+    }
+    fetching_ = heard;
+  }
+  hooks_.fetch(source, after,
+               [weak = weak_from_this()](Result<ConfigurationText> result) {
+                 const auto self = weak.lock();
+                 if (!self) {
+                   return;
+                 }
+                 {
+                   const std::lock_guard lock(self->mutex_);
+                   self->fetching_ = 0;
+                 }
+                 if (result) {
+                   (void)self->Offer(*result);
+                 }
+               });
+}
+
+Result<Done> ConfigurationService::Offer(const ConfigurationText& offered) {
+  const std::lock_guard offer_lock(offer_mutex_);
+  if (offered.version <= version()) {
+    return Failure{FailureKind::kStaleVersion,
+                   "configuration " + std::to_string(offered.version),
+                   "a version as high is in force"};
+  }
+  Validated<Configuration> parsed =
+      ParseConfiguration(offered.text, "configuration", offered.version);
+  if (!parsed) {
+    LogFailure(LogLevel::kError, parsed.failures().front());
+    return parsed.failures().front();
+  }
+  const auto configuration =
+      std::make_shared<const Configuration>(std::move(parsed).value());
+  {
+    const std::lock_guard lock(mutex_);
+    current_ = configuration;
+    text_ = offered.text;
+  }
+  hooks_.on_in_force(configuration);
+  events_->Record(NowWall(), EventKind::kConfigurationInForce, "",
+                  std::to_string(offered.version));
+  return Done{};
+}
+
+void ConfigurationService::Stop() {
+  const std::lock_guard lock(mutex_);
+  stopped_ = true;
+  retry_timer_.cancel();
+}
+
+}  // namespace greengage
