Read and check the configuration file with all failures at once

Boost's INI reader stops at its first error, drops empty sections, keeps no line numbers and ends a section's name at the first ']', so that IPv6 end points cannot stand in one. CLI11's reader was ruled out: it keeps no lines either.

Keys, bounds and initial values stand in tables that bind them to struct members; parsing, writing and (later) the reference page use the same tables.

--- /dev/null
+++ b/include/greengage/protocol/setting_table.h
@@ -0,0 +1,285 @@
+// Tables that bind INI keys to the members of a struct. Parsing, printing and
+// the reference pages are all made from the same table.
+#ifndef GREENGAGE_PROTOCOL_SETTING_TABLE_H_
+#define GREENGAGE_PROTOCOL_SETTING_TABLE_H_
+
+#include <chrono>
+#include <concepts>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "greengage/protocol/ini_document.h"
+#include "greengage/protocol/setting_value.h"
+
+namespace greengage {
+
+// What people need to know of one key.
+struct SettingInfo {
+  std::string section;
+  std::string key;
+  std::string type;
+  std::string allowed;                 // "1 to 64", "text or json".
+  std::optional<std::string> initial;  // Empty: the key is required.
+  std::string meaning;
+};
+
+// Bounds of a number, both included, with its value when the key is absent.
+struct NumberBounds {
+  uint64_t minimum = 0;
+  uint64_t maximum = UINT64_MAX;
+  std::optional<uint64_t> initial;  // Empty: the key is required.
+  std::string unit;
+};
+
+// The keys of one kind of section, bound to the members of `Target`.
+template <typename Target>
+class SettingTable {
+ public:
+  // Sets one member from a value; gives what is wrong with it, without a
+  // subject.
+  using Assign =
+      std::function<std::optional<Failure>(Target&, const std::string& value)>;
+  using Print = std::function<std::string(const Target&)>;
+
+  struct Setting {
+    SettingInfo info;
+    Assign assign;
+    Print print;
+  };
+
+  // Settings added from here on belong to `section`.
+  SettingTable& Section(std::string section) {
+    section_ = std::move(section);
+    return *this;
+  }
+
+  // A name of letters, digits, '.', '_' and '-'.
+  SettingTable& Name(std::string key,
+                     std::string Target::*member,
+                     std::optional<std::string> initial,
+                     std::string meaning) {
+    return Add<std::string>(std::move(key), member, "name", kNameRule,
+                            std::move(initial), std::move(meaning), ParseName,
+                            [](const std::string& name) { return name; });
+  }
+
+  template <std::unsigned_integral Number>
+  SettingTable& Integer(std::string key,
+                        Number Target::*member,
+                        NumberBounds bounds,
+                        std::string meaning) {
+    return AddNumber<Number>(
+        std::move(key), member, std::move(bounds), std::move(meaning),
+        [](uint64_t number) { return static_cast<Number>(number); },
+        [](Number number) { return static_cast<uint64_t>(number); });
+  }
+
+  // A duration, written as a whole number of the member's own unit.
+  template <typename Rep, typename Period>
+  SettingTable& Time(std::string key,
+                     std::chrono::duration<Rep, Period> Target::*member,
+                     NumberBounds bounds,
+                     std::string meaning) {
+    using Duration = std::chrono::duration<Rep, Period>;
+    bounds.unit = std::ratio_equal_v<Period, std::milli> ? "ms" : "s";
+    return AddNumber<Duration>(
+        std::move(key), member, std::move(bounds), std::move(meaning),
+        [](uint64_t number) { return Duration(static_cast<Rep>(number)); },
+        [](Duration time) { return static_cast<uint64_t>(time.count()); });
+  }
+
+  // One of the names of `choices`.
+  template <typename Choice>
+  SettingTable& OneOf(std::string key,
+                      Choice Target::*member,
+                      std::map<std::string, Choice> choices,
+                      std::optional<std::string> initial,
+                      std::string meaning) {
+    std::string allowed;
+    for (const auto& [name, choice] : choices) {
+      allowed += (allowed.empty() ? "" : ", ") + name;
+    }
+    return Add<Choice>(
+        std::move(key), member, "choice", "one of " + allowed,
+        std::move(initial), std::move(meaning),
+        [choices, allowed](const std::string& value) -> Result<Choice> {
+          const auto found = choices.find(value);
+          return found != choices.end() ? Result<Choice>(found->second)
+                                        : NotOneOf(value, allowed);
+        },
+        [choices](const Choice& wanted) {
+          for (const auto& [name, choice] : choices) {
+            if (choice == wanted) {
+              return name;
+            }
+          }
+          return std::string();
+        });
+  }
+
+  SettingTable& Address(std::string key,
+                        Endpoint Target::*member,
+                        std::optional<std::string> initial,
+                        std::string meaning) {
+    return Add<Endpoint>(
+        std::move(key), member, "end point", kEndpointRule, std::move(initial),
+        std::move(meaning),
+        [](const std::string& value) { return ParseEndpoint(value); },
+        [](const Endpoint& endpoint) { return ToString(endpoint); });
+  }
+
+  // End points separated by spaces; required ones need at least one.
+  SettingTable& Addresses(std::string key,
+                          std::vector<Endpoint> Target::*member,
+                          std::optional<std::string> initial,
+                          std::string meaning) {
+    return Add<std::vector<Endpoint>>(
+        std::move(key), member, "end points", kEndpointsRule,
+        std::move(initial), std::move(meaning), ParseEndpoints, PrintEndpoints);
+  }
+
+  SettingTable& Keys(std::string key,
+                     KeyRange Target::*member,
+                     std::string meaning) {
+    return Add<KeyRange>(std::move(key), member, "key range", kKeyRangeRule,
+                         std::nullopt, std::move(meaning), ParseKeyRange,
+                         [](const KeyRange& range) { return ToString(range); });
+  }
+
+  const std::vector<Setting>& settings() const { return settings_; }
+
+  // Gives each member that is not required its initial value.
+  void AssignInitial(Target& target) const {
+    for (const Setting& setting : settings_) {
+      if (setting.info.initial) {
+        (void)setting.assign(target, *setting.info.initial);
+      }
+    }
+  }
+
+  // Reads the entries of `section`, whose keys are those of `kind`, into
+  // `target`. Appends a failure for every unknown, missing or invalid key.
+  void Read(const IniDocument& document,
+            const IniSection& section,
+            const std::string& kind,
+            Target& target,
+            std::vector<Failure>& failures) const;
+
+ private:
+  template <typename Value>
+  SettingTable& Add(std::string key,
+                    Value Target::*member,
+                    std::string type,
+                    std::string allowed,
+                    std::optional<std::string> initial,
+                    std::string meaning,
+                    std::function<Result<Value>(const std::string&)> parse,
+                    std::function<std::string(const Value&)> print) {
+    Setting setting;
+    setting.info = {section_,           std::move(key),     std::move(type),
+                    std::move(allowed), std::move(initial), std::move(meaning)};
+    setting.assign = [member, parse = std::move(parse)](
+                         Target& target,
+                         const std::string& text) -> std::optional<Failure> {
+      Result<Value> value = parse(text);
+      if (!value) {
+        return value.last_reason();
+      }
+      target.*member = std::move(value).value();
+      return std::nullopt;
+    };
+    setting.print = [member, print = std::move(print)](const Target& target) {
+      return print(target.*member);
+    };
+    settings_.push_back(std::move(setting));
+    return *this;
+  }
+
+  template <typename Value>
+  SettingTable& AddNumber(std::string key,
+                          Value Target::*member,
+                          NumberBounds bounds,
+                          std::string meaning,
+                          std::function<Value(uint64_t)> from_number,
+                          std::function<uint64_t(Value)> to_number) {
+    const std::optional<std::string> initial =
+        bounds.initial ? std::optional(std::to_string(*bounds.initial))
+                       : std::nullopt;
+    const std::string type =
+        bounds.unit.empty() ? "number" : "number of " + bounds.unit;
+    return Add<Value>(
+        std::move(key), member, type,
+        NumberRule(bounds.minimum, bounds.maximum), initial, std::move(meaning),
+        [bounds, from_number](const std::string& text) -> Result<Value> {
+          const Result<uint64_t> number =
+              ParseNumber(text, bounds.minimum, bounds.maximum);
+          return number ? Result<Value>(from_number(*number))
+                        : Result<Value>(number.last_reason());
+        },
+        [to_number](const Value& value) {
+          return std::to_string(to_number(value));
+        });
+  }
+
+  const Setting* Find(const std::string& kind, const std::string& key) const {
+    for (const Setting& setting : settings_) {
+      if (setting.info.section == kind && setting.info.key == key) {
+        return &setting;
+      }
+    }
+    return nullptr;
+  }
+
+  std::string KeysOf(const std::string& kind) const {
+    std::string keys;
+    for (const Setting& setting : settings_) {
+      if (setting.info.section == kind) {
+        keys += (keys.empty() ? "" : ", ") + setting.info.key;
+      }
+    }
+    return keys;
+  }
+
+  std::string section_;
+  std::vector<Setting> settings_;
+};
+
+template <typename Target>
+void SettingTable<Target>::Read(const IniDocument& document,
+                                const IniSection& section,
+                                const std::string& kind,
+                                Target& target,
+                                std::vector<Failure>& failures) const {
+  for (const IniEntry& entry : section.entries) {
+    const std::string subject = document.Subject(section.name, entry.key);
+    const std::string line = "line " + std::to_string(entry.line) + ": ";
+    const Setting* setting = Find(kind, entry.key);
+    if (setting == nullptr) {
+      failures.push_back({FailureKind::kUnknownKey, subject,
+                          line + "want one of " + KeysOf(kind)});
+      continue;
+    }
+    if (const auto failure = setting->assign(target, entry.value)) {
+      failures.push_back({failure->kind, subject, line + failure->detail});
+    }
+  }
+  for (const Setting& setting : settings_) {
+    if (setting.info.section == kind && !setting.info.initial &&
+        !HasKey(section, setting.info.key)) {
+      failures.push_back({FailureKind::kMissingKey,
+                          document.Subject(section.name, setting.info.key),
+                          "line " + std::to_string(section.line) +
+                              ": the key is required; want " +
+                              setting.info.allowed});
+    }
+  }
+}
+
+}  // namespace greengage
+
+#endif  // GREENGAGE_PROTOCOL_SETTING_TABLE_H_
--- /dev/null
+++ b/src/protocol/setting_value.cc
@@ -0,0 +1,112 @@
+#include "greengage/protocol/setting_value.h"
+
+#include <algorithm>
+#include <charconv>
+#include <sstream>
+#include <string_view>
+
+namespace greengage {
+
+namespace {
+
+constexpr size_t kMaxNameLength = 64;  // Characters.
+
+Failure Invalid(const std::string& text, const std::string& rule) {
+  return {
+      FailureKind::kInvalidArgument, {}, "read '" + text + "', want " + rule};
+}
+
+bool IsNameCharacter(char character) {
+  return (character >= 'a' && character <= 'z') ||
+         (character >= 'A' && character <= 'Z') ||
+         (character >= '0' && character <= '9') || character == '.' ||
+         character == '_' || character == '-';
+}
+
+std::optional<uint64_t> ParseDigits(std::string_view text) {
+  uint64_t number = 0;
+  const char* end = text.data() + text.size();
+  const auto [stop, status] = std::from_chars(text.data(), end, number);
+  if (text.empty() || status != std::errc() || stop != end) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+}  // namespace
+
+std::string NumberRule(uint64_t minimum, uint64_t maximum) {
+  return std::to_string(minimum) + " to " + std::to_string(maximum);
+}
+
+Result<std::string> ParseName(const std::string& text) {
+  if (text.empty() || text.size() > kMaxNameLength ||
+      !std::all_of(text.begin(), text.end(), IsNameCharacter)) {
+    return Invalid(text, kNameRule);
+  }
+  return text;
+}
+
+Result<uint64_t> ParseNumber(const std::string& text,
+                             uint64_t minimum,
+                             uint64_t maximum) {
+  const std::string rule = "a whole number, " + NumberRule(minimum, maximum);
+  const std::optional<uint64_t> number = ParseDigits(text);
+  if (!number) {
+    return Invalid(text, rule);
+  }
+  if (*number < minimum || *number > maximum) {
+    return Failure{FailureKind::kOutOfRange, {}, Invalid(text, rule).detail};
+  }
+  return *number;
+}
+
+Result<std::vector<Endpoint>> ParseEndpoints(const std::string& text) {
+  std::vector<Endpoint> endpoints;
+  std::istringstream words(text);
+  for (std::string word; words >> word;) {
+    const Result<Endpoint> endpoint = ParseEndpoint(word);
+    if (!endpoint) {
+      return Invalid(word, kEndpointsRule);
+    }
+    if (std::find(endpoints.begin(), endpoints.end(), *endpoint) !=
+        endpoints.end()) {
+      return Failure{FailureKind::kDuplicate, {}, word + " is given twice"};
+    }
+    endpoints.push_back(*endpoint);
+  }
+  return endpoints;
+}
+
+Result<KeyRange> ParseKeyRange(const std::string& text) {
+  const size_t dash = text.find('-');
+  if (dash == std::string::npos) {
+    return Invalid(text, kKeyRangeRule);
+  }
+  const std::string_view view = text;
+  const std::optional<uint64_t> first = ParseDigits(view.substr(0, dash));
+  const std::optional<uint64_t> last = ParseDigits(view.substr(dash + 1));
+  if (!first || !last || *first > *last || *last == UINT64_MAX) {
+    return Invalid(text, kKeyRangeRule);
+  }
+  return KeyRange{*first, *last + 1};
+}
+
+std::string PrintEndpoints(const std::vector<Endpoint>& endpoints) {
+  std::string text;
+  for (const Endpoint& endpoint : endpoints) {
+    text += (text.empty() ? "" : " ") + ToString(endpoint);
+  }
+  return text;
+}
+
+Failure NotOneOf(const std::string& value, const std::string& allowed) {
+  return Invalid(value, "one of " + allowed);
+}
+
+bool HasKey(const IniSection& section, const std::string& key) {
+  return std::any_of(section.entries.begin(), section.entries.end(),
+                     [&](const IniEntry& entry) { return entry.key == key; });
+}
+
+}  // namespace greengage
