--- /dev/null
+++ b/include/greengage/coordination/hedge_policy.h
@@ -0,0 +1,62 @@
+// When a sub-request without an answer gets a second attempt.
+#ifndef GREENGAGE_COORDINATION_HEDGE_POLICY_H_
+#define GREENGAGE_COORDINATION_HEDGE_POLICY_H_
+
+#include <array>
+#include <chrono>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+
+#include "greengage/coordination/latency_window.h"
+#include "greengage/state/rank.h"
+#include "greengage/state/time.h"
+
+namespace greengage {
+
+struct HedgeOptions {
+  // Sub-requests slower than this share of the recent ones are hedged.
+  double quantile = 0.985;
+  // Where many are slow, the delay is still no longer than this many medians.
+  double longest_in_medians = 6;
+  Duration shortest = std::chrono::milliseconds(1);
+  // Used until enough latencies are known.
+  Duration initial = std::chrono::milliseconds(50);
+  uint32_t attempts = 3;  // Most for one sub-request, the first included.
+};
+
+// Thread-safe. Latencies are kept for each searcher group, which is all
+// searchers of a service, and rank.
+class HedgePolicy {
+ public:
+  explicit HedgePolicy(HedgeOptions options);
+
+  // Takes in the time from sending to the answer, queue time included.
+  void Record(TimePoint now,
+              const std::string& service,
+              Rank rank,
+              Duration latency);
+
+  // How long to wait for an answer before hedging.
+  Duration Delay(TimePoint now, const std::string& service, Rank rank);
+
+  uint32_t attempts() const { return options_.attempts; }
+
+ private:
+  struct Group {
+    LatencyWindow latency;
+    Duration delay{};
+    std::optional<TimePoint> computed;
+  };
+
+  Duration Compute(TimePoint now, const Group& group) const;
+
+  const HedgeOptions options_;
+  std::mutex mutex_;
+  std::map<std::string, std::array<Group, kRankCount>, std::less<>> groups_;
+};
+
+}  // namespace greengage
+
+#endif  // GREENGAGE_COORDINATION_HEDGE_POLICY_H_
--- /dev/null
+++ b/include/greengage/coordination/searcher_state.h
@@ -0,0 +1,101 @@
+// What one instance knows of one searcher.
+#ifndef GREENGAGE_COORDINATION_SEARCHER_STATE_H_
+#define GREENGAGE_COORDINATION_SEARCHER_STATE_H_
+
+#include <array>
+#include <cstdint>
+#include <optional>
+
+#include "greengage/coordination/latency_window.h"
+#include "greengage/state/query.h"
+#include "greengage/state/rank.h"
+#include "greengage/state/time.h"
+
+namespace greengage {
+
+struct SearcherStateOptions {
+  // Ends without an answer in a row before the searcher is ejected.
+  uint32_t ejection_failures = 3;
+  Duration first_ejection = std::chrono::milliseconds(250);
+  Duration longest_ejection = std::chrono::seconds(8);
+  // A cold searcher gets its full share of work after this time.
+  Duration slow_start = std::chrono::seconds(4);
+  double slow_start_weight = 0.1;  // Share of work at the start, 0 to 1.
+  // A draining searcher is forgotten as such after this time without a sign.
+  Duration drain_memory = std::chrono::seconds(30);
+};
+
+// A searcher as it looks at one instant, for the choice between replicas.
+struct SearcherView {
+  Endpoint endpoint;
+  std::array<uint32_t, kRankCount> outstanding{};
+  uint32_t slots = 2;
+  uint32_t returned_queue = 0;  // Its own queue, as its last answer told.
+  double weight = 1;            // Below 1 during slow start.
+  uint64_t oldest_version = 0;  // 0: not known.
+  uint64_t newest_version = 0;
+  bool draining = false;
+  bool ejected = false;
+  bool hinted_unhealthy = false;  // Its health endpoint says so; may be wrong.
+
+  bool MayHold(uint64_t version) const {
+    return version == 0 || newest_version == 0 ||
+           (oldest_version <= version && version <= newest_version);
+  }
+};
+
+// Not thread-safe; SearcherTracker keeps one for each searcher under a lock.
+class SearcherState {
+ public:
+  SearcherState(TimePoint now, SearcherStateOptions options, uint32_t slots);
+
+  void OnSent(TimePoint now, Rank rank);
+
+  // The sub-request got an answer, a refusal, or an end without either.
+  void OnEnded(TimePoint now, Rank rank, const SubAnswer& answer);
+
+  // The sub-request was given up after `age`. It tells against the searcher
+  // only when it was `overdue`, that is given up in favour of a hedge.
+  void OnCancelled(TimePoint now, Rank rank, bool overdue);
+
+  // Takes in load that came with an answer, also with a late one.
+  void OnLoad(TimePoint now, const SearcherLoad& load);
+
+  // A sign that the searcher is leaving: its answer, the platform's list, or
+  // closing connections. New work ends with the first sign.
+  void OnDrainSign(TimePoint now);
+
+  // The searcher is known to have started anew: it is cold.
+  void OnColdStart(TimePoint now);
+
+  void OnHealthHint(bool healthy) { hinted_unhealthy_ = !healthy; }
+
+  void set_slots(uint32_t slots) { slots_ = slots; }
+
+  SearcherView View(TimePoint now, const Endpoint& endpoint) const;
+
+  const LatencyWindow& latency() const { return latency_; }
+
+ private:
+  void OnSuccess(TimePoint now);
+  void OnFailure(TimePoint now);
+  void EndOne(Rank rank);
+  bool IsEjected(TimePoint now) const;
+
+  SearcherStateOptions options_;
+  uint32_t slots_;
+  std::array<uint32_t, kRankCount> outstanding_{};
+  LatencyWindow latency_;
+  SearcherLoad load_;
+  TimePoint warm_since_;
+  bool cold_ = false;
+  std::optional<TimePoint> drain_sign_;
+  uint32_t failures_ = 0;  // Ends without an answer since the last answer.
+  std::optional<TimePoint> ejected_until_;
+  Duration ejection_{};
+  bool hinted_unhealthy_ = false;
+};
+
+}  // namespace greengage
+
+#endif  // GREENGAGE_COORDINATION_SEARCHER_STATE_H_
--- a/include/greengage/state/hybrid_clock.h
+++ b/include/greengage/state/hybrid_clock.h
@@ -16,6 +16,8 @@
   int64_t milliseconds = 0;
   uint32_t counter = 0;
 
+  // The check takes the zero in rewritten comparisons for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const HybridTime&) const = default;
 };
 
--- /dev/null
+++ b/src/transport/front_service.cc
@@ -0,0 +1,203 @@
+#include "greengage/transport/front_service.h"
+
+#include <charconv>
+
+#include "greengage/protocol/caller_codec.h"
+#include "greengage/protocol/event_codec.h"
+
+namespace greengage {
+namespace {
+
+constexpr size_t kMaxEventsServed = 20000;
+
+// When to come back if the instance cannot tell better.
+constexpr std::chrono::milliseconds kDefaultRetryAfter{1000};
+
+TimePoint Now() {
+  return std::chrono::steady_clock::now();
+}
+
+unsigned StatusOf(const Answer& answer) {
+  switch (answer.outcome) {
+    case Outcome::kAnswered:
+      return 200;
+    case Outcome::kNotRun:
+      return answer.refusal == Refusal::kOverloaded ||
+                     answer.refusal == Refusal::kShed
+                 ? 429
+                 : 503;
+    case Outcome::kUnknown:
+      return 504;
+  }
+  return 500;
+}
+
+unsigned StatusOf(const Failure& failure) {
+  switch (failure.kind) {
+    case FailureKind::kTooLarge:
+      return 413;
+    case FailureKind::kNotFound:
+      return 404;
+    default:
+      return 400;
+  }
+}
+
+HttpResponse ToResponse(const Answer& answer,
+                        const Configuration& configuration) {
+  HttpResponse response;
+  response.status = StatusOf(answer);
+  response.body = SerializeAnswer(answer, configuration);
+  if (answer.outcome != Outcome::kAnswered) {
+    const auto seconds =
+        std::chrono::ceil<std::chrono::seconds>(answer.retry_after);
+    response.headers.emplace_back("Retry-After",
+                                  std::to_string(seconds.count()));
+  }
+  return response;
+}
+
+int64_t ReadInteger(const HttpRequest& request, const std::string& name) {
+  const auto found = request.parameters.find(name);
+  int64_t value = 0;
+  if (found != request.parameters.end()) {
+    const std::string& text = found->second;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+  }
+  return value;
+}
+
+}  // namespace
+
+FrontService::FrontService(std::string instance,
+                           FrontHooks hooks,
+                           FrontLimits limits,
+                           EventLog* events,
+                           Metrics* metrics,
+                           std::vector<Gauge> gauges)
+    : instance_(std::move(instance)),
+      hooks_(std::move(hooks)),
+      limits_(limits),
+      events_(events),
+      metrics_(metrics),
+      gauges_(std::move(gauges)) {}
+
+void FrontService::Handle(const HttpRequest& request,
+                          const std::shared_ptr<HttpExchange>& exchange) {
+  if (request.path == "/v1/query") {
+    HandleQuery(request, exchange);
+  } else if (request.path == "/livez") {
+    exchange->Reply(HttpResponse{.body = "{\"live\": true}"});
+  } else if (request.path == "/readyz") {
+    exchange->Reply(HandleReadiness());
+  } else if (request.path == "/metrics") {
+    exchange->Reply(HttpResponse{.content_type = "text/plain; version=0.0.4",
+                                 .body = SerializeMetrics(*metrics_, gauges_)});
+  } else if (request.path == "/v1/status") {
+    exchange->Reply(HttpResponse{.body = hooks_.status()});
+  } else if (request.path == "/v1/events") {
+    exchange->Reply(HandleEvents(request));
+  } else {
+    exchange->Reply(Reject(
+        Failure{FailureKind::kNotFound, request.path, "no such resource"}));
+  }
+}
+
+HttpResponse FrontService::HandleReadiness() const {
+  const bool ready = hooks_.ready();
+  return HttpResponse{
+      .status = ready ? 200U : 503U,
+      .body = ready ? "{\"ready\": true}"
+                    : std::string("{\"ready\": false, \"reason\": \"") +
+                          (hooks_.configuration() ? "stopping"
+                                                  : "no_configuration") +
+                          "\"}"};
+}
+
+HttpResponse FrontService::HandleEvents(const HttpRequest& request) const {
+  std::optional<std::string> request_id;
+  const auto found = request.parameters.find("request");
+  if (found != request.parameters.end()) {
+    request_id = found->second;
+  }
+  const HybridTime since{ReadInteger(request, "since_ms"), 0};
+  return HttpResponse{.body = SerializeEvents(
+                          events_->Read(since, request_id, kMaxEventsServed))};
+}
+
+HttpResponse FrontService::Reject(const Failure& failure) {
+  metrics_->rejected_requests.Add();
+  return HttpResponse{.status = StatusOf(failure),
+                      .body = SerializeFailure(failure)};
+}
+
+// A refusal before the request was read: nothing of it ran.
+HttpResponse FrontService::Refuse(Refusal refusal) const {
+  Answer answer;
+  answer.outcome = Outcome::kNotRun;
+  answer.refusal = refusal;
+  answer.retry_after = kDefaultRetryAfter;
+  return ToResponse(answer, Configuration{});
+}
+
+std::string FrontService::MakeRequestId() {
+  const auto now = SinceEpoch(std::chrono::system_clock::now());
+  return std::to_string(now.count()) + "-" + instance_ + "-" +
+         std::to_string(next_request_++);
+}
+
+void FrontService::HandleQuery(const HttpRequest& request,
+                               const std::shared_ptr<HttpExchange>& exchange) {
+  if (request.method != "POST") {
+    HttpResponse response = Reject(
+        Failure{FailureKind::kInvalidArgument, request.method, "want POST"});
+    response.status = 405;
+    exchange->Reply(std::move(response));
+    return;
+  }
+  const ConfigurationPtr configuration = hooks_.configuration();
+  if (!configuration || hooks_.refusing()) {
+    exchange->Reply(
+        Refuse(configuration ? Refusal::kDraining : Refusal::kNotReady));
+    return;
+  }
+  if (in_flight_ >= limits_.in_flight) {
+    exchange->Reply(Refuse(Refusal::kOverloaded));
+    return;
+  }
+  const TimePoint received = Now();
+  Result<Query> query = ParseQuery(request.body, *configuration, received,
+                                   [this] { return MakeRequestId(); });
+  if (!query) {
+    exchange->Reply(Reject(query.last_reason()));
+    return;
+  }
+  ++in_flight_;
+  const std::shared_ptr<RunningQuery> running =
+      hooks_.run(std::move(*query), configuration,
+                 [self = shared_from_this(), configuration, received,
+                  exchange](const Answer& answer) {
+                   self->OnAnswer(answer, configuration, received, exchange);
+                 });
+  if (running) {
+    exchange->OnAbandoned([running] { running->Abandon(); });
+  }
+}
+
+void FrontService::OnAnswer(const Answer& answer,
+                            const ConfigurationPtr& configuration,
+                            TimePoint received,
+                            const std::shared_ptr<HttpExchange>& exchange) {
+  --in_flight_;
+  const size_t rank = IndexOf(answer.rank);
+  metrics_->queries[rank][static_cast<size_t>(answer.outcome)].Add();
+  if (answer.outcome == Outcome::kAnswered) {
+    metrics_->query_time[rank].Record(Now() - received);
+  }
+  if (answer.outcome == Outcome::kAnswered && !answer.missing.empty()) {
+    metrics_->partial_answers.Add();
+  }
+  exchange->Reply(ToResponse(answer, *configuration));
+}
+
+}  // namespace greengage
