Decide the course of a query

The linter takes a defaulted comparison in endpoint.h for a null pointer when a map key needs it, hence the exception.

--- a/include/greengage/coordination/answer_merger.h
+++ b/include/greengage/coordination/answer_merger.h
@@ -37,6 +37,7 @@
 
  private:
   MergeResult Check(const SubRequest& request, const SubAnswer& answer) const;
+  void Insert(Hit hit);
 
   uint64_t index_version_;
   size_t limit_;
--- a/include/greengage/coordination/query_plan.h
+++ b/include/greengage/coordination/query_plan.h
@@ -12,6 +12,7 @@
 #include <variant>
 #include <vector>
 
+#include "greengage/coordination/admission.h"
 #include "greengage/coordination/answer_merger.h"
 #include "greengage/coordination/extra_load_budget.h"
 #include "greengage/coordination/hedge_policy.h"
@@ -30,6 +31,7 @@
   HedgePolicy* hedges = nullptr;
   ExtraLoadBudget* extra_load = nullptr;
   RetryBudget* retries = nullptr;
+  Admission* admission = nullptr;
   // The configuration in force, for a query that must run anew.
   std::function<ConfigurationPtr()> configuration;
   std::atomic<uint64_t> next_sub_request_id{1};
@@ -67,7 +69,8 @@
     std::variant<SendAction, CancelAction, RerunAction, AnswerAction>;
 using QueryActions = std::vector<QueryAction>;
 
-// Usage: carry out the actions of Start(); pass each sub-answer to
+// Usage: get the query admitted by the context's Admission, which the plan
+// tells of the end; carry out the actions of Start(); pass each sub-answer to
 // OnSubAnswer() and call OnTime() at next_time(), carrying out what they
 // return, until done(). A SubAnswer must be made by the caller for
 // sub-requests that end otherwise (queue refusal, lost connection). Keeps the
@@ -105,12 +108,10 @@
     SubRequest request;
     size_t shard = 0;
     TimePoint sent;
-    bool open = true;
   };
 
   struct ShardProgress {
     bool covered = false;
-    bool failed = false;  // No attempt is open and none will follow.
     bool maybe_run = false;
     uint32_t attempts = 0;
     TimePoint hedge_at = TimePoint::max();
@@ -126,7 +127,9 @@
             size_t shard,
             SendReason reason,
             QueryActions& actions);
+  std::optional<Endpoint> ChooseReplica(TimePoint now, size_t shard);
   SubRequest MakeSubRequest(size_t shard, const Endpoint& searcher);
+  void ScheduleHedge(TimePoint now, size_t shard);
   void Accept(TimePoint now,
               const Attempt& attempt,
               SubAnswer answer,
@@ -135,20 +138,19 @@
             const Attempt& attempt,
             const SubAnswer& answer,
             QueryActions& actions);
-  void GiveUp(TimePoint now, size_t shard, Refusal refusal);
   bool TryRetry(TimePoint now,
                 const Attempt& attempt,
                 const SubAnswer& answer,
                 QueryActions& actions);
+  bool HasUntriedReplica(TimePoint now, const Attempt& attempt);
   bool TryRerun(TimePoint now, QueryActions& actions);
+  void GiveUp(size_t shard, Refusal refusal);
   void Hedge(TimePoint now, size_t shard, QueryActions& actions);
-  void CancelOpen(TimePoint now,
-                  size_t shard,
-                  bool overdue,
-                  QueryActions& actions);
+  void CancelOpen(TimePoint now, size_t shard, QueryActions& actions);
   void FinishIfComplete(TimePoint now, QueryActions& actions);
   void Finish(TimePoint now, QueryActions& actions);
   Answer MakeAnswer();
+  void DropLate(TimePoint now, const SubAnswer& answer);
   void UpdateNextTime();
 
   Query query_;
--- a/include/greengage/coordination/replica_chooser.h
+++ b/include/greengage/coordination/replica_chooser.h
@@ -34,6 +34,12 @@
                                  const ReplicaNeed& need);
 
  private:
+  std::vector<const SearcherView*> KeepWarm(
+      const std::vector<const SearcherView*>& candidates);
+  const SearcherView& LessLoaded(
+      const std::vector<const SearcherView*>& candidates,
+      Rank rank);
+
   std::minstd_rand random_;
 };
 
--- a/include/greengage/coordination/searcher_state.h
+++ b/include/greengage/coordination/searcher_state.h
@@ -44,6 +44,12 @@
   }
 };
 
+// The conditions of a searcher that are worth an event when they change.
+struct SearcherSigns {
+  bool draining = false;
+  bool ejected = false;  // Until an answer shows that it is back.
+};
+
 // Not thread-safe; SearcherTracker keeps one for each searcher under a lock.
 class SearcherState {
  public:
@@ -74,19 +80,26 @@
 
   SearcherView View(TimePoint now, const Endpoint& endpoint) const;
 
+  SearcherSigns signs(TimePoint now) const {
+    return {IsDraining(now), ejected_until_.has_value()};
+  }
+
   const LatencyWindow& latency() const { return latency_; }
 
  private:
   void OnSuccess(TimePoint now);
   void OnFailure(TimePoint now);
   void EndOne(Rank rank);
+  bool IsDraining(TimePoint now) const;
   bool IsEjected(TimePoint now) const;
+  double Weight(TimePoint now) const;
 
   SearcherStateOptions options_;
   uint32_t slots_;
   std::array<uint32_t, kRankCount> outstanding_{};
   LatencyWindow latency_;
   SearcherLoad load_;
+  TimePoint load_at_;
   TimePoint warm_since_;
   bool cold_ = false;
   std::optional<TimePoint> drain_sign_;
--- a/include/greengage/coordination/searcher_tracker.h
+++ b/include/greengage/coordination/searcher_tracker.h
@@ -69,8 +69,9 @@
               const Endpoint& searcher,
               const std::function<void(SearcherState&)>& update);
   void Report(TimePoint now,
-              const SearcherView& before,
-              const SearcherView& after) const;
+              const Endpoint& searcher,
+              const SearcherSigns& before,
+              const SearcherSigns& after) const;
 
   const SearcherStateOptions options_;
   const ChangeHook on_change_;
--- a/include/greengage/state/endpoint.h
+++ b/include/greengage/state/endpoint.h
@@ -18,6 +18,7 @@
   std::string host;
   uint16_t port = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const Endpoint&) const = default;
 };
 
--- /dev/null
+++ b/src/coordination/extra_load_budget.cc
@@ -0,0 +1,52 @@
+#include "greengage/coordination/extra_load_budget.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace greengage {
+
+namespace {
+
+constexpr double kPercent = 100;
+constexpr double kMostTokens = 100;   // Hedges saved up for a burst.
+constexpr double kSmoothing = 0.005;  // Weight of the newest answer.
+// Share of time spent waiting above which no more hedges are earned.
+constexpr double kFullPressure = 0.8;
+
+}  // namespace
+
+ExtraLoadBudget::ExtraLoadBudget(double percent) : share_(percent / kPercent) {}
+
+void ExtraLoadBudget::OnSent(Rank rank, size_t count) {
+  const std::lock_guard lock(mutex_);
+  Account& account = accounts_[IndexOf(rank)];
+  const double ease = std::max(0.0, 1 - account.waiting_share / kFullPressure);
+  const double earned = share_ * ease * static_cast<double>(count);
+  account.tokens = std::min(kMostTokens, account.tokens + earned);
+}
+
+void ExtraLoadBudget::OnAnswer(Rank rank,
+                               Duration queue_time,
+                               Duration service_time) {
+  const Duration total = queue_time + service_time;
+  if (total <= Duration::zero()) {
+    return;
+  }
+  const double waited = std::chrono::duration<double>(queue_time) /
+                        std::chrono::duration<double>(total);
+  const std::lock_guard lock(mutex_);
+  Account& account = accounts_[IndexOf(rank)];
+  account.waiting_share += (waited - account.waiting_share) * kSmoothing;
+}
+
+bool ExtraLoadBudget::TrySpend(Rank rank) {
+  const std::lock_guard lock(mutex_);
+  double& tokens = accounts_[IndexOf(rank)].tokens;
+  if (tokens < 1) {
+    return false;
+  }
+  tokens -= 1;
+  return true;
+}
+
+}  // namespace greengage
--- /dev/null
+++ b/src/coordination/query_plan.cc
@@ -0,0 +1,390 @@
+#include "greengage/coordination/query_plan.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "greengage/coordination/snapshot.h"
+
+namespace greengage {
+
+namespace {
+
+constexpr uint32_t kMaxReruns = 2;
+constexpr uint32_t kMaxAttempts = 4;  // For one shard, retries included.
+
+bool SaysVersionsMoved(Refusal refusal) {
+  return refusal == Refusal::kVersionNotHeld ||
+         refusal == Refusal::kRangeNotHeld;
+}
+
+// An answer that did not fit its sub-request tells nothing about it.
+SubAnswer AsMalformed(SubAnswer answer, MergeResult result) {
+  answer.outcome = Outcome::kUnknown;
+  answer.refusal = result == MergeResult::kWrongVersion
+                       ? Refusal::kVersionNotHeld
+                       : Refusal::kMalformedAnswer;
+  answer.hits.clear();
+  return answer;
+}
+
+}  // namespace
+
+QueryPlan::QueryPlan(Query query,
+                     ConfigurationPtr configuration,
+                     QueryContext* context,
+                     uint64_t seed)
+    : query_(std::move(query)),
+      configuration_(std::move(configuration)),
+      context_(context),
+      chooser_(seed),
+      merger_(0, query_.limit),
+      next_time_(query_.deadline) {}
+
+QueryActions QueryPlan::Start(TimePoint now) {
+  QueryActions actions;
+  Pin(now);
+  SendAll(now, SendReason::kFirst, actions);
+  const size_t asked = wanted_.size();
+  context_->extra_load->OnSent(query_.rank, asked);
+  context_->retries->OnSent(query_.service, query_.rank, asked);
+  FinishIfComplete(now, actions);
+  return actions;
+}
+
+QueryActions QueryPlan::OnSubAnswer(TimePoint now, SubAnswer answer) {
+  QueryActions actions;
+  const auto it = attempts_.find(answer.id);
+  if (it == attempts_.end()) {
+    DropLate(now, answer);
+    return actions;
+  }
+  const Attempt attempt = std::move(it->second);
+  attempts_.erase(it);
+  std::erase(shards_[attempt.shard].open, answer.id);
+  answer.searcher = attempt.request.searcher;
+  context_->admission->OnSubAnswer(now, query_.service, query_.rank, answer);
+  if (answer.outcome == Outcome::kAnswered) {
+    Accept(now, attempt, std::move(answer), actions);
+  } else {
+    Fail(now, attempt, answer, actions);
+  }
+  FinishIfComplete(now, actions);
+  return actions;
+}
+
+QueryActions QueryPlan::OnTime(TimePoint now) {
+  QueryActions actions;
+  if (done_) {
+    return actions;
+  }
+  if (now >= query_.deadline) {
+    Finish(now, actions);
+    return actions;
+  }
+  for (const size_t shard : wanted_) {
+    if (now >= shards_[shard].hedge_at) {
+      Hedge(now, shard, actions);
+    }
+  }
+  UpdateNextTime();
+  return actions;
+}
+
+const ServiceConfiguration& QueryPlan::service() const {
+  return configuration_->services.at(query_.service);
+}
+
+void QueryPlan::Pin(TimePoint now) {
+  index_version_ =
+      ChooseIndexVersion(service(), [&](const ShardConfiguration& shard) {
+        return context_->searchers->Views(now, shard.replicas);
+      });
+  merger_ = AnswerMerger(index_version_, query_.limit);
+  const std::vector<ShardConfiguration>& shards = service().shards;
+  shards_.assign(shards.size(), ShardProgress{});
+  wanted_.clear();
+  for (size_t i = 0; i < shards.size(); ++i) {
+    if (query_.idempotent || !query_.key ||
+        shards[i].range.Contains(*query_.key)) {
+      wanted_.push_back(i);
+    }
+  }
+  unsettled_ = wanted_.size();
+}
+
+void QueryPlan::SendAll(TimePoint now,
+                        SendReason reason,
+                        QueryActions& actions) {
+  actions.reserve(actions.size() + wanted_.size());
+  for (const size_t shard : wanted_) {
+    if (!Send(now, shard, reason, actions)) {
+      GiveUp(shard, Refusal::kNoReplica);
+    }
+  }
+}
+
+bool QueryPlan::Send(TimePoint now,
+                     size_t shard,
+                     SendReason reason,
+                     QueryActions& actions) {
+  ShardProgress& progress = shards_[shard];
+  const std::optional<Endpoint> searcher = ChooseReplica(now, shard);
+  if (!searcher) {
+    return false;
+  }
+  Attempt attempt{MakeSubRequest(shard, *searcher), shard, now};
+  context_->searchers->OnSent(now, *searcher, query_.rank);
+  ++progress.attempts;
+  progress.tried.push_back(*searcher);
+  progress.open.push_back(attempt.request.id);
+  ScheduleHedge(now, shard);
+  actions.push_back(SendAction{attempt.request, reason});
+  attempts_.emplace(attempt.request.id, std::move(attempt));
+  return true;
+}
+
+// Untried replicas go first; then any but the last one tried, and then any.
+std::optional<Endpoint> QueryPlan::ChooseReplica(TimePoint now, size_t shard) {
+  const ShardProgress& progress = shards_[shard];
+  const std::vector<SearcherView> views =
+      context_->searchers->Views(now, service().shards[shard].replicas);
+  ReplicaNeed need{query_.rank, index_version_, &progress.tried};
+  std::optional<Endpoint> chosen = chooser_.Choose(views, need);
+  if (chosen || progress.tried.empty() || !query_.idempotent) {
+    return chosen;
+  }
+  const std::vector<Endpoint> last{progress.tried.back()};
+  need.tried = &last;
+  chosen = chooser_.Choose(views, need);
+  if (chosen) {
+    return chosen;
+  }
+  need.tried = nullptr;
+  return chooser_.Choose(views, need);
+}
+
+SubRequest QueryPlan::MakeSubRequest(size_t shard, const Endpoint& searcher) {
+  const ShardConfiguration& target = service().shards[shard];
+  SubRequest request;
+  request.id = context_->next_sub_request_id.fetch_add(1);
+  request.request_id = query_.request_id;
+  request.service = query_.service;
+  request.shard = target.name;
+  request.searcher = searcher;
+  request.range = target.range;
+  request.index_version = index_version_;
+  request.configuration_version = configuration_->version;
+  request.rank = query_.rank;
+  request.idempotent = query_.idempotent;
+  request.limit = query_.limit;
+  request.text = query_.text;
+  request.deadline = query_.deadline;
+  return request;
+}
+
+void QueryPlan::ScheduleHedge(TimePoint now, size_t shard) {
+  ShardProgress& progress = shards_[shard];
+  progress.hedge_at = TimePoint::max();
+  if (!query_.idempotent || progress.attempts >= context_->hedges->attempts()) {
+    return;
+  }
+  progress.hedge_at =
+      now + context_->hedges->Delay(now, query_.service, query_.rank);
+  next_time_ = std::min(next_time_, progress.hedge_at);
+}
+
+void QueryPlan::Accept(TimePoint now,
+                       const Attempt& attempt,
+                       SubAnswer answer,
+                       QueryActions& actions) {
+  const uint64_t pinned = answer.index_version;
+  const MergeResult result = merger_.Accept(attempt.request, answer);
+  if (result != MergeResult::kAccepted) {
+    context_->rejected_answers.fetch_add(1);
+    Fail(now, attempt, AsMalformed(std::move(answer), result), actions);
+    return;
+  }
+  index_version_ = pinned;
+  const Duration latency = now - attempt.sent;
+  context_->searchers->OnEnded(now, query_.rank, answer);
+  context_->hedges->Record(now, query_.service, query_.rank, latency);
+  context_->extra_load->OnAnswer(query_.rank, answer.queue_time,
+                                 answer.service_time);
+  ShardProgress& progress = shards_[attempt.shard];
+  progress.covered = true;
+  progress.hedge_at = TimePoint::max();
+  --unsettled_;
+  CancelOpen(now, attempt.shard, actions);
+}
+
+void QueryPlan::Fail(TimePoint now,
+                     const Attempt& attempt,
+                     const SubAnswer& answer,
+                     QueryActions& actions) {
+  context_->searchers->OnEnded(now, query_.rank, answer);
+  ShardProgress& progress = shards_[attempt.shard];
+  progress.refusal = answer.refusal;
+  progress.maybe_run |= answer.outcome != Outcome::kNotRun;
+  retry_after_ = std::max(retry_after_, answer.retry_after);
+  if (!progress.open.empty() || TryRetry(now, attempt, answer, actions)) {
+    return;
+  }
+  if (SaysVersionsMoved(answer.refusal) && TryRerun(now, actions)) {
+    return;
+  }
+  GiveUp(attempt.shard, answer.refusal);
+}
+
+bool QueryPlan::TryRetry(TimePoint now,
+                         const Attempt& attempt,
+                         const SubAnswer& answer,
+                         QueryActions& actions) {
+  const ShardProgress& progress = shards_[attempt.shard];
+  if (progress.attempts >= kMaxAttempts ||
+      !IsRetryable(attempt.request, answer)) {
+    return false;
+  }
+  const bool others_left =
+      !SaysVersionsMoved(answer.refusal) || HasUntriedReplica(now, attempt);
+  return others_left &&
+         context_->retries->TrySpend(query_.service, query_.rank, 1) &&
+         Send(now, attempt.shard, SendReason::kRetry, actions);
+}
+
+bool QueryPlan::HasUntriedReplica(TimePoint now, const Attempt& attempt) {
+  const size_t shard = attempt.shard;
+  const std::vector<SearcherView> views =
+      context_->searchers->Views(now, service().shards[shard].replicas);
+  // A sub-request for no version in particular may meet the pinned one where
+  // it was sent first.
+  const bool was_unpinned = attempt.request.index_version == 0;
+  const ReplicaNeed need{query_.rank, index_version_,
+                         was_unpinned ? nullptr : &shards_[shard].tried};
+  return chooser_.Choose(views, need).has_value();
+}
+
+bool QueryPlan::TryRerun(TimePoint now, QueryActions& actions) {
+  ConfigurationPtr newest = context_->configuration();
+  if (!query_.idempotent || reruns_ >= kMaxReruns || !newest ||
+      newest->services.count(query_.service) == 0) {
+    return false;
+  }
+  const uint64_t version = ChooseIndexVersion(
+      newest->services.at(query_.service),
+      [&](const ShardConfiguration& shard) {
+        return context_->searchers->Views(now, shard.replicas);
+      });
+  const bool same =
+      version == index_version_ && newest->version == configuration_->version;
+  if (same || !context_->retries->TrySpend(query_.service, query_.rank,
+                                           wanted_.size())) {
+    return false;
+  }
+  ++reruns_;
+  actions.push_back(RerunAction{index_version_, version});
+  for (const size_t shard : wanted_) {
+    CancelOpen(now, shard, actions);
+  }
+  configuration_ = std::move(newest);
+  Pin(now);
+  SendAll(now, SendReason::kRerun, actions);
+  return true;
+}
+
+void QueryPlan::GiveUp(size_t shard, Refusal refusal) {
+  ShardProgress& progress = shards_[shard];
+  progress.refusal = refusal;
+  progress.hedge_at = TimePoint::max();
+  --unsettled_;
+}
+
+void QueryPlan::Hedge(TimePoint now, size_t shard, QueryActions& actions) {
+  if (!context_->extra_load->TrySpend(query_.rank)) {
+    ScheduleHedge(now, shard);
+    return;
+  }
+  if (!Send(now, shard, SendReason::kHedge, actions)) {
+    shards_[shard].hedge_at = TimePoint::max();
+  }
+}
+
+// Gives up what is still open for a shard. An attempt that was overtaken by a
+// later one tells against its searcher.
+void QueryPlan::CancelOpen(TimePoint now, size_t shard, QueryActions& actions) {
+  ShardProgress& progress = shards_[shard];
+  for (const uint64_t id : progress.open) {
+    const auto it = attempts_.find(id);
+    const Attempt& attempt = it->second;
+    const Endpoint searcher = attempt.request.searcher;
+    const bool overtaken = searcher != progress.tried.back();
+    context_->searchers->OnCancelled(now, searcher, query_.rank, overtaken);
+    actions.push_back(CancelAction{id, searcher});
+    attempts_.erase(it);
+  }
+  progress.open.clear();
+}
+
+void QueryPlan::FinishIfComplete(TimePoint now, QueryActions& actions) {
+  if (!done_ && unsettled_ == 0) {
+    Finish(now, actions);
+  }
+}
+
+void QueryPlan::Finish(TimePoint now, QueryActions& actions) {
+  for (const size_t shard : wanted_) {
+    ShardProgress& progress = shards_[shard];
+    progress.maybe_run |= !progress.open.empty();
+    CancelOpen(now, shard, actions);
+  }
+  done_ = true;
+  context_->admission->OnEnded(now, query_);
+  actions.push_back(AnswerAction{MakeAnswer()});
+}
+
+Answer QueryPlan::MakeAnswer() {
+  Answer answer;
+  answer.request_id = query_.request_id;
+  answer.service = query_.service;
+  answer.rank = query_.rank;
+  answer.index_version = index_version_;
+  answer.configuration_version = configuration_->version;
+  answer.hits = merger_.TakeHits();
+  answer.covered = merger_.coverage().ranges();
+  bool maybe_run = false;
+  for (const size_t shard : wanted_) {
+    const ShardProgress& progress = shards_[shard];
+    const ShardConfiguration& target = service().shards[shard];
+    maybe_run |= progress.maybe_run;
+    if (!progress.covered) {
+      answer.missing.push_back({target.name, target.range, progress.refusal});
+    }
+  }
+  if (!answer.covered.empty()) {
+    answer.outcome = Outcome::kAnswered;
+    return answer;
+  }
+  answer.outcome = maybe_run ? Outcome::kUnknown : Outcome::kNotRun;
+  answer.refusal = answer.missing.empty() ? Refusal::kNoReplica
+                                          : answer.missing.front().refusal;
+  answer.retry_after = retry_after_;
+  return answer;
+}
+
+void QueryPlan::DropLate(TimePoint now, const SubAnswer& answer) {
+  if (answer.refusal == Refusal::kCancelled) {
+    return;
+  }
+  context_->rejected_answers.fetch_add(1);
+  if (answer.load) {
+    context_->searchers->OnLoad(now, answer.searcher, *answer.load);
+  }
+}
+
+void QueryPlan::UpdateNextTime() {
+  next_time_ = query_.deadline;
+  for (const size_t shard : wanted_) {
+    next_time_ = std::min(next_time_, shards_[shard].hedge_at);
+  }
+}
+
+}  // namespace greengage
--- /dev/null
+++ b/src/coordination/replica_chooser.cc
@@ -0,0 +1,90 @@
+#include "greengage/coordination/replica_chooser.h"
+
+#include <algorithm>
+
+namespace greengage {
+
+namespace {
+
+bool IsTried(const Endpoint& endpoint, const std::vector<Endpoint>* tried) {
+  return tried != nullptr &&
+         std::find(tried->begin(), tried->end(), endpoint) != tried->end();
+}
+
+using Candidates = std::vector<const SearcherView*>;
+
+Candidates KeepPreferred(const Candidates& all,
+                         bool (*is_preferred)(const SearcherView&)) {
+  Candidates preferred;
+  std::copy_if(all.begin(), all.end(), std::back_inserter(preferred),
+               [&](const SearcherView* view) { return is_preferred(*view); });
+  return preferred.empty() ? all : preferred;
+}
+
+}  // namespace
+
+ReplicaChooser::ReplicaChooser(uint64_t seed)
+    : random_(static_cast<std::minstd_rand::result_type>(seed)) {}
+
+std::optional<Endpoint> ReplicaChooser::Choose(
+    const std::vector<SearcherView>& replicas,
+    const ReplicaNeed& need) {
+  Candidates usable;
+  for (const SearcherView& view : replicas) {
+    if (!view.draining && view.MayHold(need.index_version) &&
+        !IsTried(view.endpoint, need.tried)) {
+      usable.push_back(&view);
+    }
+  }
+  if (usable.empty()) {
+    return std::nullopt;
+  }
+  usable =
+      KeepPreferred(usable, [](const SearcherView& v) { return !v.ejected; });
+  usable = KeepWarm(usable);
+  return LessLoaded(usable, need.rank).endpoint;
+}
+
+// A cold searcher stands for choice with a probability equal to its weight.
+std::vector<const SearcherView*> ReplicaChooser::KeepWarm(
+    const std::vector<const SearcherView*>& candidates) {
+  Candidates warm;
+  std::uniform_real_distribution<double> chance(0, 1);
+  for (const SearcherView* view : candidates) {
+    if (view->weight >= 1 || chance(random_) < view->weight) {
+      warm.push_back(view);
+    }
+  }
+  return warm.empty() ? candidates : warm;
+}
+
+const SearcherView& ReplicaChooser::LessLoaded(
+    const std::vector<const SearcherView*>& candidates,
+    Rank rank) {
+  const size_t count = candidates.size();
+  if (count == 1) {
+    return *candidates.front();
+  }
+  std::uniform_int_distribution<size_t> first_of(0, count - 1);
+  std::uniform_int_distribution<size_t> step_of(1, count - 1);
+  const size_t first = first_of(random_);
+  const size_t second = (first + step_of(random_)) % count;
+  const double first_load = LoadAhead(*candidates[first], rank);
+  const double second_load = LoadAhead(*candidates[second], rank);
+  return *candidates[second_load < first_load ? second : first];
+}
+
+double LoadAhead(const SearcherView& searcher, Rank rank) {
+  uint32_t ahead = 0;
+  for (size_t i = 0; i <= IndexOf(rank); ++i) {
+    ahead += searcher.outstanding[i];
+  }
+  // What a searcher says of itself may mislead: it counts up to its slots.
+  ahead += std::min(searcher.returned_queue, searcher.slots);
+  if (searcher.hinted_unhealthy) {
+    ahead += 1;
+  }
+  return static_cast<double>(ahead) / std::max(1U, searcher.slots);
+}
+
+}  // namespace greengage
--- /dev/null
+++ b/src/coordination/searcher_state.cc
@@ -0,0 +1,166 @@
+#include "greengage/coordination/searcher_state.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace greengage {
+
+namespace {
+
+// Load that a searcher returned longer ago than this says nothing any more.
+constexpr Duration kLoadLifetime = std::chrono::milliseconds(100);
+
+// How the end of a sub-request tells on its searcher.
+enum class Evidence : uint8_t { kNone, kAlive, kFailure };
+
+Evidence EvidenceOf(const SubAnswer& answer) {
+  if (answer.outcome == Outcome::kAnswered) {
+    return Evidence::kAlive;
+  }
+  switch (answer.refusal) {
+    case Refusal::kShed:
+    case Refusal::kDraining:
+    case Refusal::kVersionNotHeld:
+    case Refusal::kRangeNotHeld:
+      return Evidence::kAlive;
+    case Refusal::kConnectionLost:
+    case Refusal::kMalformedAnswer:
+      return Evidence::kFailure;
+    default:
+      return Evidence::kNone;
+  }
+}
+
+}  // namespace
+
+SearcherState::SearcherState(TimePoint now,
+                             SearcherStateOptions options,
+                             uint32_t slots)
+    : options_(options), slots_(slots), warm_since_(now) {}
+
+void SearcherState::OnSent(TimePoint /*now*/, Rank rank) {
+  ++outstanding_[IndexOf(rank)];
+}
+
+void SearcherState::OnEnded(TimePoint now, Rank rank, const SubAnswer& answer) {
+  EndOne(rank);
+  if (answer.load) {
+    OnLoad(now, *answer.load);
+  }
+  if (answer.refusal == Refusal::kDraining) {
+    OnDrainSign(now);
+  }
+  switch (EvidenceOf(answer)) {
+    case Evidence::kAlive:
+      OnSuccess(now);
+      break;
+    case Evidence::kFailure:
+      OnFailure(now);
+      break;
+    case Evidence::kNone:
+      break;
+  }
+  if (answer.outcome == Outcome::kAnswered) {
+    latency_.Record(now, answer.service_time);
+  }
+}
+
+void SearcherState::OnCancelled(TimePoint now, Rank rank, bool overdue) {
+  EndOne(rank);
+  if (overdue) {
+    OnFailure(now);
+  }
+}
+
+void SearcherState::OnLoad(TimePoint now, const SearcherLoad& load) {
+  load_ = load;
+  load_at_ = now;
+  if (load.draining) {
+    OnDrainSign(now);
+  }
+}
+
+void SearcherState::OnDrainSign(TimePoint now) {
+  drain_sign_ = now;
+}
+
+void SearcherState::OnColdStart(TimePoint now) {
+  cold_ = true;
+  warm_since_ = now;
+}
+
+SearcherView SearcherState::View(TimePoint now,
+                                 const Endpoint& endpoint) const {
+  SearcherView view;
+  view.endpoint = endpoint;
+  view.outstanding = outstanding_;
+  view.slots = slots_;
+  if (now - load_at_ < kLoadLifetime) {
+    view.returned_queue = load_.queued;
+  }
+  view.weight = Weight(now);
+  view.oldest_version = load_.oldest_version;
+  view.newest_version = load_.newest_version;
+  view.draining = IsDraining(now);
+  view.ejected = IsEjected(now);
+  view.hinted_unhealthy = hinted_unhealthy_;
+  return view;
+}
+
+void SearcherState::OnSuccess(TimePoint now) {
+  failures_ = 0;
+  if (ejected_until_) {
+    ejected_until_.reset();
+    ejection_ = Duration::zero();
+    OnColdStart(now);
+  }
+}
+
+void SearcherState::OnFailure(TimePoint now) {
+  ++failures_;
+  if (failures_ < options_.ejection_failures ||
+      (ejected_until_ && now < *ejected_until_)) {
+    return;
+  }
+  ejection_ = std::clamp(ejection_ * 2, options_.first_ejection,
+                         options_.longest_ejection);
+  ejected_until_ = now + ejection_;
+}
+
+void SearcherState::EndOne(Rank rank) {
+  uint32_t& count = outstanding_[IndexOf(rank)];
+  if (count > 0) {
+    --count;
+  }
+}
+
+bool SearcherState::IsDraining(TimePoint now) const {
+  return drain_sign_ && now - *drain_sign_ < options_.drain_memory;
+}
+
+// After its time, an ejected searcher gets one sub-request at a time until one
+// is answered.
+bool SearcherState::IsEjected(TimePoint now) const {
+  if (!ejected_until_) {
+    return false;
+  }
+  const uint32_t total =
+      std::accumulate(outstanding_.begin(), outstanding_.end(), 0U);
+  return now < *ejected_until_ || total > 0;
+}
+
+double SearcherState::Weight(TimePoint now) const {
+  if (ejected_until_) {
+    return options_.slow_start_weight;
+  }
+  const Duration elapsed = now - warm_since_;
+  if (!cold_ || elapsed >= options_.slow_start) {
+    return 1;
+  }
+  const double warmth = std::chrono::duration<double>(elapsed) /
+                        std::chrono::duration<double>(options_.slow_start);
+  return options_.slow_start_weight +
+         (1 - options_.slow_start_weight) * std::max(0.0, warmth);
+}
+
+}  // namespace greengage
--- /dev/null
+++ b/src/coordination/searcher_tracker.cc
@@ -0,0 +1,144 @@
+#include "greengage/coordination/searcher_tracker.h"
+
+namespace greengage {
+
+SearcherTracker::SearcherTracker(SearcherStateOptions options,
+                                 ChangeHook on_change)
+    : options_(options), on_change_(std::move(on_change)) {}
+
+void SearcherTracker::Apply(TimePoint now, const Configuration& configuration) {
+  bool any_known = false;
+  for (Shard& shard : shards_) {
+    const std::lock_guard lock(shard.mutex);
+    std::erase_if(shard.states, [&](const auto& entry) {
+      return configuration.searchers.count(entry.first) == 0;
+    });
+    any_known = any_known || !shard.states.empty();
+  }
+  for (const auto& [endpoint, searcher] : configuration.searchers) {
+    Shard& shard = ShardOf(endpoint);
+    const std::lock_guard lock(shard.mutex);
+    const auto [it, inserted] = shard.states.try_emplace(
+        endpoint, SearcherState(now, options_, searcher.slots));
+    it->second.set_slots(searcher.slots);
+    if (inserted && any_known) {
+      it->second.OnColdStart(now);
+    }
+  }
+}
+
+void SearcherTracker::OnSent(TimePoint now,
+                             const Endpoint& searcher,
+                             Rank rank) {
+  Update(now, searcher, [&](SearcherState& s) { s.OnSent(now, rank); });
+}
+
+void SearcherTracker::OnEnded(TimePoint now,
+                              Rank rank,
+                              const SubAnswer& answer) {
+  Update(now, answer.searcher,
+         [&](SearcherState& s) { s.OnEnded(now, rank, answer); });
+}
+
+void SearcherTracker::OnCancelled(TimePoint now,
+                                  const Endpoint& searcher,
+                                  Rank rank,
+                                  bool overdue) {
+  Update(now, searcher,
+         [&](SearcherState& s) { s.OnCancelled(now, rank, overdue); });
+}
+
+void SearcherTracker::OnLoad(TimePoint now,
+                             const Endpoint& searcher,
+                             const SearcherLoad& load) {
+  Update(now, searcher, [&](SearcherState& s) { s.OnLoad(now, load); });
+}
+
+void SearcherTracker::OnDrainSign(TimePoint now, const Endpoint& searcher) {
+  Update(now, searcher, [&](SearcherState& s) { s.OnDrainSign(now); });
+}
+
+void SearcherTracker::OnColdStart(TimePoint now, const Endpoint& searcher) {
+  Update(now, searcher, [&](SearcherState& s) { s.OnColdStart(now); });
+}
+
+void SearcherTracker::OnHealthHint(TimePoint now,
+                                   const Endpoint& searcher,
+                                   bool healthy) {
+  Update(now, searcher, [&](SearcherState& s) { s.OnHealthHint(healthy); });
+}
+
+std::optional<SearcherView> SearcherTracker::View(
+    TimePoint now,
+    const Endpoint& searcher) const {
+  const Shard& shard = ShardOf(searcher);
+  const std::lock_guard lock(shard.mutex);
+  const auto it = shard.states.find(searcher);
+  if (it == shard.states.end()) {
+    return std::nullopt;
+  }
+  return it->second.View(now, searcher);
+}
+
+std::vector<SearcherView> SearcherTracker::Views(
+    TimePoint now,
+    const std::vector<Endpoint>& searchers) const {
+  std::vector<SearcherView> views;
+  views.reserve(searchers.size());
+  for (const Endpoint& searcher : searchers) {
+    std::optional<SearcherView> view = View(now, searcher);
+    if (view) {
+      views.push_back(*std::move(view));
+    }
+  }
+  return views;
+}
+
+SearcherTracker::Shard& SearcherTracker::ShardOf(const Endpoint& searcher) {
+  return shards_[std::hash<Endpoint>()(searcher) % kShards];
+}
+
+const SearcherTracker::Shard& SearcherTracker::ShardOf(
+    const Endpoint& searcher) const {
+  return shards_[std::hash<Endpoint>()(searcher) % kShards];
+}
+
+void SearcherTracker::Update(
+    TimePoint now,
+    const Endpoint& searcher,
+    const std::function<void(SearcherState&)>& update) {
+  Shard& shard = ShardOf(searcher);
+  SearcherSigns before;
+  SearcherSigns after;
+  {
+    const std::lock_guard lock(shard.mutex);
+    const auto it = shard.states.find(searcher);
+    if (it == shard.states.end()) {
+      return;
+    }
+    before = it->second.signs(now);
+    update(it->second);
+    after = it->second.signs(now);
+  }
+  Report(now, searcher, before, after);
+}
+
+void SearcherTracker::Report(TimePoint now,
+                             const Endpoint& searcher,
+                             const SearcherSigns& before,
+                             const SearcherSigns& after) const {
+  if (!on_change_) {
+    return;
+  }
+  if (after.ejected && !before.ejected) {
+    on_change_(now, searcher, Change::kEjected);
+  }
+  if (before.ejected && !after.ejected) {
+    on_change_(now, searcher, Change::kReturned);
+  }
+  if (after.draining && !before.draining) {
+    on_change_(now, searcher, Change::kDraining);
+  }
+}
+
+}  // namespace greengage
