--- a/include/greengage/state/event_log.h
+++ b/include/greengage/state/event_log.h
@@ -69,8 +69,14 @@
 // Thread-safe: the ring is divided into shards, each under its own lock.
 class EventLog {
  public:
+  // Runs for each event recorded, without a lock held.
+  using RecordHook = std::function<void(const Event&)>;
+
   // Keeps about the newest `capacity` events of `process`.
-  EventLog(std::string process, size_t capacity, HybridClock* clock);
+  EventLog(std::string process,
+           size_t capacity,
+           HybridClock* clock,
+           RecordHook on_record = {});
 
   void Record(WallTime now,
               EventKind kind,
@@ -94,6 +100,7 @@
   const std::string process_;
   const size_t shard_capacity_;
   HybridClock* const clock_;
+  const RecordHook on_record_;
   std::vector<Shard> shards_;
 };
 
--- a/src/coordination/query_plan.cc
+++ b/src/coordination/query_plan.cc
@@ -178,6 +178,7 @@
   request.idempotent = query_.idempotent;
   request.limit = query_.limit;
   request.text = query_.text;
+  request.key = query_.key;
   request.deadline = query_.deadline;
   return request;
 }
--- a/src/state/event_log.cc
+++ b/src/state/event_log.cc
@@ -107,11 +107,15 @@
   return kinds;
 }
 
-EventLog::EventLog(std::string process, size_t capacity, HybridClock* clock)
+EventLog::EventLog(std::string process,
+                   size_t capacity,
+                   HybridClock* clock,
+                   RecordHook on_record)
     : process_(std::move(process)),
       shard_capacity_(
           std::max<size_t>(1, (capacity + kShardCount - 1) / kShardCount)),
       clock_(clock),
+      on_record_(std::move(on_record)),
       shards_(kShardCount) {}
 
 void EventLog::Record(WallTime now,
@@ -125,6 +129,9 @@
               .request_id = std::move(request_id),
               .subject = std::move(subject),
               .detail = std::move(detail)};
+  if (on_record_) {
+    on_record_(event);
+  }
   Shard& shard = shards_[NextShard()];
   const std::lock_guard lock(shard.mutex);
   if (shard.ring.size() < shard_capacity_) {
--- a/src/transport/query_service.cc
+++ b/src/transport/query_service.cc
@@ -74,6 +74,7 @@
     for (const Route& route : open) {
       service_->router_->Cancel(route);
     }
+    service_->plans_->admission->OnEnded(Now(), plan_.query());
     Answer answer;
     answer.request_id = plan_.query().request_id;
     answer.outcome = Outcome::kUnknown;
@@ -126,8 +127,6 @@
   }
 
   void OnSubAnswer(SubAnswer answer) {
-    service_->admission_->OnSubAnswer(Now(), plan_.query().service,
-                                      plan_.query().rank, answer);
     {
       const std::lock_guard lock(mutex_);
       routes_.erase(answer.id);
@@ -196,7 +195,6 @@
   }
 
   void Finish(Answer answer) {
-    service_->admission_->OnEnded(Now(), plan_.query(), answer);
     Record(EventKind::kQueryAnswered, answer.service,
            std::string(OutcomeName(answer.outcome)));
     done_(std::move(answer));
@@ -214,19 +212,17 @@
 
 QueryService::QueryService(boost::asio::io_context& context,
                            QueryContext* plans,
-                           Admission* admission,
                            std::shared_ptr<SubRequestRouter> router,
                            EventLog* events)
     : context_(context),
       plans_(plans),
-      admission_(admission),
       router_(std::move(router)),
       events_(events) {}
 
 std::shared_ptr<RunningQuery> QueryService::Run(Query query,
                                                 ConfigurationPtr configuration,
                                                 Callback done) {
-  const auto refusal = admission_->Admit(Now(), query);
+  const auto refusal = plans_->admission->Admit(Now(), query);
   if (refusal) {
     events_->Record(NowWall(), EventKind::kQueryRefused, query.request_id,
                     query.service, std::string(RefusalName(refusal->refusal)));
