--- /dev/null
+++ b/standins/common/serve.cc
@@ -0,0 +1,69 @@
+#include "standins/common/serve.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <csignal>
+#include <iostream>
+#include <utility>
+
+namespace greengage::standins {
+
+namespace {
+
+constexpr std::chrono::milliseconds kStopPollPeriod{10};
+constexpr std::chrono::seconds kStopLimit{30};
+
+// Ends the io_context when no connection is left, or after kStopLimit.
+void StopWhenIdle(boost::asio::io_context& context,
+                  const std::shared_ptr<HttpServer>& server,
+                  const std::shared_ptr<boost::asio::steady_timer>& timer,
+                  TimePoint limit) {
+  if (server->connections() == 0 || timer->expiry() >= limit) {
+    context.stop();
+    return;
+  }
+  timer->expires_after(kStopPollPeriod);
+  timer->async_wait([&context, server, timer, limit](auto) {
+    StopWhenIdle(context, server, timer, limit);
+  });
+}
+
+int Fail(const Failure& failure) {
+  std::cerr << Describe(failure) << std::endl;
+  return kExitFailure;
+}
+
+}  // namespace
+
+int Serve(boost::asio::io_context& context,
+          const std::string& listen,
+          const HttpServerLimits& limits,
+          HttpHandler handler,
+          const std::function<void()>& stopping) {
+  const Result<Endpoint> endpoint = ParseEndpoint(listen);
+  if (!endpoint) {
+    return Fail(endpoint.last_reason());
+  }
+  Result<std::shared_ptr<HttpServer>> listener =
+      HttpServer::Listen(context, *endpoint, limits, std::move(handler));
+  if (!listener) {
+    return Fail(listener.last_reason());
+  }
+  const std::shared_ptr<HttpServer> server = *listener;
+  boost::asio::signal_set signals(context, SIGTERM, SIGINT);
+  signals.async_wait([&](const boost::system::error_code& error, int) {
+    if (error) {
+      return;
+    }
+    stopping();
+    server->StopAccepting();
+    auto timer = std::make_shared<boost::asio::steady_timer>(context);
+    StopWhenIdle(context, server, timer, timer->expiry() + kStopLimit);
+  });
+  std::cout << "listening " << ToString(server->endpoint()) << std::endl;
+  context.run();
+  return kExitSuccess;
+}
+
+}  // namespace greengage::standins
--- /dev/null
+++ b/standins/searcher/faults.cc
@@ -0,0 +1,180 @@
+#include "standins/searcher/faults.h"
+
+#include <algorithm>
+#include <array>
+#include <string_view>
+#include <utility>
+
+#include "standins/common/json.h"
+
+namespace greengage::standins {
+
+namespace {
+
+constexpr std::array<std::string_view, 17> kSwitches = {
+    "service_us",    "straggler_percent", "straggler_ms",
+    "slow_ms",       "shed",              "drain",
+    "drain_refuses", "cold_ms",           "health",
+    "load",          "stall",             "versions",
+    "ranges",        "crossed_answers",   "short_answers",
+    "lost_answers",  "truncated_answers"};
+
+template <typename Unit>
+void ReadDuration(const boost::json::object& switches,
+                  std::string_view name,
+                  Unit& duration) {
+  duration = Unit(NumberOr(switches, name,
+                           static_cast<uint64_t>(duration.count())));
+}
+
+void ReadCount(const boost::json::object& switches,
+               std::string_view name,
+               uint32_t& count) {
+  count = static_cast<uint32_t>(NumberOr(switches, name, count));
+}
+
+Result<Done> ReadVersions(const boost::json::value& value,
+                          std::vector<uint64_t>& versions) {
+  if (!value.is_array() || value.get_array().empty()) {
+    return Failure{FailureKind::kInvalidSyntax, "versions",
+                   "must be a list of numbers"};
+  }
+  versions.clear();
+  for (const boost::json::value& version : value.get_array()) {
+    boost::system::error_code error;
+    versions.push_back(version.to_number<uint64_t>(error));
+    if (error) {
+      return Failure{FailureKind::kInvalidSyntax, "versions", error.message()};
+    }
+  }
+  std::sort(versions.begin(), versions.end());
+  return Done{};
+}
+
+// {"table-finder": [[0, 99], [200, 299]]}
+Result<Done> ReadRanges(const boost::json::value& value,
+                        std::map<std::string, std::vector<KeyRange>>& ranges) {
+  const Failure invalid{FailureKind::kInvalidSyntax, "ranges",
+                        "must be {SERVICE: [[FIRST, LAST], ...]}"};
+  if (!value.is_object()) {
+    return invalid;
+  }
+  ranges.clear();
+  for (const auto& [service, list] : value.get_object()) {
+    if (!list.is_array()) {
+      return invalid;
+    }
+    std::vector<KeyRange>& held = ranges[std::string(service)];
+    for (const boost::json::value& item : list.get_array()) {
+      const Result<KeyRange> range = ParseRange(item);
+      if (!range) {
+        return invalid;
+      }
+      held.push_back(*range);
+    }
+  }
+  return Done{};
+}
+
+Result<Done> ReadHoldings(const boost::json::object& switches,
+                          Holdings& holdings) {
+  if (const auto* versions = switches.if_contains("versions")) {
+    const Result<Done> read = ReadVersions(*versions, holdings.versions);
+    if (!read) {
+      return read;
+    }
+  }
+  if (const auto* ranges = switches.if_contains("ranges")) {
+    return ReadRanges(*ranges, holdings.ranges);
+  }
+  return Done{};
+}
+
+Result<Done> ReadLies(const boost::json::object& switches, Faults& faults) {
+  if (const auto* health = switches.if_contains("health")) {
+    faults.health_ok.reset();
+    if (health->is_string()) {
+      faults.health_ok = health->get_string() == "ok";
+    }
+  }
+  if (const auto* load = switches.if_contains("load")) {
+    faults.load.reset();
+    if (load->is_object()) {
+      faults.load = load->get_object();
+    }
+  }
+  return Done{};
+}
+
+void ReadBehaviour(const boost::json::object& switches,
+                   TimePoint now,
+                   uint64_t latest_connection,
+                   Faults& faults) {
+  ReadDuration(switches, "service_us", faults.service_time.base);
+  ReadCount(switches, "straggler_percent",
+            faults.service_time.straggler_percent);
+  ReadDuration(switches, "straggler_ms", faults.service_time.straggler);
+  ReadDuration(switches, "slow_ms", faults.slow);
+  faults.shed = BoolOr(switches, "shed", faults.shed);
+  faults.drain = BoolOr(switches, "drain", faults.drain);
+  faults.drain_refuses = BoolOr(switches, "drain_refuses",
+                                faults.drain_refuses);
+  if (switches.contains("cold_ms")) {
+    faults.cold_until =
+        now + std::chrono::milliseconds(NumberOr(switches, "cold_ms", 0));
+  }
+  if (switches.contains("stall")) {
+    faults.stalled_connections =
+        BoolOr(switches, "stall", false) ? latest_connection : 0;
+  }
+  ReadCount(switches, "crossed_answers", faults.crossed_answers);
+  ReadCount(switches, "short_answers", faults.short_answers);
+  ReadCount(switches, "truncated_answers", faults.truncated_answers);
+  ReadCount(switches, "lost_answers", faults.lost_answers);
+}
+
+}  // namespace
+
+bool Holdings::HasVersion(uint64_t version) const {
+  return std::find(versions.begin(), versions.end(), version) !=
+         versions.end();
+}
+
+bool Holdings::HasRange(const std::string& service,
+                        const KeyRange& range) const {
+  if (ranges.empty()) {
+    return true;
+  }
+  const auto held = ranges.find(service);
+  return held != ranges.end() &&
+         std::any_of(held->second.begin(), held->second.end(),
+                     [&](const KeyRange& part) { return part.Covers(range); });
+}
+
+Result<Done> ApplyFaults(const boost::json::object& switches,
+                         TimePoint now,
+                         uint64_t latest_connection,
+                         Faults& faults) {
+  for (const auto& [name, value] : switches) {
+    if (std::find(kSwitches.begin(), kSwitches.end(),
+                  std::string_view(name.data(), name.size())) ==
+        kSwitches.end()) {
+      return Failure{FailureKind::kUnknownKey, std::string(name),
+                     "no such fault switch"};
+    }
+  }
+  Faults changed = faults;
+  const Result<Done> holdings = ReadHoldings(switches, changed.holdings);
+  if (!holdings) {
+    return holdings;
+  }
+  const Result<Done> lies = ReadLies(switches, changed);
+  if (!lies) {
+    return lies;
+  }
+  ReadBehaviour(switches, now, latest_connection, changed);
+  faults = std::move(changed);
+  return Done{};
+}
+
+}  // namespace greengage::standins
