--- a/include/greengage/transport/http_server.h
+++ b/include/greengage/transport/http_server.h
@@ -18,8 +18,8 @@
 
 // Bounds on what one server accepts. Sizes are in bytes.
 struct HttpServerLimits {
-  size_t body_bytes = 64 * 1024;
-  size_t header_bytes = 8 * 1024;
+  size_t body_bytes = size_t{64} * 1024;
+  size_t header_bytes = size_t{8} * 1024;
   size_t connections = 4096;
   std::chrono::milliseconds read_timeout{5000};   // From first byte to whole.
   std::chrono::milliseconds idle_timeout{60000};  // Between two requests.
@@ -34,6 +34,9 @@
   // Sends the answer. Only the first call has an effect.
   virtual void Reply(HttpResponse response) = 0;
 
+  // The connection's number, counted up from 1 as they are accepted.
+  virtual uint64_t connection() const = 0;
+
   // Closes the connection without an answer; for stand-ins that lose answers.
   virtual void Abort() = 0;
 
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -22,9 +22,13 @@
 // members run on the socket's strand.
 class Session : public std::enable_shared_from_this<Session> {
  public:
-  Session(tcp::socket socket, std::shared_ptr<Listener> listener);
+  Session(tcp::socket socket,
+          std::shared_ptr<Listener> listener,
+          uint64_t number);
   ~Session();
 
+  uint64_t number() const { return number_; }
+
   void Start();
   void Reply(uint64_t exchange, HttpResponse response);
   void Abort();
@@ -46,6 +50,7 @@
   tcp::socket socket_;
   asio::steady_timer timer_;
   std::shared_ptr<Listener> listener_;
+  const uint64_t number_;
   boost::beast::flat_buffer buffer_;
   std::optional<http::request_parser<http::string_body>> parser_;
   http::response<http::string_body> response_;
@@ -75,6 +80,8 @@
     });
   }
 
+  uint64_t connection() const override { return session_->number(); }
+
   void Abort() override {
     if (!answered_.exchange(true)) {
       asio::post(executor_, [session = session_] { session->Abort(); });
@@ -172,8 +179,8 @@
     }
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
-    const auto session =
-        std::make_shared<Session>(std::move(socket), shared_from_this());
+    const auto session = std::make_shared<Session>(
+        std::move(socket), shared_from_this(), ++accepted_);
     {
       const std::lock_guard lock(mutex_);
       if (stopped_) {
@@ -191,12 +198,16 @@
   mutable std::mutex mutex_;
   std::unordered_set<Session*> sessions_;
   bool stopped_ = false;
+  std::atomic<uint64_t> accepted_{0};
 };
 
-Session::Session(tcp::socket socket, std::shared_ptr<Listener> listener)
+Session::Session(tcp::socket socket,
+                 std::shared_ptr<Listener> listener,
+                 uint64_t number)
     : socket_(std::move(socket)),
       timer_(socket_.get_executor()),
-      listener_(std::move(listener)) {}
+      listener_(std::move(listener)),
+      number_(number) {}
 
 Session::~Session() {
   listener_->Remove(this);
--- a/standins/common/serve.cc
+++ b/standins/common/serve.cc
@@ -7,6 +7,8 @@
 #include <iostream>
 #include <utility>
 
+#include "greengage/state/time.h"
+
 namespace greengage::standins {
 
 namespace {
@@ -58,7 +60,8 @@
     }
     stopping();
     server->StopAccepting();
-    auto timer = std::make_shared<boost::asio::steady_timer>(context);
+    const auto timer =
+        std::make_shared<boost::asio::steady_timer>(context, kStopPollPeriod);
     StopWhenIdle(context, server, timer, timer->expiry() + kStopLimit);
   });
   std::cout << "listening " << ToString(server->endpoint()) << std::endl;
--- a/standins/searcher/faults.cc
+++ b/standins/searcher/faults.cc
@@ -11,20 +11,30 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 17> kSwitches = {
-    "service_us",    "straggler_percent", "straggler_ms",
-    "slow_ms",       "shed",              "drain",
-    "drain_refuses", "cold_ms",           "health",
-    "load",          "stall",             "versions",
-    "ranges",        "crossed_answers",   "short_answers",
-    "lost_answers",  "truncated_answers"};
+constexpr std::array<std::string_view, 17> kSwitches = {"service_us",
+                                                        "straggler_percent",
+                                                        "straggler_ms",
+                                                        "slow_ms",
+                                                        "shed",
+                                                        "drain",
+                                                        "drain_refuses",
+                                                        "cold_ms",
+                                                        "health",
+                                                        "load",
+                                                        "stall",
+                                                        "versions",
+                                                        "ranges",
+                                                        "crossed_answers",
+                                                        "short_answers",
+                                                        "lost_answers",
+                                                        "truncated_answers"};
 
 template <typename Unit>
 void ReadDuration(const boost::json::object& switches,
                   std::string_view name,
                   Unit& duration) {
-  duration = Unit(NumberOr(switches, name,
-                           static_cast<uint64_t>(duration.count())));
+  duration =
+      Unit(NumberOr(switches, name, static_cast<uint64_t>(duration.count())));
 }
 
 void ReadCount(const boost::json::object& switches,
@@ -117,8 +127,8 @@
   ReadDuration(switches, "slow_ms", faults.slow);
   faults.shed = BoolOr(switches, "shed", faults.shed);
   faults.drain = BoolOr(switches, "drain", faults.drain);
-  faults.drain_refuses = BoolOr(switches, "drain_refuses",
-                                faults.drain_refuses);
+  faults.drain_refuses =
+      BoolOr(switches, "drain_refuses", faults.drain_refuses);
   if (switches.contains("cold_ms")) {
     faults.cold_until =
         now + std::chrono::milliseconds(NumberOr(switches, "cold_ms", 0));
@@ -136,8 +146,7 @@
 }  // namespace
 
 bool Holdings::HasVersion(uint64_t version) const {
-  return std::find(versions.begin(), versions.end(), version) !=
-         versions.end();
+  return std::find(versions.begin(), versions.end(), version) != versions.end();
 }
 
 bool Holdings::HasRange(const std::string& service,
--- a/standins/searcher/main.cc
+++ b/standins/searcher/main.cc
@@ -86,8 +86,7 @@
   if (!split ||
       !CLI::detail::lexical_cast(text.substr(colon + 1, dash - colon - 1),
                                  first) ||
-      !CLI::detail::lexical_cast(text.substr(dash + 1), last) ||
-      first > last) {
+      !CLI::detail::lexical_cast(text.substr(dash + 1), last) || first > last) {
     return Failure{FailureKind::kInvalidArgument, "--hold",
                    "must be SERVICE:FIRST-LAST, was '" + text + "'"};
   }
--- a/standins/searcher/search_message.cc
+++ b/standins/searcher/search_message.cc
@@ -14,15 +14,15 @@
 boost::json::array FormatHits(const std::vector<Hit>& hits) {
   boost::json::array list;
   for (const Hit& hit : hits) {
-    list.push_back({{"key", hit.key}, {"score", hit.score}, {"text", hit.text}});
+    list.push_back(
+        {{"key", hit.key}, {"score", hit.score}, {"text", hit.text}});
   }
   return list;
 }
 
 }  // namespace
 
-Result<SearchRequest> ParseSearchRequest(std::string_view body,
-                                         TimePoint now) {
+Result<SearchRequest> ParseSearchRequest(std::string_view body, TimePoint now) {
   const Result<boost::json::object> object = ParseObject(body);
   if (!object) {
     return object.last_reason();
--- a/standins/searcher/searcher.cc
+++ b/standins/searcher/searcher.cc
@@ -93,8 +93,7 @@
 
 void Searcher::HandleSearch(const HttpRequest& request,
                             const std::shared_ptr<HttpExchange>& exchange) {
-  const Result<SearchRequest> parsed =
-      ParseSearchRequest(request.body, Now());
+  const Result<SearchRequest> parsed = ParseSearchRequest(request.body, Now());
   if (!parsed) {
     exchange->Reply(FailureResponse(parsed.last_reason()));
     return;
@@ -183,12 +182,12 @@
   if (TakeOne(faults_.short_answers)) {
     range.end -= (range.end - range.begin) / 2;
   }
-  HttpResponse response = FoundResponse(
-      request, range, request.index_version,
-      BestOf(RecordsOf(request.service, request.index_version, range,
-                       request.text),
-             request.limit),
-      Load());
+  HttpResponse response =
+      FoundResponse(request, range, request.index_version,
+                    BestOf(RecordsOf(request.service, request.index_version,
+                                     range, request.text),
+                           request.limit),
+                    Load());
   const std::string previous = std::exchange(last_answer_, response.body);
   if (!previous.empty() && TakeOne(faults_.crossed_answers)) {
     response.body = previous;
@@ -262,9 +261,9 @@
     return EmptyResponse(400);
   }
   const auto found = executions_.find(id->second);
-  return JsonResponse(200, {{"request_id", id->second},
-                            {"executions",
-                             found == executions_.end() ? 0 : found->second}});
+  return JsonResponse(
+      200, {{"request_id", id->second},
+            {"executions", found == executions_.end() ? 0 : found->second}});
 }
 
 HttpResponse Searcher::CountersResponse() const {
--- a/standins/searcher/searcher.h
+++ b/standins/searcher/searcher.h
@@ -43,7 +43,7 @@
 
  private:
   struct Work {
-    Work(boost::asio::io_context& context) : timer(context) {}
+    explicit Work(boost::asio::io_context& context) : timer(context) {}
 
     SearchRequest request;
     std::shared_ptr<HttpExchange> exchange;
