--- a/include/greengage/transport/http_server.h
+++ b/include/greengage/transport/http_server.h
@@ -65,6 +65,10 @@
 
   virtual size_t connections() const = 0;
 
+  // From here on every answer closes its connection, so that clients move to
+  // other servers while this one still takes requests.
+  virtual void EndKeepAlive() = 0;
+
   // Closes the listener and idle connections; a request under way still gets
   // its answer, with "Connection: close".
   virtual void StopAccepting() = 0;
--- a/src/entry_instance.cc
+++ b/src/entry_instance.cc
@@ -304,6 +304,7 @@
   events_.Record(std::chrono::system_clock::now(), EventKind::kProcessStopping,
                  "", "graceful stop");
   configuration_->SetWatching(false);
+  http_server_->EndKeepAlive();
   stop_timer_.expires_after(settings_.stop_notice);
   stop_timer_.async_wait(
       [self = shared_from_this()](auto) { self->StopTakingRequests(); });
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -18,6 +18,10 @@
 
 class Listener;
 
+// How long input is still read after the last answer of a connection.
+constexpr std::chrono::milliseconds kLingerTimeout{500};
+constexpr size_t kDiscardBytes = size_t{16} * 1024;
+
 // One connection: reads a request, waits for its answer, and so on. All
 // members run on the socket's strand.
 class Session : public std::enable_shared_from_this<Session> {
@@ -45,6 +49,8 @@
   void WatchForAbandon();
   void Write(HttpResponse response, bool keep_alive);
   void SetTimeout(std::chrono::milliseconds timeout);
+  void Linger();
+  void DiscardInput();
   void Close();
 
   tcp::socket socket_;
@@ -131,6 +137,10 @@
     return sessions_.size();
   }
 
+  void EndKeepAlive() override { keep_alive_ended_ = true; }
+
+  bool keep_alive_ended() const { return keep_alive_ended_; }
+
   void StopAccepting() override {
     asio::post(acceptor_.get_executor(), [self = shared_from_this()] {
       boost::system::error_code ignored;
@@ -199,6 +209,7 @@
   std::unordered_set<Session*> sessions_;
   bool stopped_ = false;
   std::atomic<uint64_t> accepted_{0};
+  std::atomic<bool> keep_alive_ended_{false};
 };
 
 Session::Session(tcp::socket socket,
@@ -244,6 +255,27 @@
   });
 }
 
+// Closing a socket that has unread input resets the connection, and the client
+// may lose the answer. So what still comes in is read and dropped for a while.
+void Session::Linger() {
+  boost::system::error_code ignored;
+  socket_.shutdown(tcp::socket::shutdown_send, ignored);
+  SetTimeout(kLingerTimeout);
+  DiscardInput();
+}
+
+void Session::DiscardInput() {
+  buffer_.clear();
+  socket_.async_read_some(buffer_.prepare(kDiscardBytes),
+                          [self = shared_from_this()](auto error, size_t) {
+                            if (error) {
+                              self->Close();
+                            } else {
+                              self->DiscardInput();
+                            }
+                          });
+}
+
 // The idle timeout counts until the first byte, the read timeout from there.
 void Session::WaitForRequest() {
   if (buffer_.size() > 0) {
@@ -346,7 +378,8 @@
   if (!handling_ || exchange != exchange_ || !socket_.is_open()) {
     return;
   }
-  Write(std::move(response), keep_alive_ && !close_when_idle_);
+  Write(std::move(response),
+        keep_alive_ && !close_when_idle_ && !listener_->keep_alive_ended());
 }
 
 void Session::Abort() {
@@ -376,9 +409,7 @@
         if (error) {
           self->Close();
         } else if (!keep_alive) {
-          boost::system::error_code ignored;
-          self->socket_.shutdown(tcp::socket::shutdown_send, ignored);
-          self->Close();
+          self->Linger();
         } else {
           self->WaitForRequest();
         }
