--- a/include/greengage/protocol/setting_table.h
+++ b/include/greengage/protocol/setting_table.h
@@ -86,7 +86,8 @@
                      NumberBounds bounds,
                      std::string meaning) {
     using Duration = std::chrono::duration<Rep, Period>;
-    bounds.unit = std::ratio_equal_v<Period, std::milli> ? "ms" : "s";
+    bounds.unit =
+        std::string(std::ratio_equal_v<Period, std::milli> ? "ms" : "s");
     return AddNumber<Duration>(
         std::move(key), member, std::move(bounds), std::move(meaning),
         [](uint64_t number) { return Duration(static_cast<Rep>(number)); },
@@ -170,6 +171,18 @@
             Target& target,
             std::vector<Failure>& failures) const;
 
+  // Appends a failure for every section that `document` lacks and that has
+  // required keys. For tables whose sections stand once in a file.
+  void CheckPresent(const IniDocument& document,
+                    std::vector<Failure>& failures) const;
+
+  // The values of `target`, in the order of the table, for tables whose
+  // sections stand once in a file.
+  std::vector<IniSection> ToSections(const Target& target) const;
+
+  // The names of all sections, separated by commas.
+  std::string SectionNames() const;
+
  private:
   template <typename Value>
   SettingTable& Add(std::string key,
@@ -280,6 +293,47 @@
   }
 }
 
+template <typename Target>
+void SettingTable<Target>::CheckPresent(const IniDocument& document,
+                                        std::vector<Failure>& failures) const {
+  for (const Setting& setting : settings_) {
+    if (!setting.info.initial &&
+        document.Find(setting.info.section) == nullptr) {
+      failures.push_back(
+          {FailureKind::kMissingKey,
+           document.Subject(setting.info.section, setting.info.key),
+           "the key is required; want " + setting.info.allowed});
+    }
+  }
+}
+
+template <typename Target>
+std::vector<IniSection> SettingTable<Target>::ToSections(
+    const Target& target) const {
+  std::vector<IniSection> sections;
+  for (const Setting& setting : settings_) {
+    if (sections.empty() || sections.back().name != setting.info.section) {
+      sections.push_back({setting.info.section, 0, {}});
+    }
+    sections.back().entries.push_back(
+        {setting.info.key, setting.print(target), 0});
+  }
+  return sections;
+}
+
+template <typename Target>
+std::string SettingTable<Target>::SectionNames() const {
+  std::string names;
+  std::string last;
+  for (const Setting& setting : settings_) {
+    if (setting.info.section != last) {
+      last = setting.info.section;
+      names += (names.empty() ? "" : ", ") + last;
+    }
+  }
+  return names;
+}
+
 }  // namespace greengage
 
 #endif  // GREENGAGE_PROTOCOL_SETTING_TABLE_H_
--- a/src/protocol/configuration_serializer.cc
+++ b/src/protocol/configuration_serializer.cc
@@ -10,11 +10,8 @@
 IniSection ToSection(const SettingTable<Target>& table,
                      std::string name,
                      const Target& target) {
-  IniSection section;
+  IniSection section = table.ToSections(target).front();
   section.name = std::move(name);
-  for (const auto& setting : table.settings()) {
-    section.entries.push_back({setting.info.key, setting.print(target), 0});
-  }
   return section;
 }
 
--- a/src/protocol/configuration_tables.cc
+++ b/src/protocol/configuration_tables.cc
@@ -1,14 +1,8 @@
 #include "protocol/configuration_tables.h"
 
-namespace greengage {
+#include "protocol/log_levels.h"
 
-std::map<std::string, std::string> LogLevels() {
-  std::map<std::string, std::string> levels;
-  for (const char* level : {"trace", "debug", "info", "warn", "error"}) {
-    levels[level] = level;
-  }
-  return levels;
-}
+namespace greengage {
 
 const SettingTable<Configuration>& DeploymentTable() {
   using C = Configuration;
--- a/src/protocol/configuration_tables.h
+++ b/src/protocol/configuration_tables.h
@@ -22,9 +22,6 @@
 const SettingTable<ShardConfiguration>& ShardTable();
 const SettingTable<SearcherConfiguration>& SearcherTable();
 
-// Levels of the log, from the most to the least detailed.
-std::map<std::string, std::string> LogLevels();
-
 }  // namespace greengage
 
 #endif  // GREENGAGE_SRC_PROTOCOL_CONFIGURATION_TABLES_H_
--- /dev/null
+++ b/src/protocol/instance_settings.cc
@@ -0,0 +1,160 @@
+#include "greengage/protocol/instance_settings.h"
+
+#include <boost/asio/ip/address.hpp>
+
+#include "protocol/log_levels.h"
+
+namespace greengage {
+
+namespace {
+
+using S = InstanceSettings;
+
+constexpr uint64_t kMaxTimeoutMs = 600000;
+constexpr uint64_t kMaxBytes = uint64_t{16} << 20;
+
+SettingTable<S> MakeTable() {
+  SettingTable<S> table;
+  table.Section("instance")
+      .Name("id", &S::id, std::nullopt,
+            "Name of this instance, unique in the deployment.")
+      .Name("data_centre", &S::data_centre, std::nullopt,
+            "Data centre that this instance runs in.")
+      .Integer("threads", &S::threads,
+               {.minimum = 1, .maximum = 64, .initial = 2},
+               "Threads that serve requests.");
+  table.Section("listen")
+      .Address("http", &S::http, std::nullopt,
+               "Where callers and operators connect to (TCP).")
+      .Address("peer", &S::peer, std::nullopt,
+               "Where other instances open streams to (TCP).")
+      .Address("gossip", &S::gossip, std::nullopt,
+               "Where other instances send membership datagrams to (UDP).");
+  table.Section("platform")
+      .Address("endpoint", &S::platform, std::nullopt,
+               "The platform's object API.")
+      .Time("timeout_ms", &S::platform_timeout,
+            {.minimum = 10, .maximum = kMaxTimeoutMs, .initial = 2000},
+            "Deadline of one call to the platform, besides a watch's wait.");
+  table.Section("seeds").Addresses(
+      "gossip", &S::seeds, "",
+      "Gossip end points of instances to join when the platform cannot be "
+      "asked for some.");
+  table.Section("http")
+      .Integer("body_bytes", &S::http_body_bytes,
+               {.minimum = 256,
+                .maximum = kMaxBytes,
+                .initial = 65536,
+                .unit = "bytes"},
+               "Largest body of a request.")
+      .Integer("header_bytes", &S::http_header_bytes,
+               {.minimum = 256,
+                .maximum = kMaxBytes,
+                .initial = 8192,
+                .unit = "bytes"},
+               "Largest header of a request.")
+      .Integer("connections", &S::http_connections,
+               {.minimum = 1, .maximum = 100000, .initial = 4096},
+               "Connections of callers and operators at once.")
+      .Time("read_timeout_ms", &S::http_read_timeout,
+            {.minimum = 10, .maximum = kMaxTimeoutMs, .initial = 5000},
+            "From a request's first byte to its last.")
+      .Time("idle_timeout_ms", &S::http_idle_timeout,
+            {.minimum = 10, .maximum = kMaxTimeoutMs, .initial = 60000},
+            "How long a connection is kept between two requests.")
+      .Integer("in_flight", &S::http_in_flight,
+               {.minimum = 1, .maximum = 1000000, .initial = 4096},
+               "Queries at once; more are refused as not run.");
+  table.Section("log")
+      .OneOf("level", &S::log_level, LogLevels(), "info",
+             "Least severe level that is logged until a configuration is in "
+             "force.")
+      .OneOf("format", &S::log_format,
+             {{"text", LogFormat::kText}, {"json", LogFormat::kJson}}, "text",
+             "Form of a log line.");
+  table.Section("stop")
+      .Time("notice_ms", &S::stop_notice, {.maximum = 300000, .initial = 3000},
+            "How long listeners stay open after readiness turned false, so "
+            "that the balancer notices.")
+      .Time("grace_ms", &S::stop_grace,
+            {.minimum = 1, .maximum = 3600000, .initial = 30000},
+            "How long requests under way may take after the notice.");
+  return table;
+}
+
+// Other instances are told these addresses, so they have to lead here.
+void CheckListener(const IniDocument& document,
+                   const std::string& key,
+                   const Endpoint& endpoint,
+                   std::vector<Failure>& failures) {
+  boost::system::error_code error;
+  const auto address = boost::asio::ip::make_address(endpoint.host, error);
+  if (!error && address.is_unspecified()) {
+    failures.push_back({FailureKind::kInvalidArgument,
+                        document.Subject("listen", key),
+                        "want an address that other machines reach, read " +
+                            ToString(endpoint)});
+  }
+}
+
+void CheckListeners(const IniDocument& document,
+                    const InstanceSettings& settings,
+                    std::vector<Failure>& failures) {
+  CheckListener(document, "http", settings.http, failures);
+  CheckListener(document, "peer", settings.peer, failures);
+  CheckListener(document, "gossip", settings.gossip, failures);
+  const bool same = settings.http == settings.peer && settings.http.port != 0;
+  if (same && !settings.http.host.empty()) {
+    failures.push_back({FailureKind::kDuplicate,
+                        document.Subject("listen", "peer"),
+                        "http listens on " + ToString(settings.peer) + " too"});
+  }
+}
+
+bool IsSection(const std::string& name) {
+  const auto& settings = InstanceSettingTable().settings();
+  return std::any_of(
+      settings.begin(), settings.end(),
+      [&](const auto& setting) { return setting.info.section == name; });
+}
+
+}  // namespace
+
+const SettingTable<InstanceSettings>& InstanceSettingTable() {
+  static const SettingTable<InstanceSettings> table = MakeTable();
+  return table;
+}
+
+Validated<InstanceSettings> ParseInstanceSettings(std::string_view text,
+                                                  const std::string& file) {
+  const Validated<IniDocument> document = IniDocument::Parse(text, file);
+  if (!document) {
+    return document.failures();
+  }
+  const SettingTable<InstanceSettings>& table = InstanceSettingTable();
+  InstanceSettings settings;
+  table.AssignInitial(settings);
+  std::vector<Failure> failures;
+  for (const IniSection& section : document->sections()) {
+    if (IsSection(section.name)) {
+      table.Read(*document, section, section.name, settings, failures);
+    } else {
+      failures.push_back({FailureKind::kUnknownSection,
+                          document->Subject(section.name),
+                          "line " + std::to_string(section.line) +
+                              ": want one of " + table.SectionNames()});
+    }
+  }
+  table.CheckPresent(*document, failures);
+  CheckListeners(*document, settings, failures);
+  if (!failures.empty()) {
+    return failures;
+  }
+  return settings;
+}
+
+std::string SerializeInstanceSettings(const InstanceSettings& settings) {
+  return ToString(InstanceSettingTable().ToSections(settings));
+}
+
+}  // namespace greengage
