--- a/include/greengage/protocol/instance_settings.h
+++ b/include/greengage/protocol/instance_settings.h
@@ -13,11 +13,10 @@
 #include "greengage/protocol/setting_table.h"
 #include "greengage/protocol/validated.h"
 #include "greengage/state/endpoint.h"
+#include "greengage/state/log_level.h"
 
 namespace greengage {
 
-enum class LogFormat : uint8_t { kText, kJson };
-
 // Initial values are in InstanceSettingTable(). Sizes are in bytes.
 struct InstanceSettings {
   std::string id;
@@ -40,7 +39,7 @@
   std::chrono::milliseconds http_idle_timeout{};
   size_t http_in_flight = 0;  // Queries at once.
 
-  std::string log_level;
+  LogLevel log_level = LogLevel::kInfo;
   LogFormat log_format = LogFormat::kText;
 
   std::chrono::milliseconds stop_notice{};
@@ -55,8 +54,14 @@
 Validated<InstanceSettings> ParseInstanceSettings(std::string_view text,
                                                   const std::string& file);
 
+// The same for the file at `path`; fails with kUnreadableFile besides.
+Validated<InstanceSettings> LoadInstanceSettings(const std::string& path);
+
+// Initial values throughout; what is required stays empty.
+InstanceSettings DefaultInstanceSettings();
+
 // The file that ParseInstanceSettings() reads as `settings`.
-std::string SerializeInstanceSettings(const InstanceSettings& settings);
+std::string PrintInstanceSettings(const InstanceSettings& settings);
 
 }  // namespace greengage
 
--- a/include/greengage/protocol/setting_table.h
+++ b/include/greengage/protocol/setting_table.h
@@ -7,7 +7,6 @@
 #include <concepts>
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <optional>
 #include <string>
 #include <utility>
@@ -98,7 +97,7 @@
   template <typename Choice>
   SettingTable& OneOf(std::string key,
                       Choice Target::*member,
-                      std::map<std::string, Choice> choices,
+                      std::vector<std::pair<std::string, Choice>> choices,
                       std::optional<std::string> initial,
                       std::string meaning) {
     std::string allowed;
@@ -109,9 +108,12 @@
         std::move(key), member, "choice", "one of " + allowed,
         std::move(initial), std::move(meaning),
         [choices, allowed](const std::string& value) -> Result<Choice> {
-          const auto found = choices.find(value);
-          return found != choices.end() ? Result<Choice>(found->second)
-                                        : NotOneOf(value, allowed);
+          for (const auto& [name, choice] : choices) {
+            if (name == value) {
+              return choice;
+            }
+          }
+          return NotOneOf(value, allowed);
         },
         [choices](const Choice& wanted) {
           for (const auto& [name, choice] : choices) {
@@ -131,7 +133,9 @@
         std::move(key), member, "end point", kEndpointRule, std::move(initial),
         std::move(meaning),
         [](const std::string& value) { return ParseEndpoint(value); },
-        [](const Endpoint& endpoint) { return ToString(endpoint); });
+        [](const Endpoint& endpoint) {
+          return endpoint.host.empty() ? std::string() : ToString(endpoint);
+        });
   }
 
   // End points separated by spaces; required ones need at least one.
--- a/include/greengage/transport/log.h
+++ b/include/greengage/transport/log.h
@@ -8,12 +8,10 @@
 
 #include "greengage/state/event_log.h"
 #include "greengage/state/failure.h"
+#include "greengage/state/log_level.h"
 
 namespace greengage {
 
-enum class LogLevel : uint8_t { kDebug, kInfo, kWarning, kError };
-enum class LogFormat : uint8_t { kText, kJson };
-
 // Reads "debug", "info", "warning" or "error".
 std::optional<LogLevel> ParseLogLevel(std::string_view name);
 
--- a/src/protocol/configuration_tables.cc
+++ b/src/protocol/configuration_tables.cc
@@ -1,7 +1,5 @@
 #include "protocol/configuration_tables.h"
 
-#include "protocol/log_levels.h"
-
 namespace greengage {
 
 const SettingTable<Configuration>& DeploymentTable() {
@@ -11,8 +9,12 @@
           .Section(kDeploymentSection)
           .Name("name", &C::deployment, std::nullopt,
                 "Name of the deployment, as shown by status and in logs.")
-          .OneOf("log_level", &C::log_level, LogLevels(), "info",
-                 "Least severe level that instances log.");
+          .OneOf("log_level", &C::log_level,
+                 {{"debug", "debug"},
+                  {"info", "info"},
+                  {"warning", "warning"},
+                  {"error", "error"}},
+                 "info", "Least severe level that instances log.");
   return table;
 }
 
--- a/src/protocol/instance_settings.cc
+++ b/src/protocol/instance_settings.cc
@@ -2,7 +2,9 @@
 
 #include <boost/asio/ip/address.hpp>
 
-#include "protocol/log_levels.h"
+#include <algorithm>
+#include <fstream>
+#include <iterator>
 
 namespace greengage {
 
@@ -66,7 +68,12 @@
                {.minimum = 1, .maximum = 1000000, .initial = 4096},
                "Queries at once; more are refused as not run.");
   table.Section("log")
-      .OneOf("level", &S::log_level, LogLevels(), "info",
+      .OneOf("level", &S::log_level,
+             {{"debug", LogLevel::kDebug},
+              {"info", LogLevel::kInfo},
+              {"warning", LogLevel::kWarning},
+              {"error", LogLevel::kError}},
+             "info",
              "Least severe level that is logged until a configuration is in "
              "force.")
       .OneOf("format", &S::log_format,
@@ -132,8 +139,7 @@
     return document.failures();
   }
   const SettingTable<InstanceSettings>& table = InstanceSettingTable();
-  InstanceSettings settings;
-  table.AssignInitial(settings);
+  InstanceSettings settings = DefaultInstanceSettings();
   std::vector<Failure> failures;
   for (const IniSection& section : document->sections()) {
     if (IsSection(section.name)) {
@@ -153,7 +159,23 @@
   return settings;
 }
 
-std::string SerializeInstanceSettings(const InstanceSettings& settings) {
+Validated<InstanceSettings> LoadInstanceSettings(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) {
+    return std::vector<Failure>{{FailureKind::kUnreadableFile, path,
+                                 "the file cannot be opened for reading"}};
+  }
+  const std::string text{std::istreambuf_iterator<char>(file), {}};
+  return ParseInstanceSettings(text, path);
+}
+
+InstanceSettings DefaultInstanceSettings() {
+  InstanceSettings settings;
+  InstanceSettingTable().AssignInitial(settings);
+  return settings;
+}
+
+std::string PrintInstanceSettings(const InstanceSettings& settings) {
   return ToString(InstanceSettingTable().ToSections(settings));
 }
 
--- a/tests/instance_settings_test.cc
+++ b/tests/instance_settings_test.cc
@@ -39,10 +39,10 @@
   cr_assert(settings.ok());
   cr_assert(settings->seeds.size() == 2);
   cr_assert(settings->log_format == LogFormat::kJson);
-  const std::string printed = SerializeInstanceSettings(*settings);
+  const std::string printed = PrintInstanceSettings(*settings);
   const auto again = ParseInstanceSettings(printed, "f");
   cr_assert(again.ok());
-  cr_assert(SerializeInstanceSettings(*again) == printed);
+  cr_assert(PrintInstanceSettings(*again) == printed);
 }
 
 Test(InstanceSettings, ReportsAllFailuresAtOnce) {
--- a/tools/greengaged/main.cc
+++ b/tools/greengaged/main.cc
@@ -94,7 +94,7 @@
   app.add_flag("--print-settings", print, "Print all settings with defaults");
   CLI11_PARSE(app, argc, argv);
   if (print) {
-    std::cout << PrintInstanceSettings(InstanceSettings{});
+    std::cout << PrintInstanceSettings(DefaultInstanceSettings());
     return kExitOk;
   }
   if (path.empty()) {
