--- a/src/protocol/configuration_tables.cc
+++ b/src/protocol/configuration_tables.cc
@@ -2,14 +2,6 @@
 
 namespace greengage {
 
-std::map<std::string, std::string> LogLevels() {
-  std::map<std::string, std::string> levels;
-  for (const char* level : {"trace", "debug", "info", "warn", "error"}) {
-    levels[level] = level;
-  }
-  return levels;
-}
-
 const SettingTable<Configuration>& DeploymentTable() {
   using C = Configuration;
   static const auto table =
@@ -17,8 +9,12 @@
           .Section(kDeploymentSection)
           .Name("name", &C::deployment, std::nullopt,
                 "Name of the deployment, as shown by status and in logs.")
-          .OneOf("log_level", &C::log_level, LogLevels(), "info",
-                 "Least severe level that instances log.");
+          .OneOf("log_level", &C::log_level,
+                 {{"debug", "debug"},
+                  {"info", "info"},
+                  {"warning", "warning"},
+                  {"error", "error"}},
+                 "info", "Least severe level that instances log.");
   return table;
 }
 
