--- a/standins/platform/main.cc
+++ b/standins/platform/main.cc
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr size_t kLargestValueBytes = 1024 * 1024;
+constexpr size_t kLargestValueBytes = size_t{1024} * 1024;
 
 constexpr char kExamples[] =
     "Examples:\n"
--- a/standins/platform/object_store.h
+++ b/standins/platform/object_store.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "greengage/state/time.h"
@@ -22,7 +23,10 @@
   std::string kind;
   std::string name;
 
-  auto operator<=>(const ObjectName&) const = default;
+  bool operator==(const ObjectName&) const = default;
+  bool operator<(const ObjectName& other) const {
+    return std::tie(kind, name) < std::tie(other.kind, other.name);
+  }
 };
 
 // What a conditional write came to. `version` is the new version if it took
--- a/standins/searcher/faults.cc
+++ b/standins/searcher/faults.cc
@@ -89,7 +89,7 @@
 Result<Done> ReadHoldings(const boost::json::object& switches,
                           Holdings& holdings) {
   if (const auto* versions = switches.if_contains("versions")) {
-    const Result<Done> read = ReadVersions(*versions, holdings.versions);
+    Result<Done> read = ReadVersions(*versions, holdings.versions);
     if (!read) {
       return read;
     }
@@ -173,11 +173,11 @@
     }
   }
   Faults changed = faults;
-  const Result<Done> holdings = ReadHoldings(switches, changed.holdings);
+  Result<Done> holdings = ReadHoldings(switches, changed.holdings);
   if (!holdings) {
     return holdings;
   }
-  const Result<Done> lies = ReadLies(switches, changed);
+  Result<Done> lies = ReadLies(switches, changed);
   if (!lies) {
     return lies;
   }
