Decide at-most-once requests without I/O

A claim object in the platform is created before the one send and never taken over. The age of the request id is checked again after the claim was won: a pause between the first check and the create can outlast the retention, after which an earlier attempt's claim may have been deleted. An id that is too old is answered as unknown, since nobody can tell whether it ran.

--- /dev/null
+++ b/src/coordination/claim.cc
@@ -0,0 +1,82 @@
+#include "greengage/coordination/claim.h"
+
+#include <charconv>
+
+namespace greengage {
+
+namespace {
+
+// Thirteen digits reach the year 2286; more would not fit a WallTime.
+constexpr size_t kMostDigits = 13;
+
+Failure InvalidId(std::string_view id) {
+  return {FailureKind::kInvalidArgument, "request_id",
+          "must be MILLISECONDS-SUFFIX, was '" + std::string(id) + "'"};
+}
+
+}  // namespace
+
+std::string_view ClaimStateName(ClaimState state) {
+  switch (state) {
+    case ClaimState::kClaimed:
+      return "claimed";
+    case ClaimState::kAnswered:
+      return "answered";
+    case ClaimState::kNotRun:
+      return "not_run";
+  }
+  return "unnamed";
+}
+
+Result<WallTime> RequestIdTime(std::string_view request_id) {
+  const size_t dash = request_id.find('-');
+  const bool split = dash != std::string_view::npos && dash > 0 &&
+                     dash <= kMostDigits && dash + 1 < request_id.size();
+  if (!split) {
+    return InvalidId(request_id);
+  }
+  uint64_t milliseconds = 0;
+  const char* const end = request_id.data() + dash;
+  const auto [read_to, error] =
+      std::from_chars(request_id.data(), end, milliseconds);
+  if (error != std::errc() || read_to != end) {
+    return InvalidId(request_id);
+  }
+  return FromEpoch(std::chrono::milliseconds(milliseconds));
+}
+
+RequestAge AgeOfRequest(WallTime request_time,
+                        const ClaimLimits& limits,
+                        WallTime now) {
+  if (request_time - now > limits.clock_skew) {
+    return RequestAge::kInFuture;
+  }
+  if (now - request_time > limits.retention - limits.clock_skew) {
+    return RequestAge::kExpired;
+  }
+  return RequestAge::kAccepted;
+}
+
+bool ClaimMayBeDeleted(WallTime request_time,
+                       const ClaimLimits& limits,
+                       WallTime now) {
+  return now - request_time > limits.retention + limits.clock_skew;
+}
+
+std::string ClaimName(std::string_view service, std::string_view request_id) {
+  return std::string(service) + "." + std::string(request_id);
+}
+
+Result<WallTime> ClaimNameTime(std::string_view claim_name) {
+  // A suffix may hold dots, but the part before its first dash is digits.
+  for (size_t dot = claim_name.find('.'); dot != std::string_view::npos;
+       dot = claim_name.find('.', dot + 1)) {
+    Result<WallTime> time = RequestIdTime(claim_name.substr(dot + 1));
+    if (time) {
+      return time;
+    }
+  }
+  return InvalidId(claim_name);
+}
+
+}  // namespace greengage
--- a/src/protocol/caller_codec.cc
+++ b/src/protocol/caller_codec.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "protocol/hit_json.h"
 #include "protocol/json_reader.h"
 
 namespace greengage {
@@ -206,11 +207,7 @@
   }
   object["index_version"] = answer.index_version;
   object["whole"] = answer.whole();
-  json::array& hits = object["hits"].emplace_array();
-  for (const Hit& hit : answer.hits) {
-    hits.push_back(
-        {{"key", hit.key}, {"score", hit.score}, {"text", hit.text}});
-  }
+  object["hits"] = HitsToJson(answer.hits);
   json::array& covered = object["covered"].emplace_array();
   for (const KeyRange& range : answer.covered) {
     covered.push_back(RangeToJson(range));
--- a/src/protocol/searcher_codec.cc
+++ b/src/protocol/searcher_codec.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 
+#include "protocol/hit_json.h"
 #include "protocol/json_reader.h"
 
 namespace greengage {
@@ -13,7 +14,7 @@
 namespace {
 
 // Enough for the JSON tree of a usual answer without touching the heap.
-constexpr size_t kParseBufferBytes = 16 * 1024;
+constexpr size_t kParseBufferBytes = size_t{16} * 1024;
 
 constexpr std::pair<std::string_view, Refusal> kRefusals[] = {
     {"shed", Refusal::kShed},
@@ -48,28 +49,6 @@
   answer.load = read;
 }
 
-bool ReadHits(const json::object& object, SubAnswer& answer) {
-  const json::value* value = object.if_contains("hits");
-  if (!value || !value->is_array()) {
-    return false;
-  }
-  answer.hits.reserve(value->get_array().size());
-  for (const json::value& element : value->get_array()) {
-    if (!element.is_object()) {
-      return false;
-    }
-    const json::object& hit = element.get_object();
-    const auto key = ReadUnsigned(hit, "key");
-    const auto score = ReadDouble(hit, "score");
-    const auto text = ReadText(hit, "text");
-    if (!key || !score || !text) {
-      return false;
-    }
-    answer.hits.push_back(Hit{*key, *score, std::string(*text)});
-  }
-  return true;
-}
-
 bool NamesRequest(const json::object& object, const SubRequest& request) {
   return ReadText(object, "request_id") == request.request_id &&
          ReadUnsigned(object, "sub_request_id") == request.id;
@@ -88,9 +67,11 @@
   }
   answer.range = *range;
   answer.index_version = *version;
-  if (!ReadHits(object, answer)) {
+  auto hits = ReadHits(object, "hits");
+  if (!hits) {
     return false;
   }
+  answer.hits = *std::move(hits);
   return std::all_of(
       answer.hits.begin(), answer.hits.end(),
       [&range](const Hit& hit) { return range->Contains(hit.key); });
