--- /dev/null
+++ b/tests/claim_test.cc
@@ -0,0 +1,130 @@
+#include "greengage/coordination/claim.h"
+
+#include "greengage/coordination/claim_machine.h"
+#include "greengage/coordination/claim_sweep.h"
+#include "greengage/protocol/claim_codec.h"
+
+#include <criterion/criterion.h>
+
+namespace greengage {
+namespace {
+
+constexpr ClaimLimits kLimits{};
+constexpr std::chrono::milliseconds kRequestTime{1764814254000};
+const WallTime request_time = FromEpoch(kRequestTime);
+
+ClaimMachine MakeMachine() {
+  return ClaimMachine(request_time, kLimits, "token", "entry-1");
+}
+
+const GiveVerdict* VerdictIn(const std::vector<ClaimAction>& actions) {
+  for (const ClaimAction& action : actions) {
+    if (const auto* verdict = std::get_if<GiveVerdict>(&action)) {
+      return verdict;
+    }
+  }
+  return nullptr;
+}
+
+Test(Claim, RequestIdNeedsATimeAndASuffix) {
+  cr_assert(RequestIdTime("1764814254000-7f3a").ok());
+  for (const char* id :
+       {"", "-a", "17", "17-", "x7-a", "17x-a", "99999999999999999999-a"}) {
+    cr_assert(!RequestIdTime(id).ok());
+  }
+}
+
+Test(Claim, NameKeepsTheTimeOfTheRequest) {
+  const std::string name = ClaimName("order.desk", "1764814254000-a.b-c");
+  const Result<WallTime> time = ClaimNameTime(name);
+  cr_assert(time.ok());
+  cr_assert(*time == request_time);
+}
+
+Test(Claim, SurvivesItsJson) {
+  const ClaimRecord record{
+      .token = "t",
+      .holder = "entry-1",
+      .state = ClaimState::kAnswered,
+      .answer = RecordedAnswer{12, {0, 100}, {{17, 5.0, "tea"}}}};
+  const Result<ClaimRecord> read = ParseClaim(SerializeClaim(record));
+  cr_assert(read.ok());
+  cr_assert(read->token == "t");
+  cr_assert(read->state == ClaimState::kAnswered);
+  cr_assert(read->answer.has_value());
+  cr_assert(read->answer->index_version == 12);
+  cr_assert(read->answer->range == (KeyRange{0, 100}));
+  cr_assert(read->answer->hits.at(0).text == "tea");
+  for (const char* text : {"", "[]", "{}", R"({"token":"t","holder":"h"})"}) {
+    cr_assert(!ParseClaim(text).ok());
+  }
+}
+
+Test(ClaimMachine, RepeatGetsTheRecordedAnswer) {
+  ClaimMachine machine = MakeMachine();
+  machine.Start(request_time);
+  machine.OnWrite({ClaimWriteResult::Kind::kConflict, 7}, request_time);
+  const ClaimRecord record{.token = "other",
+                           .holder = "entry-2",
+                           .state = ClaimState::kAnswered,
+                           .answer = RecordedAnswer{12, {0, 100}, {}}};
+  const auto actions =
+      machine.OnRead({ClaimReadResult::Kind::kFound, 7, record}, request_time);
+  const GiveVerdict* verdict = VerdictIn(actions);
+  cr_assert(verdict != nullptr);
+  cr_assert(verdict->outcome == Outcome::kAnswered);
+  cr_assert(verdict->answer->index_version == 12);
+  cr_assert(!machine.sent());
+}
+
+Test(ClaimMachine, RefusesAsNotRunWhileThePlatformIsOut) {
+  ClaimMachine machine = MakeMachine();
+  machine.Start(request_time);
+  const auto actions =
+      machine.OnWrite({ClaimWriteResult::Kind::kNotSent, 0}, request_time);
+  const GiveVerdict* verdict = VerdictIn(actions);
+  cr_assert(verdict != nullptr);
+  cr_assert(verdict->outcome == Outcome::kNotRun);
+  cr_assert(verdict->refusal == Refusal::kPlatformDown);
+  cr_assert(verdict->retry_after.count() > 0);
+  cr_assert(machine.finished());
+}
+
+Test(ClaimMachine, OldRequestIsUnknownAndFutureOneNotRun) {
+  ClaimMachine old = MakeMachine();
+  const auto old_actions = old.Start(request_time + kLimits.retention);
+  cr_assert(VerdictIn(old_actions)->outcome == Outcome::kUnknown);
+  ClaimMachine future = MakeMachine();
+  const auto future_actions =
+      future.Start(request_time - 2 * kLimits.clock_skew);
+  cr_assert(VerdictIn(future_actions)->outcome == Outcome::kNotRun);
+}
+
+Test(ClaimSweep, DeletesOnlyClaimsThatNoClockAccepts) {
+  const auto id = [](std::chrono::milliseconds age) {
+    return ClaimName("desk",
+                     std::to_string((kRequestTime - age).count()) + "-a");
+  };
+  const auto limit = kLimits.retention + kLimits.clock_skew;
+  const std::vector<ListedClaim> page = {
+      {id(limit + std::chrono::milliseconds(1)), 1},
+      {id(limit), 2},
+      {"no-claim", 3}};
+  const ClaimSweepStep step = PlanClaimSweep(page, 3, kLimits, request_time);
+  cr_assert(step.expired.size() == 1);
+  cr_assert(step.expired[0].version == 1);
+  cr_assert(step.next_after == "no-claim");
+  cr_assert(PlanClaimSweep(page, 4, kLimits, request_time).next_after.empty());
+}
+
+Test(ClaimSweep, LowestLiveInstanceSweeps) {
+  std::vector<Instance> instances(2);
+  instances[0].id = "a";
+  instances[0].state = InstanceState::kGone;
+  instances[1].id = "b";
+  cr_assert(SweepsClaims("b", instances));
+  cr_assert(!SweepsClaims("c", instances));
+}
+
+}  // namespace
+}  // namespace greengage
