--- a/include/greengage/coordination/admission.h
+++ b/include/greengage/coordination/admission.h
@@ -43,7 +43,7 @@
   std::optional<AdmissionRefusal> Admit(TimePoint now, const Query& query);
 
   // The answer of an admitted query goes out.
-  void OnEnded(TimePoint now, const Query& query);
+  void OnEnded(TimePoint now, const Query& query, const Answer& answer);
 
   // Takes in what an owner says with a sub-answer.
   void OnSubAnswer(TimePoint now,
--- a/include/greengage/coordination/query_plan.h
+++ b/include/greengage/coordination/query_plan.h
@@ -12,7 +12,6 @@
 #include <variant>
 #include <vector>
 
-#include "greengage/coordination/admission.h"
 #include "greengage/coordination/answer_merger.h"
 #include "greengage/coordination/extra_load_budget.h"
 #include "greengage/coordination/hedge_policy.h"
@@ -31,7 +30,6 @@
   HedgePolicy* hedges = nullptr;
   ExtraLoadBudget* extra_load = nullptr;
   RetryBudget* retries = nullptr;
-  Admission* admission = nullptr;
   // The configuration in force, for a query that must run anew.
   std::function<ConfigurationPtr()> configuration;
   std::atomic<uint64_t> next_sub_request_id{1};
@@ -69,12 +67,12 @@
     std::variant<SendAction, CancelAction, RerunAction, AnswerAction>;
 using QueryActions = std::vector<QueryAction>;
 
-// Usage: get the query admitted by the context's Admission, which the plan
-// tells of the end; carry out the actions of Start(); pass each sub-answer to
+// Usage: carry out the actions of Start(); pass each sub-answer to
 // OnSubAnswer() and call OnTime() at next_time(), carrying out what they
 // return, until done(). A SubAnswer must be made by the caller for
 // sub-requests that end otherwise (queue refusal, lost connection). Keeps the
-// context's trackers and budgets up to date itself. Not thread-safe.
+// context's trackers and budgets up to date itself; Admission stands before
+// it. Not thread-safe.
 //
 // A non-idempotent query is one sub-request, sent again only after a proof
 // that it did not run.
@@ -95,6 +93,10 @@
   // Hedges what is overdue, and answers when the deadline has come.
   QueryActions OnTime(TimePoint now);
 
+  // The caller has gone away: cancels what is open and ends the query without
+  // an AnswerAction.
+  QueryActions Abandon(TimePoint now);
+
   // When to call OnTime() next. Meaningless once done().
   TimePoint next_time() const { return next_time_; }
 
@@ -148,6 +150,7 @@
   void Hedge(TimePoint now, size_t shard, QueryActions& actions);
   void CancelOpen(TimePoint now, size_t shard, QueryActions& actions);
   void FinishIfComplete(TimePoint now, QueryActions& actions);
+  void CancelAll(TimePoint now, QueryActions& actions);
   void Finish(TimePoint now, QueryActions& actions);
   Answer MakeAnswer();
   void DropLate(TimePoint now, const SubAnswer& answer);
--- a/src/coordination/admission.cc
+++ b/src/coordination/admission.cc
@@ -49,7 +49,9 @@
                           std::max(kLeastRetryAfter, FromSeconds(predicted))};
 }
 
-void Admission::OnEnded(TimePoint now, const Query& query) {
+void Admission::OnEnded(TimePoint now,
+                        const Query& query,
+                        const Answer& /*answer*/) {
   const std::lock_guard lock(mutex_);
   Line& line = LineOf(query.service, query.rank);
   Advance(now, line);
--- a/src/coordination/query_plan.cc
+++ b/src/coordination/query_plan.cc
@@ -62,7 +62,6 @@
   attempts_.erase(it);
   std::erase(shards_[attempt.shard].open, answer.id);
   answer.searcher = attempt.request.searcher;
-  context_->admission->OnSubAnswer(now, query_.service, query_.rank, answer);
   if (answer.outcome == Outcome::kAnswered) {
     Accept(now, attempt, std::move(answer), actions);
   } else {
@@ -90,6 +89,13 @@
   return actions;
 }
 
+QueryActions QueryPlan::Abandon(TimePoint now) {
+  QueryActions actions;
+  CancelAll(now, actions);
+  done_ = true;
+  return actions;
+}
+
 const ServiceConfiguration& QueryPlan::service() const {
   return configuration_->services.at(query_.service);
 }
@@ -178,6 +184,7 @@
   request.idempotent = query_.idempotent;
   request.limit = query_.limit;
   request.text = query_.text;
+  request.key = query_.key;
   request.deadline = query_.deadline;
   return request;
 }
@@ -282,9 +289,7 @@
   }
   ++reruns_;
   actions.push_back(RerunAction{index_version_, version});
-  for (const size_t shard : wanted_) {
-    CancelOpen(now, shard, actions);
-  }
+  CancelAll(now, actions);
   configuration_ = std::move(newest);
   Pin(now);
   SendAll(now, SendReason::kRerun, actions);
@@ -330,14 +335,17 @@
   }
 }
 
-void QueryPlan::Finish(TimePoint now, QueryActions& actions) {
+void QueryPlan::CancelAll(TimePoint now, QueryActions& actions) {
   for (const size_t shard : wanted_) {
     ShardProgress& progress = shards_[shard];
     progress.maybe_run |= !progress.open.empty();
     CancelOpen(now, shard, actions);
   }
+}
+
+void QueryPlan::Finish(TimePoint now, QueryActions& actions) {
+  CancelAll(now, actions);
   done_ = true;
-  context_->admission->OnEnded(now, query_);
   actions.push_back(AnswerAction{MakeAnswer()});
 }
 
