--- a/include/greengage/transport/query_service.h
+++ b/include/greengage/transport/query_service.h
@@ -33,6 +33,7 @@
   // All pointers must outlive the service and its queries.
   QueryService(boost::asio::io_context& context,
                QueryContext* plans,
+               Admission* admission,
                std::shared_ptr<SubRequestRouter> router,
                EventLog* events);
 
@@ -49,6 +50,7 @@
 
   boost::asio::io_context& context_;
   QueryContext* const plans_;
+  Admission* const admission_;
   const std::shared_ptr<SubRequestRouter> router_;
   EventLog* const events_;
   std::atomic<size_t> in_flight_{0};
--- a/src/entry_instance.cc
+++ b/src/entry_instance.cc
@@ -190,9 +190,8 @@
   plans_.retries = &retries_;
   plans_.configuration = [this] { return configuration_->current(); };
   plans_.next_sub_request_id = RandomBase();
-  plans_.admission = &admission_;
-  queries_ =
-      std::make_unique<QueryService>(context_, &plans_, router_, &events_);
+  queries_ = std::make_unique<QueryService>(context_, &plans_, &admission_,
+                                            router_, &events_);
   peer_service_ = std::make_shared<PeerService>(
       owner_service_.get(), &clock_,
       [](const std::string&) { return std::optional<std::string>(); });
--- a/src/transport/query_service.cc
+++ b/src/transport/query_service.cc
@@ -58,26 +58,20 @@
   }
 
   void Abandon() override {
-    std::vector<Route> open;
+    QueryActions actions;
     {
       const std::lock_guard lock(mutex_);
-      if (plan_.done() || abandoned_ || !plan_.query().idempotent) {
+      if (plan_.done() || !plan_.query().idempotent) {
         return;
       }
-      abandoned_ = true;
+      actions = plan_.Abandon(Now());
       timer_.cancel();
-      for (auto& [id, route] : routes_) {
-        open.push_back(std::move(route));
-      }
-      routes_.clear();
     }
-    for (const Route& route : open) {
-      service_->router_->Cancel(route);
-    }
-    service_->plans_->admission->OnEnded(Now(), plan_.query());
+    CarryOut(std::move(actions));
     Answer answer;
     answer.request_id = plan_.query().request_id;
-    answer.outcome = Outcome::kUnknown;
+    answer.service = plan_.query().service;
+    answer.rank = plan_.query().rank;
     answer.refusal = Refusal::kCancelled;
     Finish(std::move(answer));
   }
@@ -89,7 +83,7 @@
     QueryActions actions;
     {
       const std::lock_guard lock(mutex_);
-      if (plan_.done() || abandoned_) {
+      if (plan_.done()) {
         return;
       }
       actions = step(plan_, Now());
@@ -127,6 +121,8 @@
   }
 
   void OnSubAnswer(SubAnswer answer) {
+    service_->admission_->OnSubAnswer(Now(), plan_.query().service,
+                                      plan_.query().rank, answer);
     {
       const std::lock_guard lock(mutex_);
       routes_.erase(answer.id);
@@ -195,6 +191,7 @@
   }
 
   void Finish(Answer answer) {
+    service_->admission_->OnEnded(Now(), plan_.query(), answer);
     Record(EventKind::kQueryAnswered, answer.service,
            std::string(OutcomeName(answer.outcome)));
     done_(std::move(answer));
@@ -207,22 +204,23 @@
   boost::asio::steady_timer timer_;
   TimePoint armed_for_ = TimePoint::max();
   std::unordered_map<uint64_t, Route> routes_;
-  bool abandoned_ = false;
 };
 
 QueryService::QueryService(boost::asio::io_context& context,
                            QueryContext* plans,
+                           Admission* admission,
                            std::shared_ptr<SubRequestRouter> router,
                            EventLog* events)
     : context_(context),
       plans_(plans),
+      admission_(admission),
       router_(std::move(router)),
       events_(events) {}
 
 std::shared_ptr<RunningQuery> QueryService::Run(Query query,
                                                 ConfigurationPtr configuration,
                                                 Callback done) {
-  const auto refusal = plans_->admission->Admit(Now(), query);
+  const auto refusal = admission_->Admit(Now(), query);
   if (refusal) {
     events_->Record(NowWall(), EventKind::kQueryRefused, query.request_id,
                     query.service, std::string(RefusalName(refusal->refusal)));
