Add membership between instances

Suspicions stay with the instance that has them: the suspect is cleared by its own acknowledgement, so telling others would cost bytes and gain nothing. Claims that a member is gone are verified by pings when they come from a whole table or from a sender that is itself held gone; otherwise two halves of a cut declare each other gone again when they meet.

--- /dev/null
+++ b/src/coordination/membership.cc
@@ -0,0 +1,299 @@
+#include "greengage/coordination/membership.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace greengage {
+
+namespace {
+
+// The kind of change that `heard` makes to `known`, which may be null.
+std::optional<MembershipChangeKind> KindOfChange(const Instance& heard,
+                                                 const Instance* known) {
+  const bool was_gone =
+      known == nullptr || known->state == InstanceState::kGone;
+  switch (heard.state) {
+    case InstanceState::kGone:
+      if (was_gone) {
+        return std::nullopt;
+      }
+      return MembershipChangeKind::kGone;
+    case InstanceState::kLeaving:
+      return MembershipChangeKind::kLeaving;
+    case InstanceState::kLive:
+    case InstanceState::kSuspect:
+      return was_gone ? MembershipChangeKind::kJoined
+                      : MembershipChangeKind::kRefuted;
+  }
+  return std::nullopt;
+}
+
+bool HasEndpoints(const Instance& instance) {
+  return !instance.gossip.host.empty();
+}
+
+}  // namespace
+
+std::vector<const Instance*> ChooseRandom(const MemberMap& members,
+                                          size_t count,
+                                          std::mt19937_64& random) {
+  const std::vector<const Instance*>& present = members.present();
+  std::vector<const Instance*> chosen;
+  std::sample(present.begin(), present.end(), std::back_inserter(chosen), count,
+              random);
+  return chosen;
+}
+
+Membership::Membership(Instance self,
+                       MembershipOptions options,
+                       uint64_t random_seed,
+                       TimePoint now)
+    : self_(std::move(self)),
+      options_(std::move(options)),
+      random_(random_seed),
+      members_(self_.id),
+      last_active_(now),
+      last_heard_(now),
+      next_probe_(now + RandomPart(options_.probe_period)),
+      next_gossip_(now),
+      next_sync_(now + RandomPart(options_.sync_period)),
+      next_reconnect_(now) {
+  PutSelf(now);
+}
+
+MembershipActions Membership::Tick(TimePoint now) {
+  if (departed_) {
+    return {};
+  }
+  NoticePause(now);
+  ExpireRelays(now);
+  if (now >= next_probe_) {
+    StartProbes(now);
+    next_probe_ = std::max(next_probe_ + options_.probe_period, now);
+  }
+  AdvanceProbes(now);
+  if (now >= next_sync_) {
+    Sync(now);
+  }
+  if (now >= next_reconnect_) {
+    Reconnect(now);
+  }
+  if (now >= next_gossip_ && !news_.empty()) {
+    Gossip(now);
+  }
+  return TakeActions();
+}
+
+MembershipActions Membership::OnDatagram(const Datagram& datagram,
+                                         const Endpoint& source,
+                                         TimePoint now) {
+  if (departed_ || datagram.sender == self_.id) {
+    return {};
+  }
+  NoticePause(now);
+  last_heard_ = now;
+  const Instance* sender = members_.Find(datagram.sender);
+  const bool sender_gone =
+      sender != nullptr && sender->state == InstanceState::kGone;
+  const bool changed = MergeAll(datagram, sender_gone, now);
+  HearVersion(datagram);
+  switch (datagram.kind) {
+    case DatagramKind::kPing:
+      AnswerPing(datagram, source);
+      break;
+    case DatagramKind::kAck:
+      HandleAck(datagram, now);
+      break;
+    case DatagramKind::kIndirectPing:
+      RelayPing(datagram, source, now);
+      break;
+    case DatagramKind::kGossip:
+      break;
+    case DatagramKind::kDigest:
+      AnswerDigest(datagram, source);
+      break;
+    case DatagramKind::kMembers:
+      HandleMembers(datagram, source, changed, now);
+      break;
+  }
+  if (sender_gone) {
+    AnswerGoneSender(datagram, source);
+  }
+  return TakeActions();
+}
+
+void Membership::SetSeeds(std::vector<Endpoint> seeds) {
+  seeds_ = std::move(seeds);
+}
+
+void Membership::SetConfigurationVersion(uint64_t version) {
+  if (version > configuration_version_) {
+    configuration_version_ = version;
+    news_.Add({});
+  }
+}
+
+MembershipActions Membership::Leave(TimePoint now) {
+  self_.state = InstanceState::kLeaving;
+  PutSelf(now);
+  Gossip(now);
+  return TakeActions();
+}
+
+MembershipActions Membership::Depart(TimePoint now) {
+  self_.state = InstanceState::kGone;
+  PutSelf(now);
+  Gossip(now);
+  departed_ = true;
+  return TakeActions();
+}
+
+bool Membership::MergeAll(const Datagram& datagram,
+                          bool sender_gone,
+                          TimePoint now) {
+  const bool known = members_.Find(datagram.sender) != nullptr;
+  const bool from_table = datagram.kind == DatagramKind::kMembers;
+  bool changed = false;
+  for (const Instance& member : datagram.members) {
+    const bool own = member.id == datagram.sender;
+    const Origin origin{
+        .trusted = own || (known && !sender_gone && !from_table),
+        .news = own || !from_table};
+    changed |= Merge(member, origin, now);
+  }
+  return changed;
+}
+
+bool Membership::Merge(const Instance& heard, Origin origin, TimePoint now) {
+  if (heard.id == self_.id) {
+    return MergeSelf(heard, now);
+  }
+  const bool gone = heard.state == InstanceState::kGone;
+  const Instance* known = members_.Find(heard.id);
+  if (known == nullptr && (gone || !HasEndpoints(heard))) {
+    return false;
+  }
+  if (known != nullptr && !Supersedes(heard, *known)) {
+    if (origin.news && !Supersedes(*known, heard)) {
+      news_.CountCopy(heard.id);
+    }
+    return false;
+  }
+  const bool was_gone =
+      known != nullptr && known->state == InstanceState::kGone;
+  if (gone && !was_gone && !origin.trusted) {
+    Verify(*known, heard.incarnation, now);
+    return false;
+  }
+  Apply(heard, known, now);
+  if (origin.news) {
+    news_.Add(heard.id);
+  }
+  return true;
+}
+
+bool Membership::MergeSelf(const Instance& heard, TimePoint now) {
+  if (!Supersedes(heard, self_)) {
+    return false;
+  }
+  self_.incarnation = heard.incarnation + 1;
+  PutSelf(now);
+  return true;
+}
+
+void Membership::Verify(const Instance& known, uint64_t claim, TimePoint now) {
+  const auto probe = probes_.find(known.id);
+  if (probe != probes_.end()) {
+    probe->second.claimed_incarnation = claim;
+    return;
+  }
+  const auto verifications =
+      std::count_if(probes_.begin(), probes_.end(), [](const auto& item) {
+        return item.second.claimed_incarnation.has_value();
+      });
+  if (static_cast<size_t>(verifications) < options_.verifications) {
+    StartProbe(known, claim, now);
+  }
+}
+
+void Membership::Apply(const Instance& heard,
+                       const Instance* known,
+                       TimePoint now) {
+  const std::optional<MembershipChangeKind> kind = KindOfChange(heard, known);
+  Instance record = heard;
+  if (record.state == InstanceState::kSuspect) {
+    record.state = InstanceState::kLive;
+  }
+  if (!HasEndpoints(record)) {
+    record = *known;
+    record.state = heard.state;
+    record.incarnation = heard.incarnation;
+  }
+  probes_.erase(record.id);
+  members_.Put(record, now);
+  if (kind) {
+    Change(*kind, record);
+  }
+}
+
+void Membership::PutSelf(TimePoint now) {
+  members_.Put(self_, now);
+  news_.Add(self_.id);
+}
+
+void Membership::HearVersion(const Datagram& datagram) {
+  if (datagram.configuration_version == configuration_version_) {
+    news_.CountCopy({});
+    return;
+  }
+  const Instance* sender = members_.Find(datagram.sender);
+  if (datagram.configuration_version > configuration_version_ &&
+      sender != nullptr) {
+    actions_.versions.push_back(
+        {.version = datagram.configuration_version, .source = *sender});
+  }
+}
+
+// Tells a sender that was held gone so, or compares tables with it once it
+// has refuted that.
+void Membership::AnswerGoneSender(const Datagram& datagram,
+                                  const Endpoint& source) {
+  const Instance* sender = members_.Find(datagram.sender);
+  if (sender == nullptr) {
+    return;
+  }
+  if (sender->state != InstanceState::kGone) {
+    SyncWith(source);
+  } else if (datagram.kind != DatagramKind::kPing) {
+    SendPing(*sender, sender->incarnation);
+  }
+}
+
+Datagram Membership::NewDatagram(DatagramKind kind) const {
+  Datagram datagram;
+  datagram.kind = kind;
+  datagram.sender = self_.id;
+  datagram.configuration_version = configuration_version_;
+  return datagram;
+}
+
+void Membership::Send(const Endpoint& receiver, Datagram datagram) {
+  actions_.datagrams.push_back(
+      {.receiver = receiver, .datagram = std::move(datagram)});
+}
+
+void Membership::Change(MembershipChangeKind kind, const Instance& instance) {
+  actions_.changes.push_back({.kind = kind, .instance = instance});
+}
+
+MembershipActions Membership::TakeActions() {
+  return std::exchange(actions_, {});
+}
+
+Duration Membership::RandomPart(Duration period) {
+  std::uniform_int_distribution<Duration::rep> part(0, period.count());
+  return Duration(part(random_));
+}
+
+}  // namespace greengage
