--- a/tools/greengaged/main.cc
+++ b/tools/greengaged/main.cc
@@ -91,9 +91,10 @@
   bool print = false;
   app.add_option("--settings", path, "INI file with this instance's settings");
   app.add_flag("--check", check, "Check the settings and end");
-  app.add_flag("--print-settings", print, "Print all settings with defaults");
+  app.add_flag("--print-settings", print,
+               "Print all settings, or the defaults without a file");
   CLI11_PARSE(app, argc, argv);
-  if (print) {
+  if (print && path.empty()) {
     std::cout << PrintInstanceSettings(DefaultInstanceSettings());
     return kExitOk;
   }
@@ -108,7 +109,10 @@
     }
     return kExitSettings;
   }
-  return check ? kExitOk : Run(*settings);
+  if (print) {
+    std::cout << PrintInstanceSettings(*settings);
+  }
+  return check || print ? kExitOk : Run(*settings);
 }
 
 }  // namespace
