--- a/include/greengage/transport/query_service.h
+++ b/include/greengage/transport/query_service.h
@@ -30,12 +30,16 @@
  public:
   using Callback = std::function<void(Answer)>;
 
+  // Runs for each sub-request that is to be sent.
+  using SendHook = std::function<void(const SubRequest&, SendReason)>;
+
   // All pointers must outlive the service and its queries.
   QueryService(boost::asio::io_context& context,
                QueryContext* plans,
                Admission* admission,
                std::shared_ptr<SubRequestRouter> router,
-               EventLog* events);
+               EventLog* events,
+               SendHook on_send);
 
   // Runs `query`, pinned to `configuration`. `done` runs exactly once; a
   // refusal at once, an answer at the latest at the query's deadline.
@@ -53,6 +57,7 @@
   Admission* const admission_;
   const std::shared_ptr<SubRequestRouter> router_;
   EventLog* const events_;
+  const SendHook on_send_;
   std::atomic<size_t> in_flight_{0};
   std::atomic<uint64_t> next_seed_{1};
 };
--- a/src/entry_instance.cc
+++ b/src/entry_instance.cc
@@ -95,6 +95,7 @@
   std::string Status() const;
   void OnSearcherChange(const Endpoint& searcher,
                         SearcherTracker::Change change);
+  void Count(SendReason reason);
   void OnConfiguration(const ConfigurationPtr& configuration);
   void StopTakingRequests();
   void WaitForWork();
@@ -140,6 +141,14 @@
                  ToString(searcher));
 }
 
+void EntryInstanceImpl::Count(SendReason reason) {
+  if (reason == SendReason::kHedge) {
+    metrics_.sub_requests_hedged.Add();
+  } else if (reason == SendReason::kRetry) {
+    metrics_.sub_requests_retried.Add();
+  }
+}
+
 void EntryInstanceImpl::OnConfiguration(const ConfigurationPtr& configuration) {
   searchers_.Apply(std::chrono::steady_clock::now(), *configuration);
   owner_service_->Apply(configuration);
@@ -190,8 +199,9 @@
   plans_.retries = &retries_;
   plans_.configuration = [this] { return configuration_->current(); };
   plans_.next_sub_request_id = RandomBase();
-  queries_ = std::make_unique<QueryService>(context_, &plans_, &admission_,
-                                            router_, &events_);
+  queries_ = std::make_unique<QueryService>(
+      context_, &plans_, &admission_, router_, &events_,
+      [this](const SubRequest&, SendReason reason) { Count(reason); });
   peer_service_ = std::make_shared<PeerService>(
       owner_service_.get(), &clock_,
       [](const std::string&) { return std::optional<std::string>(); });
--- a/src/transport/query_service.cc
+++ b/src/transport/query_service.cc
@@ -138,6 +138,7 @@
       if (auto* send = std::get_if<SendAction>(&action)) {
         Record(EventOf(send->reason), ToString(send->request.searcher),
                send->request.shard);
+        service_->on_send_(send->request, send->reason);
         to_send.push_back(std::move(send->request));
       } else if (const auto* cancel = std::get_if<CancelAction>(&action)) {
         Cancel(cancel->id);
@@ -210,12 +211,14 @@
                            QueryContext* plans,
                            Admission* admission,
                            std::shared_ptr<SubRequestRouter> router,
-                           EventLog* events)
+                           EventLog* events,
+                           SendHook on_send)
     : context_(context),
       plans_(plans),
       admission_(admission),
       router_(std::move(router)),
-      events_(events) {}
+      events_(events),
+      on_send_(std::move(on_send)) {}
 
 std::shared_ptr<RunningQuery> QueryService::Run(Query query,
                                                 ConfigurationPtr configuration,
