--- /dev/null
+++ b/tools/bench/fake_owner.cc
@@ -0,0 +1,329 @@
+#include "tools/bench/fake_owner.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace greengage::bench {
+
+namespace {
+
+// A new connection costs this much, one to six milliseconds.
+constexpr int64_t kConnectLeastUs = 1000;
+constexpr int64_t kConnectMostUs = 6000;
+constexpr size_t kSpareConnections = 2;
+
+SubAnswer EndOf(const SubRequest& request, Outcome outcome, Refusal refusal) {
+  SubAnswer answer;
+  answer.id = request.id;
+  answer.request_id = request.request_id;
+  answer.searcher = request.searcher;
+  answer.outcome = outcome;
+  answer.refusal = refusal;
+  return answer;
+}
+
+}  // namespace
+
+FakeOwner::FakeOwner(EventQueue* events,
+                     SubCallTable* calls,
+                     FakeSearcher* searcher,
+                     const Shape* shape,
+                     uint64_t seed,
+                     OwnerOptions options,
+                     EndHook on_end)
+    : events_(events),
+      calls_(calls),
+      searcher_(searcher),
+      shape_(shape),
+      options_(options),
+      on_end_(std::move(on_end)),
+      random_(static_cast<std::minstd_rand::result_type>(seed)),
+      queue_(options.queue) {}
+
+void FakeOwner::Submit(CallId id) {
+  const SubCall* call = calls_->Find(id);
+  if (call == nullptr) {
+    return;
+  }
+  const auto refusal = queue_.Push(events_->now(), call->request);
+  if (refusal) {
+    SubAnswer answer = EndOf(call->request, Outcome::kNotRun, refusal->refusal);
+    answer.retry_after = refusal->retry_after;
+    End(id, std::move(answer));
+    return;
+  }
+  waiting_.emplace(call->request.id, id);
+  Pump();
+}
+
+void FakeOwner::Cancel(CallId id) {
+  SubCall* call = calls_->Find(id);
+  if (call == nullptr || call->ended) {
+    return;
+  }
+  call->cancelled = true;
+  waiting_.erase(call->request.id);
+  if (queue_.Remove(call->request.id, call->request.request_id)) {
+    calls_->Remove(id);
+    return;
+  }
+  std::erase(unsent_, id);
+  const auto it =
+      std::find_if(connections_.begin(), connections_.end(),
+                   [&](const auto& entry) { return entry.second.call == id; });
+  if (it != connections_.end()) {
+    Close(it->first);
+    KeepSpare();
+  }
+  // The searcher hears of it on another connection.
+  events_->After(shape_->searcher_latency, [this, id] {
+    searcher_->Cancel(id);
+    calls_->Remove(id);
+  });
+  queue_.Finish(events_->now(), std::nullopt);
+  Pump();
+}
+
+void FakeOwner::OnAnswer(CallId id, SubAnswer answer) {
+  SubCall* call = calls_->Find(id);
+  if (call == nullptr) {
+    return;
+  }
+  const auto it = connections_.find(call->connection);
+  if (it == connections_.end() || it->second.call != id) {
+    return;
+  }
+  it->second.call.reset();
+  it->second.liveness.OnAnswer(events_->now());
+  last_answer_ = events_->now();
+  answer.queue_time = call->queue_time;
+  answer.service_time = events_->now() - call->sent;
+  const bool answered = answer.outcome == Outcome::kAnswered;
+  queue_.Finish(events_->now(),
+                answered ? std::optional(answer.service_time) : std::nullopt);
+  End(id, std::move(answer));
+  Pump();
+}
+
+void FakeOwner::OnKilled() {
+  std::map<uint64_t, Connection> lost;
+  lost.swap(connections_);
+  for (const auto& [key, connection] : lost) {
+    if (connection.call) {
+      queue_.Finish(events_->now(), std::nullopt);
+      Fail(*connection.call, Outcome::kUnknown);
+    }
+  }
+  Pump();
+}
+
+void FakeOwner::SilenceConnections() {
+  for (auto& [key, connection] : connections_) {
+    connection.silent = true;
+    if (connection.call && !connection.silent_use) {
+      connection.silent_use = events_->now();
+    }
+  }
+}
+
+void FakeOwner::CheckConnections() {
+  if (!options_.watches_connections) {
+    return;
+  }
+  std::vector<uint64_t> silent;
+  std::vector<uint64_t> idle;
+  for (const auto& [key, connection] : connections_) {
+    if (!connection.open) {
+      continue;
+    }
+    switch (connection.liveness.Judge(events_->now(), last_answer_)) {
+      case ConnectionVerdict::kSilent:
+        silent.push_back(key);
+        break;
+      case ConnectionVerdict::kProbe:
+        idle.push_back(key);
+        break;
+      case ConnectionVerdict::kLive:
+        break;
+    }
+  }
+  for (const uint64_t key : idle) {
+    Probe(key);
+  }
+  for (const uint64_t key : silent) {
+    const std::optional<CallId> call = connections_.at(key).call;
+    ++counts_.replaced_silent;
+    Close(key);
+    if (call) {
+      queue_.Finish(events_->now(), std::nullopt);
+      Fail(*call, Outcome::kUnknown);
+    }
+  }
+  KeepSpare();
+}
+
+void FakeOwner::Pump() {
+  for (;;) {
+    QueuePop pop = queue_.Pop(events_->now());
+    for (const QueuedSubRequest& dropped : pop.dropped) {
+      Drop(dropped);
+    }
+    if (!pop.next) {
+      return;
+    }
+    const auto it = waiting_.find(pop.next->request.id);
+    const CallId id = it->second;
+    waiting_.erase(it);
+    calls_->Find(id)->queue_time = pop.next->queue_time;
+    Send(id);
+  }
+}
+
+void FakeOwner::Drop(const QueuedSubRequest& dropped) {
+  const auto it = waiting_.find(dropped.request.id);
+  if (it == waiting_.end()) {
+    return;
+  }
+  const CallId id = it->second;
+  waiting_.erase(it);
+  SubAnswer answer =
+      EndOf(dropped.request, Outcome::kNotRun, Refusal::kDeadline);
+  answer.queue_time = dropped.queue_time;
+  End(id, std::move(answer));
+}
+
+void FakeOwner::Send(CallId id) {
+  const std::optional<uint64_t> idle = IdleConnection();
+  if (idle) {
+    SendOn(*idle, id);
+  } else if (connections_.size() < options_.connections) {
+    Open(id);
+  } else {
+    unsent_.push_back(id);
+  }
+}
+
+void FakeOwner::SendOn(uint64_t key, CallId id) {
+  SubCall* call = calls_->Find(id);
+  if (call == nullptr) {
+    return;
+  }
+  const TimePoint now = events_->now();
+  Connection& connection = connections_.at(key);
+  call->connection = key;
+  call->sent = now;
+  connection.call = id;
+  connection.liveness.OnRequest(now);
+  if (connection.silent) {
+    connection.silent_use = connection.silent_use.value_or(now);
+    return;
+  }
+  events_->After(shape_->searcher_latency,
+                 [this, id] { searcher_->Arrive(id); });
+}
+
+void FakeOwner::Open(std::optional<CallId> waiting) {
+  const uint64_t key = next_connection_++;
+  connections_.emplace(
+      key, Connection{false, false, std::nullopt, false,
+                      ConnectionLiveness(events_->now(), {}), std::nullopt});
+  std::uniform_int_distribution<int64_t> cost(kConnectLeastUs, kConnectMostUs);
+  events_->After(std::chrono::microseconds(cost(random_)),
+                 [this, key, waiting] { OnOpened(key, waiting); });
+}
+
+void FakeOwner::OnOpened(uint64_t key, std::optional<CallId> waiting) {
+  const auto it = connections_.find(key);
+  if (it != connections_.end() && !searcher_->faults().dead) {
+    it->second.open = true;
+    it->second.liveness = ConnectionLiveness(events_->now(), {});
+    ++counts_.opened;
+    if (waiting && IsWanted(*waiting)) {
+      SendOn(key, *waiting);
+    } else if (!unsent_.empty()) {
+      const CallId id = unsent_.front();
+      unsent_.erase(unsent_.begin());
+      SendOn(key, id);
+    }
+    return;
+  }
+  connections_.erase(key);
+  if (waiting && IsWanted(*waiting)) {
+    queue_.Finish(events_->now(), std::nullopt);
+    Fail(*waiting, Outcome::kNotRun);
+    Pump();
+  }
+}
+
+void FakeOwner::Close(uint64_t key) {
+  const auto it = connections_.find(key);
+  if (it == connections_.end()) {
+    return;
+  }
+  if (it->second.silent_use) {
+    counts_.longest_silence = std::max(counts_.longest_silence,
+                                       events_->now() - *it->second.silent_use);
+  }
+  connections_.erase(it);
+}
+
+void FakeOwner::KeepSpare() {
+  const size_t wanted = options_.queue.slots +
+                        std::min<size_t>(options_.queue.extra_outstanding, 2) +
+                        kSpareConnections;
+  while (connections_.size() < std::min(wanted, options_.connections) &&
+         !searcher_->faults().dead) {
+    Open(std::nullopt);
+  }
+}
+
+void FakeOwner::Probe(uint64_t key) {
+  Connection& connection = connections_.at(key);
+  connection.probing = true;
+  connection.liveness.OnRequest(events_->now());
+  if (connection.silent) {
+    connection.silent_use = connection.silent_use.value_or(events_->now());
+    return;
+  }
+  events_->After(shape_->searcher_latency * 2, [this, key] { OnProbed(key); });
+}
+
+void FakeOwner::OnProbed(uint64_t key) {
+  const auto it = connections_.find(key);
+  if (it == connections_.end() || searcher_->faults().dead) {
+    return;
+  }
+  last_answer_ = events_->now();
+  it->second.probing = false;
+  it->second.liveness.OnAnswer(events_->now());
+}
+
+void FakeOwner::End(CallId id, SubAnswer answer) {
+  calls_->Find(id)->ended = true;
+  on_end_(id, std::move(answer));
+}
+
+bool FakeOwner::IsWanted(CallId id) const {
+  const SubCall* call = calls_->Find(id);
+  return call != nullptr && !call->cancelled;
+}
+
+void FakeOwner::Fail(CallId id, Outcome outcome) {
+  const SubCall* call = calls_->Find(id);
+  if (call != nullptr) {
+    End(id, EndOf(call->request, outcome, Refusal::kConnectionLost));
+  }
+}
+
+std::optional<uint64_t> FakeOwner::IdleConnection() const {
+  // The one used last is the least likely to have gone silent.
+  for (auto it = connections_.rbegin(); it != connections_.rend(); ++it) {
+    const Connection& connection = it->second;
+    if (connection.open && !connection.call && !connection.probing) {
+      return it->first;
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace greengage::bench
--- /dev/null
+++ b/tools/bench/naive_plan.cc
@@ -0,0 +1,110 @@
+#include "tools/bench/naive_plan.h"
+
+#include <utility>
+
+namespace greengage::bench {
+
+namespace {
+
+constexpr uint32_t kNaiveAttempts = 3;
+// Nothing is dropped for its age.
+constexpr Duration kNaiveDeadline = std::chrono::hours(1);
+
+}  // namespace
+
+NaivePlan::NaivePlan(Query query,
+                     ConfigurationPtr configuration,
+                     QueryContext* context,
+                     uint64_t seed)
+    : query_(std::move(query)),
+      configuration_(std::move(configuration)),
+      context_(context),
+      random_(static_cast<std::minstd_rand::result_type>(seed)) {}
+
+QueryActions NaivePlan::Start(TimePoint /*now*/) {
+  QueryActions actions;
+  const ServiceConfiguration& service =
+      configuration_->services.at(query_.service);
+  unsettled_ = service.shards.size();
+  covered_.resize(unsettled_);
+  for (size_t shard = 0; shard < service.shards.size(); ++shard) {
+    Send(shard, 1, SendReason::kFirst, actions);
+  }
+  return actions;
+}
+
+QueryActions NaivePlan::OnSubAnswer(TimePoint /*now*/, SubAnswer answer) {
+  QueryActions actions;
+  const auto it = open_.find(answer.id);
+  if (done_ || it == open_.end()) {
+    return actions;
+  }
+  const Attempt attempt = it->second;
+  open_.erase(it);
+  const bool overload = answer.refusal == Refusal::kOverloaded ||
+                        answer.refusal == Refusal::kShed;
+  if (answer.outcome == Outcome::kAnswered) {
+    covered_[attempt.shard] = true;
+    std::move(answer.hits.begin(), answer.hits.end(),
+              std::back_inserter(hits_));
+    --unsettled_;
+  } else if (!overload && attempt.number < kNaiveAttempts) {
+    Send(attempt.shard, attempt.number + 1, SendReason::kRetry, actions);
+  } else {
+    --unsettled_;
+  }
+  if (unsettled_ == 0) {
+    Finish(actions);
+  }
+  return actions;
+}
+
+QueryActions NaivePlan::OnTime(TimePoint now) {
+  QueryActions actions;
+  if (!done_ && now >= query_.deadline) {
+    Finish(actions);
+  }
+  return actions;
+}
+
+void NaivePlan::Send(size_t shard,
+                     uint32_t number,
+                     SendReason reason,
+                     QueryActions& actions) {
+  const ShardConfiguration& target =
+      configuration_->services.at(query_.service).shards[shard];
+  std::uniform_int_distribution<size_t> any(0, target.replicas.size() - 1);
+  SubRequest request;
+  request.id = context_->next_sub_request_id.fetch_add(1);
+  request.request_id = query_.request_id;
+  request.service = query_.service;
+  request.shard = target.name;
+  request.searcher = target.replicas[any(random_)];
+  request.range = target.range;
+  request.configuration_version = configuration_->version;
+  request.rank = query_.rank;
+  request.deadline = query_.deadline + kNaiveDeadline;
+  open_.emplace(request.id, Attempt{shard, number});
+  actions.push_back(SendAction{std::move(request), reason});
+}
+
+void NaivePlan::Finish(QueryActions& actions) {
+  done_ = true;
+  Answer answer;
+  answer.request_id = query_.request_id;
+  answer.rank = query_.rank;
+  answer.outcome = Outcome::kAnswered;
+  answer.hits = std::move(hits_);
+  const ServiceConfiguration& service =
+      configuration_->services.at(query_.service);
+  for (size_t shard = 0; shard < covered_.size(); ++shard) {
+    if (!covered_[shard]) {
+      answer.missing.push_back({service.shards[shard].name,
+                                service.shards[shard].range,
+                                Refusal::kDeadline});
+    }
+  }
+  actions.push_back(AnswerAction{std::move(answer)});
+}
+
+}  // namespace greengage::bench
--- /dev/null
+++ b/tools/bench/query_driver.h
@@ -0,0 +1,42 @@
+// One query, as the policy or the naive baseline runs it.
+#ifndef TOOLS_BENCH_QUERY_DRIVER_H_
+#define TOOLS_BENCH_QUERY_DRIVER_H_
+
+#include <memory>
+#include <utility>
+
+#include "greengage/coordination/query_plan.h"
+
+namespace greengage::bench {
+
+class QueryDriver {
+ public:
+  virtual ~QueryDriver() = default;
+  virtual QueryActions Start(TimePoint now) = 0;
+  virtual QueryActions OnSubAnswer(TimePoint now, SubAnswer answer) = 0;
+  virtual QueryActions OnTime(TimePoint now) = 0;
+  virtual TimePoint next_time() const = 0;
+  virtual bool done() const = 0;
+};
+
+// The very class that the daemon uses.
+class PolicyDriver : public QueryDriver {
+ public:
+  template <typename... Args>
+  explicit PolicyDriver(Args&&... args) : plan_(std::forward<Args>(args)...) {}
+
+  QueryActions Start(TimePoint now) override { return plan_.Start(now); }
+  QueryActions OnSubAnswer(TimePoint now, SubAnswer answer) override {
+    return plan_.OnSubAnswer(now, std::move(answer));
+  }
+  QueryActions OnTime(TimePoint now) override { return plan_.OnTime(now); }
+  TimePoint next_time() const override { return plan_.next_time(); }
+  bool done() const override { return plan_.done(); }
+
+ private:
+  QueryPlan plan_;
+};
+
+}  // namespace greengage::bench
+
+#endif  // TOOLS_BENCH_QUERY_DRIVER_H_
--- /dev/null
+++ b/tools/bench/run_result.h
@@ -0,0 +1,61 @@
+// What came out of one simulated run.
+#ifndef TOOLS_BENCH_RUN_RESULT_H_
+#define TOOLS_BENCH_RUN_RESULT_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+#include "greengage/state/rank.h"
+#include "greengage/state/time.h"
+
+namespace greengage::bench {
+
+// The queries of one rank that were offered while the run was measured.
+struct RankResult {
+  uint64_t offered = 0;
+  uint64_t refused = 0;  // At the entry, at once.
+  uint64_t whole = 0;
+  uint64_t partial = 0;
+  uint64_t failed = 0;
+  // From the caller's sending to its answer. An admitted query without a whole
+  // answer counts with its whole deadline, if that is longer.
+  std::vector<double> latencies_ms;
+
+  // Quantile `q` (0 to 1) of the latencies; 0 if there are none.
+  double Quantile(double q) const;
+
+  double WholeShare() const;
+};
+
+struct RunResult {
+  std::array<RankResult, kRankCount> ranks;
+  double seconds = 0;   // That were measured.
+  double capacity = 0;  // Queries per second.
+  uint64_t asked = 0;   // First sub-requests of admitted queries.
+  uint64_t sent = 0;    // All sub-requests, over the whole run.
+  uint64_t hedges = 0;
+  uint64_t retries = 0;
+  uint64_t reruns = 0;  // Sub-requests of queries that ran anew.
+  uint64_t mixed = 0;   // Answers from more than one index version.
+  uint64_t refusals_without_time = 0;  // To come back at.
+
+  const RankResult& rank(Rank r) const { return ranks[IndexOf(r)]; }
+
+  // All ranks together.
+  RankResult All() const;
+
+  double SentPerAsked() const;
+
+  // Sub-requests beyond the first, in percent of these.
+  double ExtraPercent() const;
+
+  // Whole answers per second, in percent of the capacity.
+  double GoodputPercent() const;
+  double GoodputPercent(Rank r) const;
+};
+
+}  // namespace greengage::bench
+
+#endif  // TOOLS_BENCH_RUN_RESULT_H_
