--- a/src/entry_instance.cc
+++ b/src/entry_instance.cc
@@ -5,10 +5,13 @@
 
 #include <random>
 
+#include "greengage/transport/claim_service.h"
+#include "greengage/transport/claim_store.h"
 #include "greengage/transport/configuration_service.h"
 #include "greengage/transport/front_service.h"
 #include "greengage/transport/log.h"
 #include "greengage/transport/peer_service.h"
+#include "greengage/transport/platform_client.h"
 #include "greengage/transport/query_service.h"
 
 namespace greengage {
@@ -32,25 +35,19 @@
 // How long a watch waits at the platform for a change.
 constexpr std::chrono::milliseconds kWatchWait{10000};
 
-Result<ConfigurationText> ReadWatchResult(const HttpCallResult& result) {
-  const Failure unavailable{FailureKind::kUnavailable, "platform",
-                            "no answer to the watch"};
-  if (!result.response) {
-    return unavailable;
-  }
-  if (result.response->status == 304 || result.response->status == 404) {
-    return Failure{FailureKind::kStaleVersion, "configuration", "no change"};
+ConfigurationText ToText(PlatformObject object) {
+  return ConfigurationText{object.version, std::move(object.value)};
+}
+
+// For the configuration, "no change" and "no object yet" are the same.
+Result<ConfigurationText> ToWatchResult(Result<PlatformObject> result) {
+  if (result) {
+    return ToText(std::move(result).value());
   }
-  boost::system::error_code error;
-  const json::value value = json::parse(result.response->body, error);
-  if (result.response->status != 200 || error || !value.is_object()) {
-    return unavailable;
+  if (result.last_reason().kind == FailureKind::kNotFound) {
+    return Failure{FailureKind::kStaleVersion, "configuration", "none yet"};
   }
-  const json::object& object = value.get_object();
-  ConfigurationText text;
-  text.version = object.at("version").to_number<uint64_t>();
-  text.text = std::string(object.at("value").as_string());
-  return text;
+  return result.last_reason();
 }
 
 }  // namespace
@@ -113,11 +110,12 @@
   RetryBudget retries_;
   Admission admission_;
   QueryContext plans_;
-  std::shared_ptr<HttpClient> platform_;
+  std::shared_ptr<PlatformClient> platform_;
   std::shared_ptr<OwnerService> owner_service_;
   std::shared_ptr<SubRequestRouter> router_;
   std::shared_ptr<ConfigurationService> configuration_;
   std::unique_ptr<QueryService> queries_;
+  std::unique_ptr<ClaimService> claims_;
   std::shared_ptr<PeerService> peer_service_;
   std::shared_ptr<FrontService> front_;
   std::shared_ptr<PeerServer> peer_server_;
@@ -202,6 +200,15 @@
   queries_ = std::make_unique<QueryService>(
       context_, &plans_, &admission_, router_, &events_,
       [this](const SubRequest&, SendReason reason) { Count(reason); });
+  claims_ = std::make_unique<ClaimService>(
+      context_, settings_.id,
+      MakeClaimHooks(platform_, settings_.platform_timeout,
+                     [this](Query query, ConfigurationPtr configuration,
+                            QueryService::Callback done) {
+                       queries_->Run(std::move(query), std::move(configuration),
+                                     std::move(done));
+                     }),
+      &events_, &metrics_);
   peer_service_ = std::make_shared<PeerService>(
       owner_service_.get(), &clock_,
       [](const std::string&) { return std::optional<std::string>(); });
@@ -209,15 +216,11 @@
 
 void EntryInstanceImpl::WatchPlatform(uint64_t after,
                                       ConfigurationService::TextCallback done) {
-  HttpCall call;
-  call.target =
-      "/objects/configuration/current?after=" + std::to_string(after) +
-      "&wait_ms=" + std::to_string(kWatchWait.count());
-  call.deadline = std::chrono::steady_clock::now() + kWatchWait +
-                  settings_.platform_timeout;
-  platform_->Start(std::move(call),
-                   [done = std::move(done)](const HttpCallResult& result) {
-                     done(ReadWatchResult(result));
+  const TimePoint deadline = std::chrono::steady_clock::now() + kWatchWait +
+                             settings_.platform_timeout;
+  platform_->Watch(ConfigurationObject(), after, kWatchWait, deadline,
+                   [done = std::move(done)](Result<PlatformObject> result) {
+                     done(ToWatchResult(std::move(result)));
                    });
 }
 
@@ -245,6 +248,10 @@
   hooks.status = [this] { return Status(); };
   hooks.run = [this](Query query, ConfigurationPtr configuration,
                      QueryService::Callback done) {
+    if (!query.idempotent) {
+      claims_->Run(std::move(query), std::move(configuration), std::move(done));
+      return std::shared_ptr<RunningQuery>();
+    }
     return queries_->Run(std::move(query), std::move(configuration),
                          std::move(done));
   };
@@ -289,7 +296,7 @@
 }
 
 Result<Done> EntryInstanceImpl::Listen() {
-  platform_ = HttpClient::Create(context_, settings_.platform, {});
+  platform_ = PlatformClient::Create(context_, settings_.platform);
   MakeServices();
   MakeFront();
   for (const auto& step : {&EntryInstanceImpl::ListenToPeers,
@@ -328,7 +335,8 @@
 
 bool EntryInstanceImpl::HasWork() const {
   return front_->in_flight() > 0 || queries_->in_flight() > 0 ||
-         owner_service_->in_flight() > 0 || http_server_->connections() > 0;
+         claims_->in_flight() > 0 || owner_service_->in_flight() > 0 ||
+         http_server_->connections() > 0;
 }
 
 void EntryInstanceImpl::WaitForWork() {
--- a/src/protocol/caller_codec.cc
+++ b/src/protocol/caller_codec.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "greengage/coordination/claim.h"
 #include "protocol/hit_json.h"
 #include "protocol/json_reader.h"
 
@@ -113,6 +114,12 @@
            "want 1 to 128 characters out of A-Z a-z 0-9 . _ -");
       return;
     }
+    const Result<WallTime> time = RequestIdTime(*id);
+    if (!query_.idempotent && !time) {
+      Fail(FailureKind::kInvalidArgument, "request_id",
+           "a non-idempotent request's id has the form MILLISECONDS-SUFFIX");
+      return;
+    }
     query_.request_id = std::string(*id);
   }
 
--- a/src/state/metrics.cc
+++ b/src/state/metrics.cc
@@ -94,6 +94,18 @@
   }
 }
 
+// The estimator gives nothing before all its markers have a sample.
+constexpr size_t kMarkers = 2 * Distribution::kQuantiles.size() + 3;
+
+template <typename Accumulator>
+double QuantileOf(const Accumulator& accumulator, double probability) {
+  if (accumulators::count(accumulator) < kMarkers) {
+    return accumulators::max(accumulator);
+  }
+  return accumulators::quantile(
+      accumulator, accumulators::quantile_probability = probability);
+}
+
 }  // namespace
 
 Distribution::Shard::Shard()
--- /dev/null
+++ b/src/transport/claim_store.cc
@@ -0,0 +1,70 @@
+#include "greengage/transport/claim_store.h"
+
+#include "greengage/protocol/claim_codec.h"
+
+namespace greengage {
+namespace {
+
+ObjectKey KeyOf(const std::string& name) {
+  return ObjectKey{std::string(kClaimKind), name};
+}
+
+ClaimWriteResult ToClaimWrite(const PlatformWrite& write) {
+  switch (write.outcome) {
+    case WriteOutcome::kDone:
+      return {ClaimWriteResult::Kind::kWritten, write.version};
+    case WriteOutcome::kConflict:
+      return {ClaimWriteResult::Kind::kConflict, write.version};
+    case WriteOutcome::kRejected:
+    case WriteOutcome::kUnavailable:
+      return {ClaimWriteResult::Kind::kNotSent, 0};
+    default:
+      return {ClaimWriteResult::Kind::kAmbiguous, 0};
+  }
+}
+
+ClaimReadResult ToClaimRead(const Result<PlatformObject>& read) {
+  if (!read) {
+    const bool absent = read.last_reason().kind == FailureKind::kNotFound;
+    return {absent ? ClaimReadResult::Kind::kAbsent
+                   : ClaimReadResult::Kind::kFailed};
+  }
+  Result<ClaimRecord> record = ParseClaim(read->value);
+  if (!record) {
+    return {ClaimReadResult::Kind::kFailed};
+  }
+  return {ClaimReadResult::Kind::kFound, read->version,
+          std::move(record).value()};
+}
+
+}  // namespace
+
+ClaimHooks MakeClaimHooks(
+    std::shared_ptr<PlatformClient> platform,
+    std::chrono::milliseconds timeout,
+    std::function<void(Query, ConfigurationPtr, std::function<void(Answer)>)>
+        send) {
+  ClaimHooks hooks;
+  hooks.write = [platform, timeout](
+                    const std::string& name, uint64_t expected,
+                    const ClaimRecord& record,
+                    std::function<void(ClaimWriteResult)> done) {
+    platform->Put(KeyOf(name), expected, SerializeClaim(record),
+                  std::chrono::steady_clock::now() + timeout,
+                  [done = std::move(done)](const PlatformWrite& write) {
+                    done(ToClaimWrite(write));
+                  });
+  };
+  hooks.read = [platform, timeout](const std::string& name,
+                                   std::function<void(ClaimReadResult)> done) {
+    platform->Read(
+        KeyOf(name), std::chrono::steady_clock::now() + timeout,
+        [done = std::move(done)](const Result<PlatformObject>& result) {
+          done(ToClaimRead(result));
+        });
+  };
+  hooks.send = std::move(send);
+  return hooks;
+}
+
+}  // namespace greengage
