Give a leaving searcher nothing new from its owner

The owner is the one place that all work for a searcher passes, so a sign that reaches it ends new work from every entry; what waits is refused as not run.

--- a/include/greengage/transport/owner_service.h
+++ b/include/greengage/transport/owner_service.h
@@ -35,6 +35,8 @@
   struct Hooks {
     std::function<void(const SubRequest&)> on_sent;
     std::function<void(const SubRequest&, const SubAnswer&)> on_ended;
+    // Whether a searcher is leaving: it then gets nothing new from here.
+    std::function<bool(const Endpoint&)> is_draining;
   };
 
   // `first_id` should differ from instance to instance and from start to
@@ -51,6 +53,9 @@
   // The answer carries the request's own id.
   SubmissionId Submit(SubRequest request, Callback done);
 
+  // A searcher is leaving: what waits for it is refused as not run.
+  void Drain(const Endpoint& searcher);
+
   // Gives up a submission: one that waits is proved not to have run, one that
   // was sent is cancelled at the searcher. `done` runs with kCancelled.
   void Cancel(const Endpoint& searcher, SubmissionId id);
@@ -98,6 +103,10 @@
   Searcher& SearcherOf(Shard& shard, const Endpoint& endpoint);
   RankQueueOptions QueueOptions(const Endpoint& endpoint) const;
   HttpClientLimits ClientLimits(const Endpoint& endpoint) const;
+  static void Refuse(Searcher& searcher,
+                     const std::vector<QueuedSubRequest>& queued,
+                     Refusal refusal,
+                     Turn& turn);
   static Turn TakeTurn(Searcher& searcher, TimePoint now);
   void CarryOut(Turn turn);
   void Send(const std::shared_ptr<HttpClient>& client, SubRequest request);
--- a/src/entry_instance.cc
+++ b/src/entry_instance.cc
@@ -93,6 +93,8 @@
   void OnSearcherChange(const Endpoint& searcher,
                         SearcherTracker::Change change);
   void Count(SendReason reason);
+  void OnSearcherAnswer(const Endpoint& searcher, const SubAnswer& answer);
+  bool IsDraining(const Endpoint& searcher) const;
   void OnConfiguration(const ConfigurationPtr& configuration);
   void StopTakingRequests();
   void WaitForWork();
@@ -139,6 +141,20 @@
                  ToString(searcher));
 }
 
+void EntryInstanceImpl::OnSearcherAnswer(const Endpoint& searcher,
+                                         const SubAnswer& answer) {
+  metrics_.service_time.Record(answer.service_time);
+  if (answer.load && answer.load->draining) {
+    searchers_.OnDrainSign(std::chrono::steady_clock::now(), searcher);
+  }
+}
+
+bool EntryInstanceImpl::IsDraining(const Endpoint& searcher) const {
+  const std::optional<SearcherView> view =
+      searchers_.View(std::chrono::steady_clock::now(), searcher);
+  return view && view->draining;
+}
+
 void EntryInstanceImpl::Count(SendReason reason) {
   if (reason == SendReason::kHedge) {
     metrics_.sub_requests_hedged.Add();
@@ -161,12 +177,13 @@
       OwnerService::Hooks{
           [this](const SubRequest&) { metrics_.sub_requests_sent.Add(); },
           [this](const SubRequest& request, const SubAnswer& answer) {
-            metrics_.service_time.Record(answer.service_time);
+            OnSearcherAnswer(request.searcher, answer);
             events_.Record(std::chrono::system_clock::now(),
                            EventKind::kSubRequestEnded, request.request_id,
                            ToString(request.searcher),
                            std::string(OutcomeName(answer.outcome)));
-          }});
+          },
+          [this](const Endpoint& searcher) { return IsDraining(searcher); }});
   router_ = std::make_shared<SubRequestRouter>(
       context_, settings_.id,
       [this](const Endpoint& searcher) { return OwnersOf(searcher); },
--- a/src/transport/owner_service.cc
+++ b/src/transport/owner_service.cc
@@ -129,7 +129,9 @@
     Searcher& searcher = SearcherOf(shard, request.searcher);
     SubRequest queued = request;
     queued.id = id;
-    const auto refusal = searcher.queue.Push(now, std::move(queued));
+    const auto refusal = hooks_.is_draining(request.searcher)
+                             ? std::optional(QueueRefusal{Refusal::kDraining})
+                             : searcher.queue.Push(now, std::move(queued));
     if (refusal) {
       SubAnswer answer =
           FailedSubAnswer(request, Outcome::kNotRun, refusal->refusal);
@@ -145,21 +147,45 @@
   return id;
 }
 
+// None of `queued` was sent, so all are proved not to have run.
+void OwnerService::Refuse(Searcher& searcher,
+                          const std::vector<QueuedSubRequest>& queued,
+                          Refusal refusal,
+                          Turn& turn) {
+  for (const QueuedSubRequest& item : queued) {
+    auto node = searcher.submissions.extract(item.request.id);
+    if (node.empty()) {
+      continue;
+    }
+    SubAnswer answer =
+        FailedSubAnswer(node.mapped().request, Outcome::kNotRun, refusal);
+    answer.queue_time = item.queue_time;
+    turn.ended.push_back(
+        Ended{std::move(node.mapped().done), std::move(answer)});
+  }
+}
+
+void OwnerService::Drain(const Endpoint& endpoint) {
+  Turn turn;
+  {
+    Shard& shard = ShardOf(endpoint);
+    const std::lock_guard lock(shard.mutex);
+    const auto found = shard.searchers.find(endpoint);
+    if (found == shard.searchers.end()) {
+      return;
+    }
+    Refuse(found->second, found->second.queue.Clear(Now()), Refusal::kDraining,
+           turn);
+  }
+  CarryOut(std::move(turn));
+}
+
 OwnerService::Turn OwnerService::TakeTurn(Searcher& searcher, TimePoint now) {
   Turn turn;
   turn.client = searcher.client;
   for (;;) {
     QueuePop pop = searcher.queue.Pop(now);
-    for (const QueuedSubRequest& dropped : pop.dropped) {
-      auto node = searcher.submissions.extract(dropped.request.id);
-      if (!node.empty()) {
-        SubAnswer answer = FailedSubAnswer(
-            node.mapped().request, Outcome::kNotRun, Refusal::kDeadline);
-        answer.queue_time = dropped.queue_time;
-        turn.ended.push_back(
-            Ended{std::move(node.mapped().done), std::move(answer)});
-      }
-    }
+    Refuse(searcher, pop.dropped, Refusal::kDeadline, turn);
     if (!pop.next) {
       return turn;
     }
@@ -216,6 +242,9 @@
   if (hooks_.on_ended) {
     hooks_.on_ended(sent, answer);
   }
+  if (answer.load && answer.load->draining) {
+    Drain(sent.searcher);
+  }
   Turn turn;
   {
     Shard& shard = ShardOf(sent.searcher);
