--- a/include/greengage/transport/configuration_service.h
+++ b/include/greengage/transport/configuration_service.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <string>
 
+#include "greengage/coordination/configuration_spread.h"
 #include "greengage/state/configuration.h"
 #include "greengage/state/event_log.h"
 #include "greengage/state/instance.h"
@@ -37,8 +38,9 @@
     // with kStaleVersion where there was none in the waiting time, and with
     // kUnavailable where the platform cannot be reached.
     std::function<void(uint64_t after, TextCallback)> watch;
-    // Asks another instance for its version, which is above `after`.
-    std::function<void(const Instance&, uint64_t after, TextCallback)> fetch;
+    // Asks another instance for its version, which should be above the one
+    // that this instance has.
+    std::function<void(const ConfigurationFetch&, TextCallback)> fetch;
     // A newer configuration is in force.
     std::function<void(const ConfigurationPtr&)> on_in_force;
   };
@@ -71,6 +73,10 @@
   void Watch();
   void OnWatched(Result<ConfigurationText> result);
   void OnPlatformState(bool down);
+  void Fetch(const std::optional<ConfigurationFetch>& fetch);
+  void OnFetched(const std::string& source, Result<ConfigurationText> result);
+  void ArmTick();
+  void OnTick();
   uint64_t version() const;
 
   EventLog* const events_;
@@ -81,7 +87,8 @@
   boost::asio::steady_timer retry_timer_;
   ConfigurationPtr current_;
   std::string text_;
-  uint64_t fetching_ = 0;  // Version that is being fetched from a peer.
+  ConfigurationSpread spread_;
+  boost::asio::steady_timer tick_timer_;
   bool watching_ = false;
   bool watch_open_ = false;
   bool stopped_ = false;
--- a/include/greengage/transport/sub_request_router.h
+++ b/include/greengage/transport/sub_request_router.h
@@ -12,6 +12,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "greengage/coordination/owner_set.h"
 #include "greengage/coordination/peer_health.h"
 #include "greengage/state/hybrid_clock.h"
 #include "greengage/state/instance.h"
@@ -40,9 +41,8 @@
  public:
   using Callback = std::function<void(SubAnswer)>;
 
-  // Owners of a searcher, best first; empty where no instance is known in its
-  // data centre. This instance itself may be among them.
-  using OwnersOf = std::function<std::vector<Instance>(const Endpoint&)>;
+  // The owners as of now; may be null before any instance is known.
+  using OwnersHook = std::function<OwnerSetPtr()>;
 
   struct Hooks {
     std::function<void(const SubRequest&, const Instance& owner)> on_forwarded;
@@ -50,7 +50,7 @@
 
   SubRequestRouter(boost::asio::io_context& context,
                    std::string self,
-                   OwnersOf owners_of,
+                   OwnersHook owners,
                    OwnerService* owner_service,
                    HybridClock* clock,
                    PeerLimits limits,
@@ -79,7 +79,7 @@
   };
 
   const Instance* ChooseOwner(TimePoint now,
-                              const std::vector<Instance>& owners) const;
+                              const std::vector<const Instance*>& owners) const;
   Route SendHere(SubRequest request, const Callback& on_answer);
   void SendBatch(const Instance& owner,
                  std::vector<SubRequest> requests,
@@ -90,7 +90,7 @@
 
   boost::asio::io_context& context_;
   const std::string self_;
-  const OwnersOf owners_of_;
+  const OwnersHook owners_;
   OwnerService* const owner_service_;
   HybridClock* const clock_;
   const PeerLimits limits_;
--- a/src/entry_instance.cc
+++ b/src/entry_instance.cc
@@ -5,14 +5,19 @@
 
 #include <random>
 
+#include "greengage/coordination/owner_directory.h"
+#include "greengage/coordination/watcher_set.h"
 #include "greengage/transport/claim_service.h"
 #include "greengage/transport/claim_store.h"
 #include "greengage/transport/configuration_service.h"
 #include "greengage/transport/front_service.h"
+#include "greengage/transport/gossip_service.h"
 #include "greengage/transport/log.h"
 #include "greengage/transport/peer_service.h"
 #include "greengage/transport/platform_client.h"
 #include "greengage/transport/query_service.h"
+#include "state/gauge_names.h"
+#include "transport/configuration_fetch.h"
 
 namespace greengage {
 namespace {
@@ -32,9 +37,16 @@
   return (uint64_t{device()} << 30) ^ device();
 }
 
+// How often an instance that knows no other asks the platform for some.
+constexpr std::chrono::seconds kSeedPeriod{2};
+
 // How long a watch waits at the platform for a change.
 constexpr std::chrono::milliseconds kWatchWait{10000};
 
+double Value(const Counter& counter) {
+  return static_cast<double>(counter.value());
+}
+
 ConfigurationText ToText(PlatformObject object) {
   return ConfigurationText{object.version, std::move(object.value)};
 }
@@ -70,7 +82,8 @@
         extra_load_(kDefaultHedgePercent),
         retries_(kDefaultRetryPercent, kRetryBurst),
         admission_(AdmissionOptions{}),
-        stop_timer_(context) {}
+        stop_timer_(context),
+        seed_timer_(context) {}
 
   Result<Done> Listen();
 
@@ -85,10 +98,15 @@
 
   void MakeServices();
   void MakeFront();
+  std::vector<Gauge> Gauges();
   Result<Done> ListenToPeers();
   Result<Done> ListenToCallers();
   void WatchPlatform(uint64_t after, ConfigurationService::TextCallback done);
-  std::vector<Instance> OwnersOf(const Endpoint& searcher) const;
+  Result<Done> StartGossip();
+  void OnMembers(const MemberTablePtr& table);
+  void OnMemberChange(const MembershipChange& change);
+  void DecideWatching();
+  void SeedFromPlatform();
   std::string Status() const;
   void OnSearcherChange(const Endpoint& searcher,
                         SearcherTracker::Change change);
@@ -122,9 +140,12 @@
   std::shared_ptr<FrontService> front_;
   std::shared_ptr<PeerServer> peer_server_;
   std::shared_ptr<HttpServer> http_server_;
+  std::shared_ptr<GossipService> gossip_;
+  OwnerDirectory owners_;
   std::atomic<bool> stopping_{false};
   std::atomic<bool> refusing_{false};
   asio::steady_timer stop_timer_;
+  asio::steady_timer seed_timer_;
   TimePoint grace_end_;
   std::function<void()> stopped_;
 };
@@ -166,6 +187,9 @@
 void EntryInstanceImpl::OnConfiguration(const ConfigurationPtr& configuration) {
   searchers_.Apply(std::chrono::steady_clock::now(), *configuration);
   owner_service_->Apply(configuration);
+  owners_.SetConfiguration(configuration);
+  gossip_->SetConfigurationVersion(configuration->version);
+  DecideWatching();
   if (const auto level = ParseLogLevel(configuration->log_level)) {
     SetLogLevel(*level);
   }
@@ -185,8 +209,7 @@
           },
           [this](const Endpoint& searcher) { return IsDraining(searcher); }});
   router_ = std::make_shared<SubRequestRouter>(
-      context_, settings_.id,
-      [this](const Endpoint& searcher) { return OwnersOf(searcher); },
+      context_, settings_.id, [this] { return owners_.owners(); },
       owner_service_.get(), &clock_, PeerLimits{},
       SubRequestRouter::Hooks{
           [this](const SubRequest& request, const Instance& owner) {
@@ -201,9 +224,10 @@
           [this](uint64_t after, ConfigurationService::TextCallback done) {
             WatchPlatform(after, std::move(done));
           },
-          [](const Instance&, uint64_t,
-             const ConfigurationService::TextCallback& done) {
-            done(Failure{FailureKind::kUnavailable, "peer", "no link"});
+          [this](const ConfigurationFetch& fetch,
+                 ConfigurationService::TextCallback done) {
+            FetchConfiguration(*router_->LinkTo(fetch.source),
+                               fetch.have_version, clock_, std::move(done));
           },
           [this](const ConfigurationPtr& configuration) {
             OnConfiguration(configuration);
@@ -227,8 +251,10 @@
                      }),
       &events_, &metrics_);
   peer_service_ = std::make_shared<PeerService>(
-      owner_service_.get(), &clock_,
-      [](const std::string&) { return std::optional<std::string>(); });
+      owner_service_.get(), &clock_, [this](const std::string& request) {
+        return ServeConfiguration(request, configuration_->current_text(),
+                                  clock_);
+      });
 }
 
 void EntryInstanceImpl::WatchPlatform(uint64_t after,
@@ -241,8 +267,78 @@
                    });
 }
 
-std::vector<Instance> EntryInstanceImpl::OwnersOf(const Endpoint&) const {
-  return {};
+Result<Done> EntryInstanceImpl::StartGossip() {
+  GossipOptions options;
+  options.self.id = settings_.id;
+  options.self.data_centre = settings_.data_centre;
+  options.self.gossip = settings_.gossip;
+  options.self.peer = peer_server_->endpoint();
+  options.self.http = http_server_->endpoint();
+  options.seeds = settings_.seeds;
+  options.random_seed = RandomBase();
+  GossipService::Hooks hooks;
+  hooks.on_change = [this](const MembershipChange& change) {
+    OnMemberChange(change);
+  };
+  hooks.on_table = [this](const MemberTablePtr& table) { OnMembers(table); };
+  hooks.on_version = [this](const VersionHeard& heard) {
+    configuration_->OnHeard(heard.version, heard.source);
+  };
+  Result<std::shared_ptr<GossipService>> gossip = GossipService::Start(
+      context_, std::move(options), &clock_, &events_, std::move(hooks));
+  if (!gossip) {
+    return gossip.last_reason();
+  }
+  gossip_ = *gossip;
+  return Done{};
+}
+
+void EntryInstanceImpl::OnMembers(const MemberTablePtr& table) {
+  owners_.SetTable(table);
+  DecideWatching();
+}
+
+void EntryInstanceImpl::OnMemberChange(const MembershipChange& change) {
+  if (change.kind == MembershipChangeKind::kGone) {
+    router_->Forget(change.instance.id);
+  }
+}
+
+// The watchers of a data centre watch for all; an instance without any
+// configuration asks the platform itself, since it may know no other instance.
+void EntryInstanceImpl::DecideWatching() {
+  if (stopping_ || !gossip_) {
+    return;
+  }
+  configuration_->SetWatching(!configuration_->current() ||
+                              ShouldWatch(*gossip_->table()));
+}
+
+// The platform's list lags, so it only tells whom to try.
+void EntryInstanceImpl::SeedFromPlatform() {
+  seed_timer_.expires_after(kSeedPeriod);
+  seed_timer_.async_wait([weak = weak_from_this()](auto error) {
+    const auto self = weak.lock();
+    if (!error && self) {
+      self->SeedFromPlatform();
+    }
+  });
+  if (gossip_->table()->members.size() > 1) {
+    return;
+  }
+  platform_->Instances(
+      std::chrono::steady_clock::now() + settings_.platform_timeout,
+      [weak = weak_from_this()](const Result<std::vector<Instance>>& listed) {
+        const auto self = weak.lock();
+        if (!self || !listed) {
+          return;
+        }
+        std::vector<Endpoint> seeds = self->settings_.seeds;
+        for (const Instance& instance : *listed) {
+          seeds.push_back(instance.gossip);
+        }
+        self->gossip_->SetSeeds(std::move(seeds));
+      });
 }
 
 std::string EntryInstanceImpl::Status() const {
@@ -253,7 +349,13 @@
   status["state"] = stopping_ ? "leaving" : "live";
   status["configuration_version"] = configuration ? configuration->version : 0;
   status["platform_down"] = configuration_->platform_down();
-  status["members"] = json::array();
+  json::array& members = status["members"].emplace_array();
+  for (const Instance& member : gossip_->table()->members) {
+    members.push_back({{"id", member.id},
+                       {"data_centre", member.data_centre},
+                       {"state", InstanceStateName(member.state)},
+                       {"http", ToString(member.http)}});
+  }
   return json::serialize(status);
 }
 
@@ -272,9 +374,33 @@
     return queries_->Run(std::move(query), std::move(configuration),
                          std::move(done));
   };
-  front_ = std::make_shared<FrontService>(
-      settings_.id, std::move(hooks), FrontLimits{settings_.http_in_flight},
-      &events_, &metrics_, std::vector<Gauge>{});
+  front_ = std::make_shared<FrontService>(settings_.id, std::move(hooks),
+                                          FrontLimits{settings_.http_in_flight},
+                                          &events_, &metrics_, Gauges());
+}
+
+std::vector<Gauge> EntryInstanceImpl::Gauges() {
+  return {
+      {kQueriesInFlight,
+       [this] { return static_cast<double>(queries_->in_flight()); }},
+      {kSubRequestsInFlight,
+       [this] { return static_cast<double>(owner_service_->in_flight()); }},
+      {kSearcherConnections,
+       [this] {
+         return static_cast<double>(owner_service_->open_connections());
+       }},
+      {kMembers,
+       [this] {
+         return static_cast<double>(gossip_->table()->members.size());
+       }},
+      {kGossipSent, [this] { return Value(gossip_->counters().bytes_sent); }},
+      {kGossipReceived,
+       [this] { return Value(gossip_->counters().bytes_received); }},
+      {kGossipDatagrams,
+       [this] { return Value(gossip_->counters().datagrams_sent); }},
+      {kRejectedAnswers,
+       [this] { return static_cast<double>(plans_.rejected_answers.load()); }},
+  };
 }
 
 Result<Done> EntryInstanceImpl::ListenToPeers() {
@@ -316,8 +442,9 @@
   platform_ = PlatformClient::Create(context_, settings_.platform);
   MakeServices();
   MakeFront();
-  for (const auto& step : {&EntryInstanceImpl::ListenToPeers,
-                           &EntryInstanceImpl::ListenToCallers}) {
+  for (const auto& step :
+       {&EntryInstanceImpl::ListenToPeers, &EntryInstanceImpl::ListenToCallers,
+        &EntryInstanceImpl::StartGossip}) {
     const Result<Done> result = (this->*step)();
     if (!result) {
       return result;
@@ -325,7 +452,8 @@
   }
   events_.Record(std::chrono::system_clock::now(), EventKind::kProcessStarted,
                  "", GREENGAGE_VERSION);
-  configuration_->SetWatching(true);
+  OnMembers(gossip_->table());
+  SeedFromPlatform();
   return Done{};
 }
 
@@ -337,6 +465,7 @@
   events_.Record(std::chrono::system_clock::now(), EventKind::kProcessStopping,
                  "", "graceful stop");
   configuration_->SetWatching(false);
+  gossip_->Leave();
   http_server_->EndKeepAlive();
   stop_timer_.expires_after(settings_.stop_notice);
   stop_timer_.async_wait(
@@ -370,9 +499,12 @@
   peer_server_->Stop([self = shared_from_this()] {
     self->router_->Close();
     self->configuration_->Stop();
-    self->events_.Record(std::chrono::system_clock::now(),
-                         EventKind::kProcessStopped, "", "graceful stop");
-    self->stopped_();
+    self->seed_timer_.cancel();
+    self->gossip_->Stop([self] {
+      self->events_.Record(std::chrono::system_clock::now(),
+                           EventKind::kProcessStopped, "", "graceful stop");
+      self->stopped_();
+    });
   });
 }
 
--- a/src/state/metrics.cc
+++ b/src/state/metrics.cc
@@ -4,6 +4,8 @@
 #include <sstream>
 #include <thread>
 
+#include "state/gauge_names.h"
+
 namespace greengage {
 namespace {
 
@@ -149,10 +151,27 @@
 }
 
 const std::vector<MetricInfo>& AllMetrics() {
-  static const std::vector<MetricInfo> metrics{
-      kQueries, kQueryTime,  kQueueTime,       kServiceTime, kSent,
-      kHedged,  kRetried,    kForwarded,       kPartial,     kRejected,
-      kClaims,  kClaimsLost, kPlatformFailures};
+  static const std::vector<MetricInfo> metrics{kQueries,
+                                               kQueryTime,
+                                               kQueueTime,
+                                               kServiceTime,
+                                               kSent,
+                                               kHedged,
+                                               kRetried,
+                                               kForwarded,
+                                               kPartial,
+                                               kRejected,
+                                               kClaims,
+                                               kClaimsLost,
+                                               kPlatformFailures,
+                                               kQueriesInFlight,
+                                               kSubRequestsInFlight,
+                                               kSearcherConnections,
+                                               kMembers,
+                                               kGossipSent,
+                                               kGossipReceived,
+                                               kGossipDatagrams,
+                                               kRejectedAnswers};
   return metrics;
 }
 
--- a/src/transport/configuration_service.cc
+++ b/src/transport/configuration_service.cc
@@ -9,6 +9,13 @@
 // Between two watches after the platform did not answer.
 constexpr std::chrono::milliseconds kWatchRetryDelay{500};
 
+// Between two looks at whether a fetch from a peer should be given up.
+constexpr std::chrono::milliseconds kSpreadTick{100};
+
+TimePoint Now() {
+  return std::chrono::steady_clock::now();
+}
+
 WallTime NowWall() {
   return std::chrono::system_clock::now();
 }
@@ -18,7 +25,10 @@
 ConfigurationService::ConfigurationService(boost::asio::io_context& context,
                                            EventLog* events,
                                            Hooks hooks)
-    : events_(events), hooks_(std::move(hooks)), retry_timer_(context) {}
+    : events_(events),
+      hooks_(std::move(hooks)),
+      retry_timer_(context),
+      tick_timer_(context) {}
 
 ConfigurationPtr ConfigurationService::current() const {
   const std::lock_guard lock(mutex_);
@@ -103,29 +113,75 @@
 }
 
 void ConfigurationService::OnHeard(uint64_t heard, const Instance& source) {
-  uint64_t after = 0;
+  std::optional<ConfigurationFetch> fetch;
   {
     const std::lock_guard lock(mutex_);
-    after = current_ ? current_->version : 0;
-    if (heard <= after || heard <= fetching_ || stopped_) {
+    if (stopped_) {
       return;
     }
-    fetching_ = heard;
+    fetch = spread_.OnHeard(heard, source, Now());
   }
-  hooks_.fetch(source, after,
-               [weak = weak_from_this()](Result<ConfigurationText> result) {
-                 const auto self = weak.lock();
-                 if (!self) {
-                   return;
-                 }
-                 {
-                   const std::lock_guard lock(self->mutex_);
-                   self->fetching_ = 0;
-                 }
-                 if (result) {
-                   (void)self->Offer(*result);
-                 }
-               });
+  if (fetch) {
+    events_->Record(NowWall(), EventKind::kConfigurationLearned, "",
+                    std::to_string(heard), source.id);
+  }
+  Fetch(fetch);
+}
+
+void ConfigurationService::Fetch(
+    const std::optional<ConfigurationFetch>& fetch) {
+  if (!fetch) {
+    return;
+  }
+  {
+    const std::lock_guard lock(mutex_);
+    ArmTick();
+  }
+  hooks_.fetch(*fetch, [weak = weak_from_this(), source = fetch->source.id](
+                           Result<ConfigurationText> result) {
+    if (const auto self = weak.lock()) {
+      self->OnFetched(source, std::move(result));
+    }
+  });
+}
+
+void ConfigurationService::OnFetched(const std::string& source,
+                                     Result<ConfigurationText> result) {
+  if (result && Offer(*result)) {
+    return;
+  }
+  std::optional<ConfigurationFetch> next;
+  {
+    const std::lock_guard lock(mutex_);
+    next = spread_.OnFailed(source, Now());
+  }
+  Fetch(next);
+}
+
+// Runs under the lock.
+void ConfigurationService::ArmTick() {
+  tick_timer_.expires_after(kSpreadTick);
+  tick_timer_.async_wait([weak = weak_from_this()](auto error) {
+    const auto self = weak.lock();
+    if (!error && self) {
+      self->OnTick();
+    }
+  });
+}
+
+void ConfigurationService::OnTick() {
+  std::optional<ConfigurationFetch> next;
+  {
+    const std::lock_guard lock(mutex_);
+    if (stopped_ || spread_.caught_up()) {
+      return;
+    }
+    next = spread_.Tick(Now());
+    if (!next) {
+      ArmTick();
+    }
+  }
+  Fetch(next);
 }
 
 Result<Done> ConfigurationService::Offer(const ConfigurationText& offered) {
@@ -143,14 +199,17 @@
   }
   const auto configuration =
       std::make_shared<const Configuration>(std::move(parsed).value());
+  std::optional<ConfigurationFetch> next;
   {
     const std::lock_guard lock(mutex_);
     current_ = configuration;
     text_ = offered.text;
+    next = spread_.OnInForce(offered.version, Now());
   }
   hooks_.on_in_force(configuration);
   events_->Record(NowWall(), EventKind::kConfigurationInForce, "",
                   std::to_string(offered.version));
+  Fetch(next);
   return Done{};
 }
 
@@ -158,6 +217,7 @@
   const std::lock_guard lock(mutex_);
   stopped_ = true;
   retry_timer_.cancel();
+  tick_timer_.cancel();
 }
 
 }  // namespace greengage
--- a/src/transport/sub_request_router.cc
+++ b/src/transport/sub_request_router.cc
@@ -50,14 +50,14 @@
 
 SubRequestRouter::SubRequestRouter(boost::asio::io_context& context,
                                    std::string self,
-                                   OwnersOf owners_of,
+                                   OwnersHook owners,
                                    OwnerService* owner_service,
                                    HybridClock* clock,
                                    PeerLimits limits,
                                    Hooks hooks)
     : context_(context),
       self_(std::move(self)),
-      owners_of_(std::move(owners_of)),
+      owners_(std::move(owners)),
       owner_service_(owner_service),
       clock_(clock),
       limits_(limits),
@@ -65,10 +65,10 @@
 
 const Instance* SubRequestRouter::ChooseOwner(
     TimePoint now,
-    const std::vector<Instance>& owners) const {
-  for (const Instance& owner : owners) {
-    if (owner.id == self_ || health_.IsUsable(now, owner.id)) {
-      return &owner;
+    const std::vector<const Instance*>& owners) const {
+  for (const Instance* owner : owners) {
+    if (owner->id == self_ || health_.IsUsable(now, owner->id)) {
+      return owner;
     }
   }
   return nullptr;
@@ -81,9 +81,10 @@
   routes.reserve(requests.size());
   std::map<std::string, std::pair<Instance, std::vector<SubRequest>>> batches;
   std::vector<SubRequest> here;
+  const OwnerSetPtr owners = owners_();
   for (SubRequest& request : requests) {
-    const std::vector<Instance> owners = owners_of_(request.searcher);
-    const Instance* owner = ChooseOwner(now, owners);
+    const Instance* owner =
+        owners ? ChooseOwner(now, owners->OwnersOf(request.searcher)) : nullptr;
     if (!owner || owner->id == self_) {
       here.push_back(std::move(request));
       continue;
