--- /dev/null
+++ b/include/greengage/coordination/configuration_rollout.h
@@ -0,0 +1,63 @@
+// Follows a configuration version until every instance has it in force.
+#ifndef GREENGAGE_COORDINATION_CONFIGURATION_ROLLOUT_H_
+#define GREENGAGE_COORDINATION_CONFIGURATION_ROLLOUT_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "greengage/state/endpoint.h"
+#include "greengage/state/instance_status.h"
+
+namespace greengage {
+
+// One instance as far as it is known.
+struct RolloutEntry {
+  Endpoint http;
+  std::string id;  // Empty until some instance has named it.
+  std::string data_centre;
+  InstanceState state = InstanceState::kLive;
+  bool reachable = false;
+  uint64_t configuration_version = 0;
+};
+
+// Instances are found from the end points given and from what those that
+// answer say of others. Used in rounds: ask all of ToAsk(), report each answer,
+// call EndRound().
+class ConfigurationRollout {
+ public:
+  ConfigurationRollout(uint64_t version, const std::vector<Endpoint>& known);
+
+  // Instances that are not known to have the version in force, and one that
+  // has, whose list of members keeps up with arrivals and departures.
+  std::vector<Endpoint> ToAsk() const;
+
+  void OnStatus(const Endpoint& http, const InstanceStatus& status);
+  void OnUnreachable(const Endpoint& http);
+  void EndRound();
+
+  // Whether at least one instance answered, and none lacks the version that is
+  // live or suspected. Leaving and gone instances are not waited for.
+  bool complete() const;
+
+  std::vector<RolloutEntry> InForce() const;
+  // Instances that are waited for: behind, or not reachable.
+  std::vector<RolloutEntry> Lacking() const;
+  // Instances that nobody waits for.
+  std::vector<RolloutEntry> Departed() const;
+
+ private:
+  bool IsDeparted(const RolloutEntry& entry) const;
+  bool HasVersion(const RolloutEntry& entry) const;
+  void OnMember(const Instance& member);
+
+  const uint64_t version_;
+  std::map<Endpoint, RolloutEntry> entries_;
+  // Of the present round: what members that answered say of others.
+  std::map<Endpoint, InstanceState> reported_;
+};
+
+}  // namespace greengage
+
+#endif  // GREENGAGE_COORDINATION_CONFIGURATION_ROLLOUT_H_
--- /dev/null
+++ b/src/coordination/attempt_header.cc
@@ -0,0 +1,70 @@
+#include "greengage/coordination/attempt_header.h"
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+
+namespace greengage {
+
+namespace {
+
+constexpr std::string_view kPrefix = "; attempt ";
+constexpr std::string_view kSeparator = " replaced ";
+
+std::string_view FirstLine(std::string_view text) {
+  return text.substr(0, text.find('\n'));
+}
+
+std::string_view AfterFirstLine(std::string_view text) {
+  const size_t end = text.find('\n');
+  return end == std::string_view::npos ? std::string_view()
+                                       : text.substr(end + 1);
+}
+
+std::optional<Attempt> ReadAttempt(std::string_view line) {
+  const size_t separator = line.find(kSeparator);
+  if (!line.starts_with(kPrefix) || separator == std::string_view::npos) {
+    return std::nullopt;
+  }
+  Attempt attempt;
+  attempt.token = line.substr(kPrefix.size(), separator - kPrefix.size());
+  const std::string_view digits = line.substr(separator + kSeparator.size());
+  const auto [end, status] = std::from_chars(
+      digits.data(), digits.data() + digits.size(), attempt.replaced);
+  const bool whole = end == digits.data() + digits.size();
+  return status == std::errc() && whole ? std::optional(attempt) : std::nullopt;
+}
+
+}  // namespace
+
+std::vector<Attempt> ReadAttempts(std::string_view text) {
+  std::vector<Attempt> attempts;
+  while (const auto attempt = ReadAttempt(FirstLine(text))) {
+    attempts.push_back(*attempt);
+    text = AfterFirstLine(text);
+  }
+  return attempts;
+}
+
+std::string_view WithoutAttempts(std::string_view text) {
+  while (ReadAttempt(FirstLine(text))) {
+    text = AfterFirstLine(text);
+  }
+  return text;
+}
+
+std::string WithAttempts(const std::vector<Attempt>& attempts,
+                         std::string_view text) {
+  std::string whole;
+  const size_t kept = std::min(attempts.size(), kMaxAttemptsKept);
+  for (size_t index = 0; index < kept; ++index) {
+    whole += kPrefix;
+    whole += attempts[index].token;
+    whole += kSeparator;
+    whole += std::to_string(attempts[index].replaced);
+    whole += '\n';
+  }
+  return whole.append(text);
+}
+
+}  // namespace greengage
--- /dev/null
+++ b/src/coordination/configuration_rollout.cc
@@ -0,0 +1,119 @@
+#include "greengage/coordination/configuration_rollout.h"
+
+#include <algorithm>
+
+namespace greengage {
+
+ConfigurationRollout::ConfigurationRollout(uint64_t version,
+                                           const std::vector<Endpoint>& known)
+    : version_(version) {
+  for (const Endpoint& http : known) {
+    entries_[http].http = http;
+  }
+}
+
+std::vector<Endpoint> ConfigurationRollout::ToAsk() const {
+  std::vector<Endpoint> endpoints;
+  bool asks_member = false;
+  for (const auto& [http, entry] : entries_) {
+    const bool has_version = entry.reachable && HasVersion(entry);
+    if (!has_version || !asks_member) {
+      endpoints.push_back(http);
+    }
+    asks_member = asks_member || has_version;
+  }
+  return endpoints;
+}
+
+void ConfigurationRollout::OnStatus(const Endpoint& http,
+                                    const InstanceStatus& status) {
+  RolloutEntry& entry = entries_[http];
+  entry.http = http;
+  entry.id = status.id;
+  entry.data_centre = status.data_centre;
+  entry.state = status.state;
+  entry.reachable = true;
+  entry.configuration_version =
+      std::max(entry.configuration_version, status.configuration_version);
+  for (const Instance& member : status.members) {
+    OnMember(member);
+  }
+}
+
+void ConfigurationRollout::OnMember(const Instance& member) {
+  const auto [entry, inserted] = entries_.try_emplace(member.http);
+  if (inserted) {
+    entry->second.http = member.http;
+  }
+  if (entry->second.id.empty()) {
+    entry->second.id = member.id;
+    entry->second.data_centre = member.data_centre;
+  }
+  const auto [reported, first] =
+      reported_.try_emplace(member.http, member.state);
+  if (!first) {
+    reported->second = std::min(reported->second, member.state);
+  }
+}
+
+void ConfigurationRollout::OnUnreachable(const Endpoint& http) {
+  entries_[http].http = http;
+  entries_[http].reachable = false;
+}
+
+// An instance's own word on its state goes first; of one that does not answer,
+// the word of the member that holds it most alive.
+void ConfigurationRollout::EndRound() {
+  for (auto& [http, entry] : entries_) {
+    const auto reported = reported_.find(http);
+    if (!entry.reachable && reported != reported_.end()) {
+      entry.state = reported->second;
+    }
+  }
+  reported_.clear();
+}
+
+bool ConfigurationRollout::complete() const {
+  return Lacking().empty() && !InForce().empty();
+}
+
+bool ConfigurationRollout::IsDeparted(const RolloutEntry& entry) const {
+  return entry.state == InstanceState::kLeaving ||
+         entry.state == InstanceState::kGone;
+}
+
+bool ConfigurationRollout::HasVersion(const RolloutEntry& entry) const {
+  return entry.configuration_version >= version_;
+}
+
+std::vector<RolloutEntry> ConfigurationRollout::InForce() const {
+  std::vector<RolloutEntry> found;
+  for (const auto& [http, entry] : entries_) {
+    if (HasVersion(entry)) {
+      found.push_back(entry);
+    }
+  }
+  return found;
+}
+
+std::vector<RolloutEntry> ConfigurationRollout::Lacking() const {
+  std::vector<RolloutEntry> found;
+  for (const auto& [http, entry] : entries_) {
+    if (!HasVersion(entry) && !IsDeparted(entry)) {
+      found.push_back(entry);
+    }
+  }
+  return found;
+}
+
+std::vector<RolloutEntry> ConfigurationRollout::Departed() const {
+  std::vector<RolloutEntry> found;
+  for (const auto& [http, entry] : entries_) {
+    if (!HasVersion(entry) && IsDeparted(entry)) {
+      found.push_back(entry);
+    }
+  }
+  return found;
+}
+
+}  // namespace greengage
--- /dev/null
+++ b/tests/configuration_rollout_test.cc
@@ -0,0 +1,88 @@
+#include "greengage/coordination/configuration_rollout.h"
+
+#include "greengage/protocol/status_codec.h"
+
+#include <criterion/criterion.h>
+
+namespace greengage {
+namespace {
+
+const Endpoint kA{"127.0.0.1", 1};
+const Endpoint kB{"127.0.0.1", 2};
+const Endpoint kC{"127.0.0.1", 3};
+
+Instance Member(const char* id, const Endpoint& http, InstanceState state) {
+  Instance member;
+  member.id = id;
+  member.http = http;
+  member.state = state;
+  return member;
+}
+
+InstanceStatus Status(const char* id, uint64_t version) {
+  InstanceStatus status;
+  status.id = id;
+  status.configuration_version = version;
+  return status;
+}
+
+}  // namespace
+
+Test(ConfigurationRollout, WaitsForMembersThatItHearsOf) {
+  ConfigurationRollout rollout(7, {kA});
+  cr_assert(!rollout.complete());
+  InstanceStatus status = Status("a", 7);
+  status.members = {Member("a", kA, InstanceState::kLive),
+                    Member("b", kB, InstanceState::kLive)};
+  rollout.OnStatus(kA, status);
+  rollout.EndRound();
+  cr_assert(!rollout.complete());
+  cr_assert(rollout.Lacking().front().id == "b");
+  cr_assert((rollout.ToAsk() == std::vector<Endpoint>{kA, kB}));
+  rollout.OnStatus(kB, Status("b", 6));
+  rollout.EndRound();
+  cr_assert(!rollout.complete());
+  rollout.OnStatus(kB, Status("b", 8));
+  rollout.EndRound();
+  cr_assert(rollout.complete());
+  cr_assert(rollout.ToAsk().size() == 1);
+}
+
+Test(ConfigurationRollout, NamesUnreachableInstancesUntilTheyAreGone) {
+  ConfigurationRollout rollout(7, {kA, kC});
+  for (const InstanceState state :
+       {InstanceState::kSuspect, InstanceState::kGone}) {
+    InstanceStatus status = Status("a", 7);
+    status.members = {Member("c", kC, state)};
+    rollout.OnStatus(kA, status);
+    rollout.OnUnreachable(kC);
+    rollout.EndRound();
+    cr_assert(rollout.complete() == (state == InstanceState::kGone));
+  }
+  cr_assert(rollout.Departed().front().id == "c");
+  // A member that others hold gone, but that answers, is waited for.
+  rollout.OnStatus(kC, Status("c", 6));
+  rollout.EndRound();
+  cr_assert(!rollout.complete());
+}
+
+Test(ConfigurationRollout, IsNeverCompleteWithoutAnAnswer) {
+  ConfigurationRollout rollout(7, {});
+  rollout.EndRound();
+  cr_assert(!rollout.complete());
+}
+
+Test(StatusCodec, ReadsWhatItWrites) {
+  InstanceStatus status = Status("a", 7);
+  status.data_centre = "x";
+  status.state = InstanceState::kLeaving;
+  status.members = {Member("b", kB, InstanceState::kSuspect)};
+  const std::string text = SerializeStatus(status);
+  const Result<InstanceStatus> read = ParseStatus(text);
+  cr_assert(read.ok());
+  cr_assert(SerializeStatus(*read) == text);
+  cr_assert(read->members.front().state == InstanceState::kSuspect);
+  cr_assert(!ParseStatus("{\"instance\": \"a\"}").ok());
+}
+
+}  // namespace greengage
--- a/tests/platform_client_test.cc
+++ b/tests/platform_client_test.cc
@@ -51,8 +51,9 @@
   }
   Result<PlatformObject> Watch() {
     std::optional<Result<PlatformObject>> object;
-    client.Watch(key, 9, std::chrono::seconds(2), {},
-                 [&](Result<PlatformObject> result) { object = result; });
+    client.Watch(
+        key, 9, std::chrono::seconds(2), {},
+        [&](const Result<PlatformObject>& result) { object = result; });
     return *object;
   }
 };
