--- a/include/greengage/coordination/configuration_update.h
+++ b/include/greengage/coordination/configuration_update.h
@@ -52,7 +52,7 @@
  public:
   // `attempt` is unique among all attempts. With `expected`, any other present
   // version is a conflict. Steps end at `deadline`.
-  ConfigurationUpdate(std::string text,
+  ConfigurationUpdate(const std::string& text,
                       std::string attempt,
                       std::optional<uint64_t> expected,
                       TimePoint deadline);
--- a/src/coordination/configuration_update.cc
+++ b/src/coordination/configuration_update.cc
@@ -28,7 +28,7 @@
 
 }  // namespace
 
-ConfigurationUpdate::ConfigurationUpdate(std::string text,
+ConfigurationUpdate::ConfigurationUpdate(const std::string& text,
                                          std::string attempt,
                                          std::optional<uint64_t> expected,
                                          TimePoint deadline)
--- a/tests/configuration_rollout_test.cc
+++ b/tests/configuration_rollout_test.cc
@@ -7,9 +7,9 @@
 namespace greengage {
 namespace {
 
-const Endpoint kA{"127.0.0.1", 1};
-const Endpoint kB{"127.0.0.1", 2};
-const Endpoint kC{"127.0.0.1", 3};
+const Endpoint http_a{"127.0.0.1", 1};
+const Endpoint http_b{"127.0.0.1", 2};
+const Endpoint http_c{"127.0.0.1", 3};
 
 Instance Member(const char* id, const Endpoint& http, InstanceState state) {
   Instance member;
@@ -29,39 +29,39 @@
 }  // namespace
 
 Test(ConfigurationRollout, WaitsForMembersThatItHearsOf) {
-  ConfigurationRollout rollout(7, {kA});
+  ConfigurationRollout rollout(7, {http_a});
   cr_assert(!rollout.complete());
   InstanceStatus status = Status("a", 7);
-  status.members = {Member("a", kA, InstanceState::kLive),
-                    Member("b", kB, InstanceState::kLive)};
-  rollout.OnStatus(kA, status);
+  status.members = {Member("a", http_a, InstanceState::kLive),
+                    Member("b", http_b, InstanceState::kLive)};
+  rollout.OnStatus(http_a, status);
   rollout.EndRound();
   cr_assert(!rollout.complete());
   cr_assert(rollout.Lacking().front().id == "b");
-  cr_assert((rollout.ToAsk() == std::vector<Endpoint>{kA, kB}));
-  rollout.OnStatus(kB, Status("b", 6));
+  cr_assert((rollout.ToAsk() == std::vector<Endpoint>{http_a, http_b}));
+  rollout.OnStatus(http_b, Status("b", 6));
   rollout.EndRound();
   cr_assert(!rollout.complete());
-  rollout.OnStatus(kB, Status("b", 8));
+  rollout.OnStatus(http_b, Status("b", 8));
   rollout.EndRound();
   cr_assert(rollout.complete());
   cr_assert(rollout.ToAsk().size() == 1);
 }
 
 Test(ConfigurationRollout, NamesUnreachableInstancesUntilTheyAreGone) {
-  ConfigurationRollout rollout(7, {kA, kC});
+  ConfigurationRollout rollout(7, {http_a, http_c});
   for (const InstanceState state :
        {InstanceState::kSuspect, InstanceState::kGone}) {
     InstanceStatus status = Status("a", 7);
-    status.members = {Member("c", kC, state)};
-    rollout.OnStatus(kA, status);
-    rollout.OnUnreachable(kC);
+    status.members = {Member("c", http_c, state)};
+    rollout.OnStatus(http_a, status);
+    rollout.OnUnreachable(http_c);
     rollout.EndRound();
     cr_assert(rollout.complete() == (state == InstanceState::kGone));
   }
   cr_assert(rollout.Departed().front().id == "c");
   // A member that others hold gone, but that answers, is waited for.
-  rollout.OnStatus(kC, Status("c", 6));
+  rollout.OnStatus(http_c, Status("c", 6));
   rollout.EndRound();
   cr_assert(!rollout.complete());
 }
@@ -76,7 +76,7 @@
   InstanceStatus status = Status("a", 7);
   status.data_centre = "x";
   status.state = InstanceState::kLeaving;
-  status.members = {Member("b", kB, InstanceState::kSuspect)};
+  status.members = {Member("b", http_b, InstanceState::kSuspect)};
   const std::string text = SerializeStatus(status);
   const Result<InstanceStatus> read = ParseStatus(text);
   cr_assert(read.ok());
--- a/tests/configuration_update_test.cc
+++ b/tests/configuration_update_test.cc
@@ -16,7 +16,7 @@
 using namespace std::chrono_literals;
 
 constexpr int kFaults = 2;  // Over all messages of one run.
-const TimePoint kDeadline = TimePoint() + 2s;
+constexpr TimePoint kDeadline = TimePoint() + 2s;
 
 struct PendingWrite {
   uint64_t expected = 0;
