--- a/src/protocol/caller_codec.cc
+++ b/src/protocol/caller_codec.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "greengage/coordination/claim.h"
+#include "protocol/hit_json.h"
 #include "protocol/json_reader.h"
 
 namespace greengage {
@@ -112,6 +114,12 @@
            "want 1 to 128 characters out of A-Z a-z 0-9 . _ -");
       return;
     }
+    const Result<WallTime> time = RequestIdTime(*id);
+    if (!query_.idempotent && !time) {
+      Fail(FailureKind::kInvalidArgument, "request_id",
+           "a non-idempotent request's id has the form MILLISECONDS-SUFFIX");
+      return;
+    }
     query_.request_id = std::string(*id);
   }
 
@@ -206,11 +214,7 @@
   }
   object["index_version"] = answer.index_version;
   object["whole"] = answer.whole();
-  json::array& hits = object["hits"].emplace_array();
-  for (const Hit& hit : answer.hits) {
-    hits.push_back(
-        {{"key", hit.key}, {"score", hit.score}, {"text", hit.text}});
-  }
+  object["hits"] = HitsToJson(answer.hits);
   json::array& covered = object["covered"].emplace_array();
   for (const KeyRange& range : answer.covered) {
     covered.push_back(RangeToJson(range));
