Free the slots that stuck sub-requests hold

Cause (trace of the slowest queries at fan-out 340): with one replica of a shard paused, stragglers held both slots of the other, since later attempts went back to a searcher without giving up the earlier one there; a fourth attempt was not allowed. Change: a new attempt on a searcher cancels the older one, ejected searchers are passed over when all have been tried, four attempts at most.

--- a/include/greengage/coordination/hedge_policy.h
+++ b/include/greengage/coordination/hedge_policy.h
@@ -23,7 +23,7 @@
   Duration shortest = std::chrono::milliseconds(1);
   // Used until enough latencies are known.
   Duration initial = std::chrono::milliseconds(50);
-  uint32_t attempts = 3;  // Most for one sub-request, the first included.
+  uint32_t attempts = 4;  // Most for one sub-request, the first included.
 };
 
 // Thread-safe. Latencies are kept for each searcher group, which is all
--- a/include/greengage/coordination/query_plan.h
+++ b/include/greengage/coordination/query_plan.h
@@ -148,7 +148,12 @@
   bool TryRerun(TimePoint now, QueryActions& actions);
   void GiveUp(size_t shard, Refusal refusal);
   void Hedge(TimePoint now, size_t shard, QueryActions& actions);
+  void CancelReplaced(TimePoint now, size_t shard, QueryActions& actions);
   void CancelOpen(TimePoint now, size_t shard, QueryActions& actions);
+  void CancelAttempt(TimePoint now,
+                     uint64_t id,
+                     bool overdue,
+                     QueryActions& actions);
   void FinishIfComplete(TimePoint now, QueryActions& actions);
   void CancelAll(TimePoint now, QueryActions& actions);
   void Finish(TimePoint now, QueryActions& actions);
--- a/src/coordination/query_plan.cc
+++ b/src/coordination/query_plan.cc
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr uint32_t kMaxReruns = 2;
-constexpr uint32_t kMaxAttempts = 4;  // For one shard, retries included.
+constexpr uint32_t kMaxAttempts = 6;  // For one shard, retries included.
 
 bool SaysVersionsMoved(Refusal refusal) {
   return refusal == Refusal::kVersionNotHeld ||
@@ -149,24 +149,27 @@
   return true;
 }
 
-// Untried replicas go first; then any but the last one tried, and then any.
+// Untried replicas go first. When all have been tried, the last one tried is
+// passed over unless the others are ejected.
 std::optional<Endpoint> QueryPlan::ChooseReplica(TimePoint now, size_t shard) {
   const ShardProgress& progress = shards_[shard];
   const std::vector<SearcherView> views =
       context_->searchers->Views(now, service().shards[shard].replicas);
   ReplicaNeed need{query_.rank, index_version_, &progress.tried};
-  std::optional<Endpoint> chosen = chooser_.Choose(views, need);
-  if (chosen || progress.tried.empty() || !query_.idempotent) {
-    return chosen;
+  const std::optional<Endpoint> untried = chooser_.Choose(views, need);
+  if (untried || progress.tried.empty() || !query_.idempotent) {
+    return untried;
   }
   const std::vector<Endpoint> last{progress.tried.back()};
   need.tried = &last;
-  chosen = chooser_.Choose(views, need);
-  if (chosen) {
-    return chosen;
-  }
+  const bool others_work =
+      std::any_of(views.begin(), views.end(), [&](const SearcherView& view) {
+        return view.endpoint != last.front() && !view.draining && !view.ejected;
+      });
+  const std::optional<Endpoint> other =
+      others_work ? chooser_.Choose(views, need) : std::nullopt;
   need.tried = nullptr;
-  return chooser_.Choose(views, need);
+  return other ? other : chooser_.Choose(views, need);
 }
 
 SubRequest QueryPlan::MakeSubRequest(size_t shard, const Endpoint& searcher) {
@@ -310,23 +313,47 @@
   }
   if (!Send(now, shard, SendReason::kHedge, actions)) {
     shards_[shard].hedge_at = TimePoint::max();
+    return;
+  }
+  CancelReplaced(now, shard, actions);
+}
+
+// An attempt whose searcher has just got another one for the same shard is
+// stuck: it gives its slot back.
+void QueryPlan::CancelReplaced(TimePoint now,
+                               size_t shard,
+                               QueryActions& actions) {
+  const std::vector<uint64_t> open = shards_[shard].open;
+  const Endpoint& newest = attempts_.at(open.back()).request.searcher;
+  for (size_t i = 0; i + 1 < open.size(); ++i) {
+    if (attempts_.at(open[i]).request.searcher == newest) {
+      CancelAttempt(now, open[i], true, actions);
+    }
   }
 }
 
 // Gives up what is still open for a shard. An attempt that was overtaken by a
 // later one tells against its searcher.
 void QueryPlan::CancelOpen(TimePoint now, size_t shard, QueryActions& actions) {
-  ShardProgress& progress = shards_[shard];
-  for (const uint64_t id : progress.open) {
-    const auto it = attempts_.find(id);
-    const Attempt& attempt = it->second;
-    const Endpoint searcher = attempt.request.searcher;
-    const bool overtaken = searcher != progress.tried.back();
-    context_->searchers->OnCancelled(now, searcher, query_.rank, overtaken);
-    actions.push_back(CancelAction{id, searcher});
-    attempts_.erase(it);
+  const ShardProgress& progress = shards_[shard];
+  while (!progress.open.empty()) {
+    const uint64_t id = progress.open.front();
+    const bool overtaken =
+        attempts_.at(id).request.searcher != progress.tried.back();
+    CancelAttempt(now, id, overtaken, actions);
   }
-  progress.open.clear();
+}
+
+void QueryPlan::CancelAttempt(TimePoint now,
+                              uint64_t id,
+                              bool overdue,
+                              QueryActions& actions) {
+  const auto it = attempts_.find(id);
+  const Endpoint searcher = it->second.request.searcher;
+  context_->searchers->OnCancelled(now, searcher, query_.rank, overdue);
+  actions.push_back(CancelAction{id, searcher});
+  std::erase(shards_[it->second.shard].open, id);
+  attempts_.erase(it);
 }
 
 void QueryPlan::FinishIfComplete(TimePoint now, QueryActions& actions) {
--- a/tools/bench/fake_owner.cc
+++ b/tools/bench/fake_owner.cc
@@ -160,6 +160,7 @@
     }
   }
   KeepSpare();
+  Pump();
 }
 
 void FakeOwner::Pump() {
@@ -293,6 +294,11 @@
   if (it == connections_.end() || searcher_->faults().dead) {
     return;
   }
+  if (events_->now() < searcher_->faults().paused_until) {
+    events_->At(searcher_->faults().paused_until,
+                [this, key] { OnProbed(key); });
+    return;
+  }
   last_answer_ = events_->now();
   it->second.probing = false;
   it->second.liveness.OnAnswer(events_->now());
