Keep lower ranks out of the searcher's own queue

Cause: one sub-request beyond the slots, mostly background work in a flood, stood ahead of each urgent one at the searcher. Change: beyond the slots, urgent work goes at once, other work when nothing was sent for 0.6 of the mean service time.

--- a/include/greengage/coordination/rank_queue.h
+++ b/include/greengage/coordination/rank_queue.h
@@ -29,6 +29,9 @@
   size_t capacity_per_rank = 256;  // Waiting sub-requests.
   uint32_t slots = 2;              // Of the searcher.
   uint32_t extra_outstanding = 1;  // Sent beyond the slots, to hide the way.
+  // Work that is not urgent is sent beyond the slots only when nothing has been
+  // sent for this share of the mean service time.
+  double extra_after = 0.6;
   // Least share of the sub-requests sent, in percent; the first is unused.
   std::array<uint32_t, kRankCount> floor_percent{0, 10, 5};
 };
@@ -102,16 +105,19 @@
 
   bool IsExpired(TimePoint now, const Waiting& item) const;
   void DropExpired(TimePoint now, Line& line, QueuePop& pop) const;
-  std::optional<size_t> ChooseLine();
-  std::optional<size_t> ChooseByFloor();
-  std::optional<size_t> ChooseByWeight();
+  std::optional<size_t> ChooseLine() const;
+  std::optional<size_t> ChooseByFloor() const;
+  std::optional<size_t> ChooseByWeight() const;
   std::optional<size_t> ChooseByArrival() const;
   QueuedSubRequest TakeFront(TimePoint now, Line& line) const;
-  double ShareOf(Rank rank) const;
+  void Charge(size_t chosen);
+  bool MaySend(TimePoint now, size_t line) const;
+  double ShareOf(size_t line) const;
 
   RankQueueOptions options_;
   std::array<Line, kRankCount> queues_;
   uint32_t outstanding_ = 0;
+  TimePoint last_sent_;
   Duration mean_service_{};
 };
 
--- a/src/coordination/rank_queue.cc
+++ b/src/coordination/rank_queue.cc
@@ -41,9 +41,11 @@
     return pop;
   }
   const std::optional<size_t> chosen = ChooseLine();
-  if (chosen) {
+  if (chosen && MaySend(now, *chosen)) {
+    Charge(*chosen);
     pop.next = TakeFront(now, queues_[*chosen]);
     ++outstanding_;
+    last_sent_ = now;
   }
   return pop;
 }
@@ -135,7 +137,7 @@
   }
 }
 
-std::optional<size_t> RankQueue::ChooseLine() {
+std::optional<size_t> RankQueue::ChooseLine() const {
   switch (options_.ordering) {
     case RankOrdering::kStrictWithFloor:
       return ChooseByFloor();
@@ -147,50 +149,61 @@
   return std::nullopt;
 }
 
-std::optional<size_t> RankQueue::ChooseByFloor() {
+std::optional<size_t> RankQueue::ChooseByFloor() const {
   std::optional<size_t> most_urgent;
-  std::optional<size_t> owed;
   for (size_t i = 0; i < kRankCount; ++i) {
-    Line& line = queues_[i];
-    if (line.live == 0) {
-      line.credit = 0;
+    if (queues_[i].live == 0) {
       continue;
     }
+    if (i > 0 && queues_[i].credit + ShareOf(i) >= 1) {
+      return i;
+    }
     if (!most_urgent) {
       most_urgent = i;
     }
-    line.credit += options_.floor_percent[i] / kPercent;
-    if (i > 0 && line.credit >= 1 && !owed) {
-      owed = i;
-    }
-  }
-  const std::optional<size_t> chosen = owed ? owed : most_urgent;
-  if (chosen) {
-    Line& line = queues_[*chosen];
-    line.credit = std::max(0.0, line.credit - 1);
   }
-  return chosen;
+  return most_urgent;
 }
 
-std::optional<size_t> RankQueue::ChooseByWeight() {
+std::optional<size_t> RankQueue::ChooseByWeight() const {
   std::optional<size_t> chosen;
+  double highest = 0;
   for (size_t i = 0; i < kRankCount; ++i) {
-    Line& line = queues_[i];
-    if (line.live == 0) {
-      line.credit = 0;
-      continue;
-    }
-    line.credit += ShareOf(kAllRanks[i]);
-    if (!chosen || line.credit > queues_[*chosen].credit) {
+    const double credit = queues_[i].credit + ShareOf(i);
+    if (queues_[i].live > 0 && (!chosen || credit > highest)) {
       chosen = i;
+      highest = credit;
     }
   }
-  if (chosen) {
-    queues_[*chosen].credit -= 1;
-  }
   return chosen;
 }
 
+// Each rank that waits earns its share of a turn; the chosen one pays for it.
+void RankQueue::Charge(size_t chosen) {
+  for (size_t i = 0; i < kRankCount; ++i) {
+    Line& line = queues_[i];
+    line.credit = line.live == 0 ? 0 : line.credit + ShareOf(i);
+  }
+  Line& line = queues_[chosen];
+  line.credit -= 1;
+  if (options_.ordering == RankOrdering::kStrictWithFloor) {
+    line.credit = std::max(0.0, line.credit);
+  }
+}
+
+// Beyond the slots, urgent work goes at once, since nothing that comes later
+// may overtake it. Other work goes only when a slot should soon be free, so
+// that it rarely stands in the way of urgent work at the searcher.
+bool RankQueue::MaySend(TimePoint now, size_t line) const {
+  if (outstanding_ < options_.slots ||
+      options_.ordering == RankOrdering::kArrival) {
+    return true;
+  }
+  const auto patience = std::chrono::duration_cast<Duration>(
+      mean_service_ * options_.extra_after);
+  return line == IndexOf(Rank::kUrgent) || now - last_sent_ >= patience;
+}
+
 std::optional<size_t> RankQueue::ChooseByArrival() const {
   std::optional<size_t> chosen;
   for (size_t i = 0; i < kRankCount; ++i) {
@@ -216,9 +229,9 @@
   return taken;
 }
 
-double RankQueue::ShareOf(Rank rank) const {
-  if (rank != Rank::kUrgent) {
-    return options_.floor_percent[IndexOf(rank)] / kPercent;
+double RankQueue::ShareOf(size_t line) const {
+  if (line > 0) {
+    return options_.floor_percent[line] / kPercent;
   }
   double rest = kPercent;
   for (size_t i = 1; i < kRankCount; ++i) {
--- a/tools/bench/simulation.cc
+++ b/tools/bench/simulation.cc
@@ -70,6 +70,7 @@
     options.queue.slots = shape.SlotsOf(i);
     options.queue.extra_outstanding = scenario_.extra_outstanding;
     options.queue.ordering = scenario_.ordering;
+    options.queue.extra_after = scenario_.extra_after;
     if (scenario_.naive) {
       options.queue.ordering = RankOrdering::kArrival;
       options.queue.extra_outstanding = shape.connections - options.queue.slots;
--- a/tools/bench/simulation.h
+++ b/tools/bench/simulation.h
@@ -36,6 +36,7 @@
   Duration deadline = std::chrono::milliseconds(250);
   RankOrdering ordering = RankOrdering::kStrictWithFloor;
   uint32_t extra_outstanding = 1;
+  double extra_after = 0.6;
   bool gives_hits = false;
   std::function<void(Simulation&)> prepare;
 };
