--- a/include/greengage/transport/peer_link.h
+++ b/include/greengage/transport/peer_link.h
@@ -19,7 +19,7 @@
 namespace greengage {
 
 struct PeerLimits {
-  size_t message_bytes = 2 * 1024 * 1024;  // One message, either way.
+  size_t message_bytes = size_t{2} * 1024 * 1024;  // One message, either way.
   size_t streams = 65536;                  // Concurrent on one connection.
   std::chrono::milliseconds connect_timeout{1000};
   // A link that owes answers and makes no progress is pinged after this time,
--- a/src/transport/http2_connection.cc
+++ b/src/transport/http2_connection.cc
@@ -18,11 +18,11 @@
 
 namespace asio = boost::asio;
 
-constexpr size_t kReadBytes = 64 * 1024;
+constexpr size_t kReadBytes = size_t{64} * 1024;
 constexpr size_t kReadsPerTurn = 16;
-constexpr size_t kGatherBytes = 256 * 1024;
-constexpr size_t kKeptOutputBytes = 16 * 1024;
-constexpr size_t kConnectionWindowBytes = 16 * 1024 * 1024;
+constexpr size_t kGatherBytes = size_t{256} * 1024;
+constexpr size_t kKeptOutputBytes = size_t{16} * 1024;
+constexpr size_t kConnectionWindowBytes = size_t{16} * 1024 * 1024;
 constexpr std::chrono::milliseconds kLingerTimeout{2000};
 constexpr std::chrono::seconds kKeepaliveIdle{10};
 constexpr std::chrono::seconds kKeepaliveInterval{2};
--- a/src/transport/message_framing.cc
+++ b/src/transport/message_framing.cc
@@ -8,7 +8,7 @@
 namespace {
 
 // A peer that announces a large message gets memory only as the bytes arrive.
-constexpr size_t kMaxReserveBytes = 64 * 1024;
+constexpr size_t kMaxReserveBytes = size_t{64} * 1024;
 
 std::array<uint8_t, kLengthPrefixBytes> EncodePrefix(size_t size) {
   return {static_cast<uint8_t>(size >> 24), static_cast<uint8_t>(size >> 16),
--- a/tests/datagram_socket_test.cc
+++ b/tests/datagram_socket_test.cc
@@ -12,7 +12,9 @@
 namespace greengage {
 namespace {
 
-const Endpoint kAnyPort{"127.0.0.1", 0};
+Endpoint AnyPort() {
+  return {"127.0.0.1", 0};
+}
 
 void Ignore(const Endpoint& /*sender*/, const std::string& /*datagram*/) {}
 
@@ -22,10 +24,10 @@
   std::promise<std::pair<Endpoint, std::string>> received;
   IoThreads io(2);
   const auto receiver = *DatagramSocket::Bind(
-      io.context(), kAnyPort, [&](Endpoint sender, std::string datagram) {
+      io.context(), AnyPort(), [&](Endpoint sender, std::string datagram) {
         received.set_value({std::move(sender), std::move(datagram)});
       });
-  const auto sender = *DatagramSocket::Bind(io.context(), kAnyPort, Ignore);
+  const auto sender = *DatagramSocket::Bind(io.context(), AnyPort(), Ignore);
   const std::string largest(kMaxDatagramBytes, 'x');
   sender->Send(receiver->endpoint(), largest + "x");
   sender->Send(receiver->endpoint(), largest);
@@ -41,7 +43,7 @@
   IoThreads io(2);
   std::promise<void> received;
   const auto socket = *DatagramSocket::Bind(
-      io.context(), kAnyPort,
+      io.context(), AnyPort(),
       [&](const Endpoint& /*sender*/, const std::string& /*datagram*/) {
         received.set_value();
       });
--- a/tests/peer_link_test.cc
+++ b/tests/peer_link_test.cc
@@ -17,16 +17,18 @@
 using Ms = std::chrono::milliseconds;
 
 constexpr size_t kThreads = 3;
-const Endpoint kAnyPort{"127.0.0.1", 0};
+Endpoint AnyPort() {
+  return {"127.0.0.1", 0};
+}
 
 // A server with one operation for each way in which a stream can go.
 class Peers {
  public:
   explicit Peers(PeerLimits limits = {})
       : server_(*PeerServer::Listen(io_.context(),
-                                    kAnyPort,
+                                    AnyPort(),
                                     limits,
-                                    [this](std::string path,
+                                    [this](const std::string& path,
                                            std::string message,
                                            std::shared_ptr<PeerStream> stream) {
                                       Handle(path, std::move(message),
@@ -46,7 +48,7 @@
  private:
   void Handle(const std::string& path,
               std::string message,
-              std::shared_ptr<PeerStream> stream) {
+              const std::shared_ptr<PeerStream>& stream) {
     if (path == "/echo") {
       stream->Send(message);
       stream->Send(std::move(message));
