--- a/src/state/metrics.cc
+++ b/src/state/metrics.cc
@@ -4,6 +4,8 @@
 #include <sstream>
 #include <thread>
 
+#include "state/gauge_names.h"
+
 namespace greengage {
 namespace {
 
@@ -94,6 +96,18 @@
   }
 }
 
+// The estimator gives nothing before all its markers have a sample.
+constexpr size_t kMarkers = 2 * Distribution::kQuantiles.size() + 3;
+
+template <typename Accumulator>
+double QuantileOf(const Accumulator& accumulator, double probability) {
+  if (accumulators::count(accumulator) < kMarkers) {
+    return accumulators::max(accumulator);
+  }
+  return accumulators::quantile(
+      accumulator, accumulators::quantile_probability = probability);
+}
+
 }  // namespace
 
 Distribution::Shard::Shard()
@@ -137,10 +151,27 @@
 }
 
 const std::vector<MetricInfo>& AllMetrics() {
-  static const std::vector<MetricInfo> metrics{
-      kQueries, kQueryTime,  kQueueTime,       kServiceTime, kSent,
-      kHedged,  kRetried,    kForwarded,       kPartial,     kRejected,
-      kClaims,  kClaimsLost, kPlatformFailures};
+  static const std::vector<MetricInfo> metrics{kQueries,
+                                               kQueryTime,
+                                               kQueueTime,
+                                               kServiceTime,
+                                               kSent,
+                                               kHedged,
+                                               kRetried,
+                                               kForwarded,
+                                               kPartial,
+                                               kRejected,
+                                               kClaims,
+                                               kClaimsLost,
+                                               kPlatformFailures,
+                                               kQueriesInFlight,
+                                               kSubRequestsInFlight,
+                                               kSearcherConnections,
+                                               kMembers,
+                                               kGossipSent,
+                                               kGossipReceived,
+                                               kGossipDatagrams,
+                                               kRejectedAnswers};
   return metrics;
 }
 
