--- /dev/null
+++ b/tests/harness/process.cc
@@ -0,0 +1,120 @@
+#include "tests/harness/process.h"
+
+#include <fcntl.h>
+#include <poll.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <csignal>
+#include <cstdlib>
+#include <thread>
+
+#include <criterion/criterion.h>
+
+namespace greengage {
+
+namespace {
+
+constexpr std::chrono::milliseconds kPollPeriod{5};
+constexpr std::string_view kListening = "listening ";
+
+std::string ProgramPath(const std::string& program) {
+  const char* folder = std::getenv("GREENGAGE_BIN_DIR");
+  cr_assert(folder != nullptr, "GREENGAGE_BIN_DIR is not set");
+  return std::string(folder) + "/" + program;
+}
+
+}  // namespace
+
+Process::Process(const std::string& program,
+                 const std::vector<std::string>& arguments,
+                 const std::string& log) {
+  Start(program, arguments, log);
+  ReadEndpoint();
+}
+
+Process::~Process() {
+  Kill();
+  close(output_);
+}
+
+void Process::Start(const std::string& program,
+                    const std::vector<std::string>& arguments,
+                    const std::string& log) {
+  std::array<int, 2> pipe_ends{};
+  cr_assert(pipe2(pipe_ends.data(), O_CLOEXEC) == 0);
+  output_ = pipe_ends[0];
+  std::string path = ProgramPath(program);
+  std::vector<std::string> texts = arguments;
+  std::vector<char*> argv{path.data()};
+  for (std::string& text : texts) {
+    argv.push_back(text.data());
+  }
+  argv.push_back(nullptr);
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_adddup2(&actions, pipe_ends[1], STDOUT_FILENO);
+  posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, 0600);
+  const int error =
+      posix_spawn(&id_, path.c_str(), &actions, nullptr, argv.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  close(pipe_ends[1]);
+  cr_assert(error == 0, "cannot start %s", path.c_str());
+}
+
+void Process::ReadEndpoint() {
+  std::string text;
+  const auto limit = std::chrono::steady_clock::now() + kPatience;
+  while (text.find('\n') == std::string::npos &&
+         std::chrono::steady_clock::now() < limit) {
+    pollfd waiting{.fd = output_, .events = POLLIN, .revents = 0};
+    std::array<char, 256> buffer{};
+    if (poll(&waiting, 1, 100) > 0) {
+      const ssize_t size = read(output_, buffer.data(), buffer.size());
+      if (size <= 0) {
+        break;
+      }
+      text.append(buffer.data(), static_cast<size_t>(size));
+    }
+  }
+  const size_t end = text.find('\n');
+  cr_assert(text.starts_with(kListening) && end != std::string::npos,
+            "no address, but '%s'", text.c_str());
+  const Result<Endpoint> endpoint = ParseEndpoint(std::string_view(text).substr(
+      kListening.size(), end - kListening.size()));
+  cr_assert(endpoint.ok());
+  endpoint_ = *endpoint;
+}
+
+void Process::Signal(int signal) const {
+  if (!ended_) {
+    kill(id_, signal);
+  }
+}
+
+void Process::Kill() {
+  if (!ended_) {
+    kill(id_, SIGKILL);
+    waitpid(id_, nullptr, 0);
+    ended_ = true;
+  }
+}
+
+std::optional<int> Process::WaitForExit(std::chrono::milliseconds patience) {
+  const auto limit = std::chrono::steady_clock::now() + patience;
+  while (!ended_ && std::chrono::steady_clock::now() < limit) {
+    int status = 0;
+    if (waitpid(id_, &status, WNOHANG) == id_) {
+      ended_ = true;
+      return WIFEXITED(status) ? std::optional<int>(WEXITSTATUS(status))
+                               : std::nullopt;
+    }
+    std::this_thread::sleep_for(kPollPeriod);
+  }
+  return std::nullopt;
+}
+
+}  // namespace greengage
