--- a/tests/harness/tcp_relay.cc
+++ b/tests/harness/tcp_relay.cc
@@ -127,6 +127,13 @@
   }
 }
 
+void TcpRelay::StopAccepting() {
+  asio::post(acceptor_.get_executor(), [self = shared_from_this()] {
+    boost::system::error_code ignored;
+    self->acceptor_.close(ignored);
+  });
+}
+
 void TcpRelay::CloseConnections() {
   const std::lock_guard<std::mutex> lock(mutex_);
   for (const auto& pipe : pipes_) {
--- a/tests/harness/tcp_relay.h
+++ b/tests/harness/tcp_relay.h
@@ -33,6 +33,9 @@
   // Closes all connections that exist.
   void CloseConnections();
 
+  // From now on new connections are refused.
+  void StopAccepting();
+
  private:
   class Pipe;
 
