Show that a replica without its keys costs coverage

The refusal counts as a sign of life, so that the chooser prefers the replica that refuses fastest until the retry budget is empty.

--- a/tests/snapshot_process_test.cc
+++ b/tests/snapshot_process_test.cc
@@ -142,5 +142,46 @@
   cr_expect(seen.whole > 0);
 }
 
+// Queries out of `count` that were not answered whole, one after the other.
+size_t CountNotWhole(const Deployment& deployment, size_t count) {
+  Seen seen;
+  for (size_t i = 0; i < count; ++i) {
+    Ask(deployment, i % deployment.instances(), seen);
+  }
+  return count - seen.whole;
+}
+
+// The other replica still holds the shard, so that answers stay whole once the
+// tier has learnt which one does not.
+Test(Coverage, ReplicaThatGaveUpItsKeysCostsNoCoverage) {
+  Deployment deployment({.shards = 1, .replicas = 2});
+  SetFaults(deployment.searcher(0, 0).endpoint(),
+            {{"ranges", {{kService, {{0, 49}}}}}});
+  CountNotWhole(deployment, 20);
+  const size_t not_whole = CountNotWhole(deployment, 200);
+  cr_expect(not_whole == 0, "%zu of 200 not whole", not_whole);
+}
+
+// The same for a replica that still lacks the newest index version.
+Test(Coverage, ReplicaThatLacksTheNewestVersionCostsNoCoverage) {
+  Deployment deployment({.shards = 2, .replicas = 2});
+  for (size_t i = 0; i < 3; ++i) {
+    SetFaults(deployment.searchers()[i]->endpoint(), {{"versions", {2, 3}}});
+  }
+  CountNotWhole(deployment, 20);
+  const size_t not_whole = CountNotWhole(deployment, 200);
+  cr_expect(not_whole == 0, "%zu of 200 not whole", not_whole);
+}
+
+// The same for a replica whose answers are all malformed.
+Test(Coverage, ReplicaThatAnswersWronglyCostsNoCoverage) {
+  Deployment deployment({.shards = 1, .replicas = 2});
+  SetFaults(deployment.searcher(0, 0).endpoint(),
+            {{"truncated_answers", 100000}});
+  CountNotWhole(deployment, 20);
+  const size_t not_whole = CountNotWhole(deployment, 200);
+  cr_expect(not_whole <= 4, "%zu of 200 not whole", not_whole);
+}
+
 }  // namespace
 }  // namespace greengage
