--- a/include/greengage/coordination/membership_options.h
+++ b/include/greengage/coordination/membership_options.h
@@ -30,18 +30,18 @@
   size_t successors = 2;
 
   // Without an acknowledgement for `retry_timeout`, the ping is repeated
-  // every `retry_period`, and every `indirect_period` by way of
-  // `indirect_count` others.
+  // every `retry_period`; when the first repeat stays unanswered too, also
+  // every `indirect_period` by way of `indirect_count` others.
   std::chrono::milliseconds retry_timeout{300};
-  std::chrono::milliseconds retry_period{250};
-  std::chrono::milliseconds indirect_period{500};
+  std::chrono::milliseconds retry_period{200};
+  std::chrono::milliseconds indirect_period{400};
   size_t indirect_count = 3;
 
   // Age of the first unanswered ping at which the instance is suspected, and
   // at which it is declared gone. The second is longer at an instance that has
   // itself heard from no one all the while.
   std::chrono::milliseconds suspect_timeout{1000};
-  std::chrono::milliseconds gone_timeout{3500};
+  std::chrono::milliseconds gone_timeout{4000};
   std::chrono::milliseconds isolated_gone_timeout{6000};
 
   // Ticks further apart than this mean that the process was paused.
@@ -53,7 +53,7 @@
   std::chrono::milliseconds gossip_period{200};
   size_t fan_out = 3;
   double news_rounds_factor = 1.0;
-  uint32_t news_copies = 1000;
+  uint32_t news_copies = 5;
 
   // Anti-entropy with a random member; sooner again while it finds changes.
   std::chrono::milliseconds sync_period{5000};
--- a/src/coordination/membership_probing.cc
+++ b/src/coordination/membership_probing.cc
@@ -64,7 +64,7 @@
   Probe probe;
   probe.started = now;
   probe.next_ping = now + options_.retry_timeout;
-  probe.next_indirect = now + options_.retry_timeout;
+  probe.next_indirect = probe.next_ping + options_.retry_period;
   probe.first_sequence = last_sequence_ + 1;
   probe.claimed_incarnation = claim;
   probes_.emplace(target.id, probe);
