--- a/tools/bench/datagram_fake.h
+++ b/tools/bench/datagram_fake.h
@@ -30,6 +30,8 @@
   std::chrono::milliseconds tick_period{100};
   bool introduced = true;  // All know all others from the start.
   MembershipOptions membership = {};
+  // Changes the options of single instances.
+  std::function<void(size_t at, MembershipOptions&)> adapt = {};
 };
 
 class DatagramFake {
@@ -39,6 +41,8 @@
   using VersionHook =
       std::function<void(size_t at, const VersionHeard&, TimePoint now)>;
   using CutHook = std::function<bool(size_t from, size_t to)>;
+  using EditHook = std::function<void(Datagram&)>;
+  using DeliveryHook = std::function<void(size_t at, const Datagram&)>;
 
   explicit DatagramFake(DatagramFakeOptions options)
       : options_(std::move(options)), random_(options_.seed) {
@@ -67,8 +71,12 @@
     Instance self = MakeInstance(index, options_.data_centres);
     self.incarnation =
         1000 + now_.time_since_epoch() / std::chrono::milliseconds(1);
-    node.membership = std::make_unique<Membership>(self, options_.membership,
-                                                   random_(), now_);
+    MembershipOptions membership = options_.membership;
+    if (options_.adapt) {
+      options_.adapt(index, membership);
+    }
+    node.membership =
+        std::make_unique<Membership>(self, membership, random_(), now_);
     node.membership->SetSeeds({MakeInstance(0, 1).gossip});
     node.alive = true;
     ++node.generation;
@@ -88,6 +96,10 @@
   void OnChange(ChangeHook hook) { change_hook_ = std::move(hook); }
   void OnVersion(VersionHook hook) { version_hook_ = std::move(hook); }
 
+  // Runs before each datagram is sent, and after each has arrived.
+  void OnSend(EditHook hook) { edit_hook_ = std::move(hook); }
+  void OnDelivery(DeliveryHook hook) { delivery_hook_ = std::move(hook); }
+
   // Carries out what an instance decided outside of a tick.
   void Perform(size_t index, MembershipActions actions) {
     for (OutgoingDatagram& outgoing : actions.datagrams) {
@@ -127,7 +139,7 @@
   TimePoint now() const { return now_; }
   uint64_t datagrams() const { return datagrams_; }
 
-  // Sent by all, with the headers of UDP and IP.
+  // Sent and received by all, with the headers of UDP and IP.
   uint64_t bytes() const { return bytes_; }
 
  private:
@@ -178,14 +190,20 @@
   }
 
   void Transmit(size_t from, OutgoingDatagram& outgoing) {
+    if (edit_hook_) {
+      edit_hook_(outgoing.datagram);
+    }
     ++datagrams_;
-    bytes_ += EncodeDatagram(outgoing.datagram).size() + kHeaderBytes;
+    const size_t bytes =
+        EncodeDatagram(outgoing.datagram).size() + kHeaderBytes;
+    bytes_ += bytes;
     const size_t to = IndexOf(outgoing.receiver);
     const bool lost =
         std::uniform_real_distribution<double>(0, 1)(random_) < options_.loss;
     if (lost || to >= nodes_.size() || (cut_ && cut_(from, to))) {
       return;
     }
+    bytes_ += bytes;
     Push({.time = now_ + options_.latency,
           .node = to,
           .datagram = std::make_shared<Datagram>(std::move(outgoing.datagram)),
@@ -208,6 +226,9 @@
       return;
     }
     if (event.datagram) {
+      if (delivery_hook_) {
+        delivery_hook_(event.node, *event.datagram);
+      }
       Perform(event.node,
               node.membership->OnDatagram(*event.datagram, event.source, now_));
       return;
@@ -228,6 +249,8 @@
   CutHook cut_;
   ChangeHook change_hook_;
   VersionHook version_hook_;
+  EditHook edit_hook_;
+  DeliveryHook delivery_hook_;
 };
 
 }  // namespace greengage
--- /dev/null
+++ b/tools/bench/experiments_membership.cc
@@ -0,0 +1,254 @@
+// Experiments on failure detection between instances.
+#include <chrono>
+#include <cstddef>
+#include <string>
+
+#include "tools/bench/datagram_fake.h"
+#include "tools/bench/experiment.h"
+
+namespace greengage::bench {
+
+namespace {
+
+using std::chrono::seconds;
+
+constexpr double kMostSecondsUntilKnown = 7;
+constexpr double kMostBytesPerSecond = 2048;
+constexpr double kMostGrowth = 1.1;
+constexpr double kLoss = 0.3;
+constexpr seconds kWarmUp{8};
+constexpr seconds kHorizon{40};
+constexpr seconds kPause{2};
+constexpr size_t kKills = 4;
+constexpr size_t kPausedAtOnce = 3;
+
+const size_t kSizes[] = {10, 100, 300, 940};
+
+// Changes a day at the largest deployment: of the configuration, and arrivals
+// and departures.
+constexpr double kChangesPerSecond = (4100.0 + 1925.0) / 86400;
+
+double ToSeconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+DatagramFakeOptions Options(size_t instances, uint64_t seed, double loss) {
+  DatagramFakeOptions options;
+  options.instances = instances;
+  options.seed = seed;
+  options.loss = loss;
+  return options;
+}
+
+// Probes as many members as the policy, chosen at random each time.
+DatagramFakeOptions RandomProbing(DatagramFakeOptions options) {
+  options.membership.choose_probed = ChooseRandom;
+  return options;
+}
+
+// Declares gone what has not answered for one second.
+DatagramFakeOptions ShortTimeout(DatagramFakeOptions options) {
+  options.membership.gone_timeout = std::chrono::milliseconds(1000);
+  options.membership.isolated_gone_timeout = std::chrono::milliseconds(1000);
+  return options;
+}
+
+// Probes all others.
+DatagramFakeOptions AllPairs(DatagramFakeOptions options) {
+  options.membership.successors = options.instances;
+  return options;
+}
+
+// Seconds until all others hold the instances `killed` gone, or the horizon.
+double TimeUntilKnown(DatagramFake& fake, const std::vector<size_t>& killed) {
+  const TimePoint start = fake.now();
+  TimePoint last = start + kHorizon;
+  size_t missing = killed.size() * (fake.size() - killed.size());
+  std::vector<std::string> ids;
+  for (const size_t index : killed) {
+    ids.push_back(fake.at(index).self().id);
+    fake.Kill(index);
+  }
+  fake.OnChange([&](size_t, const MembershipChange& change, TimePoint now) {
+    const bool counts =
+        change.kind == MembershipChangeKind::kGone &&
+        std::find(ids.begin(), ids.end(), change.instance.id) != ids.end();
+    if (counts && --missing == 0) {
+      last = now;
+    }
+  });
+  while (missing > 0 && fake.now() < start + kHorizon) {
+    fake.Run(seconds(1));
+  }
+  fake.OnChange({});
+  return ToSeconds(last - start);
+}
+
+// The worst of several, one after the other.
+double DeadInstance(const DatagramFakeOptions& options) {
+  DatagramFake fake(options);
+  fake.Run(kWarmUp);
+  double worst = 0;
+  for (size_t i = 0; i < kKills; ++i) {
+    const size_t victim = 1 + i * options.instances / (kKills + 1);
+    worst = std::max(worst, TimeUntilKnown(fake, {victim}));
+    fake.Start(victim);
+    fake.Run(kWarmUp);
+  }
+  return worst;
+}
+
+double LostDataCentre(const DatagramFakeOptions& options) {
+  DatagramFake fake(options);
+  fake.Run(kWarmUp);
+  std::vector<size_t> killed;
+  for (size_t i = 1; i < options.instances; i += options.data_centres) {
+    killed.push_back(i);
+  }
+  return TimeUntilKnown(fake, killed);
+}
+
+// Declarations that an instance is gone, none of which is true.
+double FalselyGone(const DatagramFakeOptions& options) {
+  DatagramFake fake(options);
+  fake.Run(kWarmUp);
+  size_t gone = 0;
+  fake.OnChange([&](size_t, const MembershipChange& change, TimePoint) {
+    gone += change.kind == MembershipChangeKind::kGone ? 1 : 0;
+  });
+  for (size_t round = 0; round < kKills; ++round) {
+    for (size_t i = 0; i < kPausedAtOnce; ++i) {
+      fake.Pause(round * kPausedAtOnce % options.instances + i, kPause);
+    }
+    fake.Run(2 * kPause);
+  }
+  fake.Run(seconds(5));
+  return static_cast<double>(gone);
+}
+
+// Bytes per second and instance, sent and received.
+double IdleTraffic(const DatagramFakeOptions& options, seconds length) {
+  DatagramFake fake(options);
+  fake.Run(std::min(length, kWarmUp));
+  const uint64_t before = fake.bytes();
+  fake.Run(length);
+  return static_cast<double>(fake.bytes() - before) /
+         static_cast<double>(length.count() * options.instances);
+}
+
+// The same with the day's rate of changes, each a version or a restart.
+double BusyTraffic(const DatagramFakeOptions& options) {
+  constexpr seconds kLength{60};
+  const auto changes = static_cast<size_t>(kChangesPerSecond * 60 + 1);
+  DatagramFake fake(options);
+  fake.OnVersion([&](size_t at, const VersionHeard& heard, TimePoint) {
+    fake.at(at).SetConfigurationVersion(heard.version);
+  });
+  fake.Run(kWarmUp);
+  const uint64_t before = fake.bytes();
+  for (size_t i = 1; i <= changes; ++i) {
+    if (i % 3 == 0) {
+      fake.Start(i);
+    } else {
+      fake.at(i).SetConfigurationVersion(i);
+    }
+    fake.Run(kLength / static_cast<int>(changes));
+  }
+  return static_cast<double>(fake.bytes() - before) /
+         static_cast<double>(kLength.count() * options.instances);
+}
+
+// Seconds until all agree after the cut between two halves has ended.
+double HalvesMeet(const DatagramFakeOptions& options) {
+  DatagramFake fake(options);
+  fake.Run(kWarmUp);
+  fake.SetCut([](size_t from, size_t to) { return from % 2 != to % 2; });
+  fake.Run(seconds(60));
+  fake.SetCut({});
+  const TimePoint start = fake.now();
+  const auto agree = [&] {
+    for (size_t at = 0; at < fake.size(); ++at) {
+      for (const Instance& member : fake.at(at).Table()->members) {
+        if (member.state != InstanceState::kLive) {
+          return false;
+        }
+      }
+    }
+    return true;
+  };
+  while (!agree() && fake.now() < start + kHorizon) {
+    fake.Run(seconds(1));
+  }
+  return ToSeconds(fake.now() - start);
+}
+
+Bound AtMost(double limit) {
+  return {BoundOn::kPolicy, BoundKind::kAtMost, limit};
+}
+
+void AddDetection(size_t size, uint64_t seed, Measurements* out) {
+  const std::string shape = std::to_string(size) + " instances";
+  for (const double loss : {0.0, kLoss}) {
+    const std::string suffix = loss > 0 ? ", 30 % lost" : "";
+    const DatagramFakeOptions options = Options(size, seed, loss);
+    out->push_back({shape, "dead known to all" + suffix, "s",
+                    DeadInstance(RandomProbing(options)), DeadInstance(options),
+                    AtMost(kMostSecondsUntilKnown)});
+    out->push_back({shape, "falsely gone, 2 s pauses" + suffix, "",
+                    FalselyGone(ShortTimeout(options)), FalselyGone(options),
+                    AtMost(0)});
+  }
+  const DatagramFakeOptions options = Options(size, seed, 0);
+  out->push_back({shape, "a third dead, known to all", "s",
+                  LostDataCentre(RandomProbing(options)),
+                  LostDataCentre(options), std::nullopt});
+  out->push_back({shape, "halves of a cut agree again", "s",
+                  HalvesMeet(RandomProbing(options)), HalvesMeet(options),
+                  std::nullopt});
+}
+
+double AddTraffic(size_t size, uint64_t seed, Measurements* out) {
+  constexpr seconds kAllPairsLength{2};
+  constexpr seconds kPolicyLength{30};
+  const std::string shape = std::to_string(size) + " instances";
+  const DatagramFakeOptions options = Options(size, seed, 0);
+  const double all_pairs = IdleTraffic(AllPairs(options), kAllPairsLength);
+  const double policy = IdleTraffic(options, kPolicyLength);
+  out->push_back({shape, "traffic per instance, idle", "B/s", all_pairs, policy,
+                  AtMost(kMostBytesPerSecond)});
+  out->push_back({shape, "the same with changes, 30 % lost", "B/s", all_pairs,
+                  BusyTraffic(Options(size, seed, kLoss)),
+                  AtMost(kMostBytesPerSecond)});
+  return policy;
+}
+
+Measurements RunMembership(uint64_t seed) {
+  Measurements measurements;
+  double smallest = 0;
+  double smallest_all_pairs = 0;
+  for (const size_t size : kSizes) {
+    AddDetection(size, seed, &measurements);
+    const size_t row = measurements.size();
+    const double traffic = AddTraffic(size, seed, &measurements);
+    const double all_pairs = measurements[row].baseline;
+    if (smallest == 0) {
+      smallest = traffic;
+      smallest_all_pairs = all_pairs;
+    }
+    measurements.push_back({std::to_string(size) + " instances",
+                            "traffic against 10 instances", "times",
+                            all_pairs / smallest_all_pairs, traffic / smallest,
+                            AtMost(kMostGrowth)});
+  }
+  return measurements;
+}
+
+const Registration kMembership(
+    {.name = "membership",
+     .summary = "Failure detection at 10 to 940 instances, against random "
+                "probing, a short timeout and probing of all by all",
+     .run = RunMembership});
+
+}  // namespace
+
+}  // namespace greengage::bench
