--- a/include/greengage/coordination/configuration_rollout.h
+++ b/include/greengage/coordination/configuration_rollout.h
@@ -29,6 +29,9 @@
  public:
   ConfigurationRollout(uint64_t version, const std::vector<Endpoint>& known);
 
+  // Follows another version from here on.
+  void SetVersion(uint64_t version) { version_ = version; }
+
   // Instances that are not known to have the version in force, and one that
   // has, whose list of members keeps up with arrivals and departures.
   std::vector<Endpoint> ToAsk() const;
@@ -37,6 +40,9 @@
   void OnUnreachable(const Endpoint& http);
   void EndRound();
 
+  // The highest version that an instance has in force.
+  uint64_t HighestVersion() const;
+
   // Whether at least one instance answered, and none lacks the version that is
   // live or suspected. Leaving and gone instances are not waited for.
   bool complete() const;
@@ -52,7 +58,7 @@
   bool HasVersion(const RolloutEntry& entry) const;
   void OnMember(const Instance& member);
 
-  const uint64_t version_;
+  uint64_t version_;
   std::map<Endpoint, RolloutEntry> entries_;
   // Of the present round: what members that answered say of others.
   std::map<Endpoint, InstanceState> reported_;
--- a/include/greengage/protocol/event_codec.h
+++ b/include/greengage/protocol/event_codec.h
@@ -15,6 +15,9 @@
 // "detail"}…]}.
 std::string SerializeEvents(const std::vector<Event>& events);
 
+// One event in the form that it has there, on one line.
+std::string SerializeEvent(const Event& event);
+
 // Reads what SerializeEvents() writes; events of kinds that this release does
 // not know are left out. Fails with kInvalidSyntax.
 Result<std::vector<Event>> ParseEvents(std::string_view text);
--- a/src/coordination/configuration_rollout.cc
+++ b/src/coordination/configuration_rollout.cc
@@ -73,6 +73,14 @@
   reported_.clear();
 }
 
+uint64_t ConfigurationRollout::HighestVersion() const {
+  uint64_t highest = 0;
+  for (const auto& [http, entry] : entries_) {
+    highest = std::max(highest, entry.configuration_version);
+  }
+  return highest;
+}
+
 bool ConfigurationRollout::complete() const {
   return Lacking().empty() && !InForce().empty();
 }
--- a/src/protocol/event_codec.cc
+++ b/src/protocol/event_codec.cc
@@ -38,19 +38,27 @@
   return event;
 }
 
+json::object ToJson(const Event& event) {
+  return {{"ms", event.time.milliseconds},
+          {"counter", event.time.counter},
+          {"kind", EventKindName(event.kind)},
+          {"process", event.process},
+          {"request_id", event.request_id},
+          {"subject", event.subject},
+          {"detail", event.detail}};
+}
+
 }  // namespace
 
+std::string SerializeEvent(const Event& event) {
+  return json::serialize(ToJson(event));
+}
+
 std::string SerializeEvents(const std::vector<Event>& events) {
   json::array array;
   array.reserve(events.size());
   for (const Event& event : events) {
-    array.push_back({{"ms", event.time.milliseconds},
-                     {"counter", event.time.counter},
-                     {"kind", EventKindName(event.kind)},
-                     {"process", event.process},
-                     {"request_id", event.request_id},
-                     {"subject", event.subject},
-                     {"detail", event.detail}});
+    array.push_back(ToJson(event));
   }
   return json::serialize(json::object{{"events", std::move(array)}});
 }
--- a/tools/greengagectl/command_line.h
+++ b/tools/greengagectl/command_line.h
@@ -9,20 +9,36 @@
 #include <string>
 #include <vector>
 
+#include "greengage/protocol/validated.h"
 #include "greengage/state/endpoint.h"
+#include "greengage/state/result.h"
 #include "tools/greengagectl/exit_code.h"
 
 namespace greengage {
 
-// Options that stand before the command. Commands set `exit_code`.
+// Options that stand before or after the command. Commands set `exit_code`.
 struct CommandLine {
   std::optional<Endpoint> platform;
   std::vector<Endpoint> instances;
   bool json = false;
   std::chrono::milliseconds timeout{3000};  // Of one call.
   ExitCode exit_code = ExitCode::kOk;
+
+  // Prints failures to standard error, or as JSON to standard output, and
+  // sets the exit code.
+  void Fail(const std::vector<Failure>& failures, ExitCode code);
+  void Fail(const Failure& failure);
+
+  // The platform's end point; fails with kMissingKey.
+  Result<Endpoint> RequirePlatform() const;
 };
 
+// The exit code that goes with a failure.
+ExitCode CodeOf(FailureKind kind);
+
+// The whole file; fails with kUnreadableFile.
+Result<std::string> ReadFile(const std::string& path);
+
 // Each adds one command to `app`. `line` outlives `app`.
 void AddCheckCommand(CLI::App& app, CommandLine& line);
 void AddDiffCommand(CLI::App& app, CommandLine& line);
