--- a/include/greengage/coordination/configuration_rollout.h
+++ b/include/greengage/coordination/configuration_rollout.h
@@ -19,6 +19,9 @@
   std::string data_centre;
   InstanceState state = InstanceState::kLive;
   bool reachable = false;
+  // Only the platform's lagging list names it; not waited for until it
+  // answers or another instance knows of it.
+  bool only_listed = false;
   uint64_t configuration_version = 0;
 };
 
@@ -29,6 +32,9 @@
  public:
   ConfigurationRollout(uint64_t version, const std::vector<Endpoint>& known);
 
+  // Adds what the platform's lagging list of instances names.
+  void AddListed(const std::vector<Endpoint>& endpoints);
+
   // Follows another version from here on.
   void SetVersion(uint64_t version) { version_ = version; }
 
@@ -50,6 +56,9 @@
   std::vector<RolloutEntry> InForce() const;
   // Instances that are waited for: behind, or not reachable.
   std::vector<RolloutEntry> Lacking() const;
+  // All that are waited for or answer, also with the version in force.
+  std::vector<Endpoint> Present() const;
+
   // Instances that nobody waits for.
   std::vector<RolloutEntry> Departed() const;
 
--- a/include/greengage/transport/platform_client.h
+++ b/include/greengage/transport/platform_client.h
@@ -81,7 +81,10 @@
   void Close();
 
  private:
-  CallId StartRead(std::string target, TimePoint deadline, ReadCallback done);
+  CallId StartRead(const ObjectKey& key,
+                   const std::string& parameters,
+                   TimePoint deadline,
+                   ReadCallback done);
 
   const std::shared_ptr<HttpClient> http_;
 };
--- a/src/coordination/configuration_rollout.cc
+++ b/src/coordination/configuration_rollout.cc
@@ -12,6 +12,16 @@
   }
 }
 
+void ConfigurationRollout::AddListed(const std::vector<Endpoint>& endpoints) {
+  for (const Endpoint& http : endpoints) {
+    const auto [entry, inserted] = entries_.try_emplace(http);
+    if (inserted) {
+      entry->second.http = http;
+      entry->second.only_listed = true;
+    }
+  }
+}
+
 std::vector<Endpoint> ConfigurationRollout::ToAsk() const {
   std::vector<Endpoint> endpoints;
   bool asks_member = false;
@@ -33,6 +43,7 @@
   entry.data_centre = status.data_centre;
   entry.state = status.state;
   entry.reachable = true;
+  entry.only_listed = false;
   entry.configuration_version =
       std::max(entry.configuration_version, status.configuration_version);
   for (const Instance& member : status.members) {
@@ -49,6 +60,7 @@
     entry->second.id = member.id;
     entry->second.data_centre = member.data_centre;
   }
+  entry->second.only_listed = false;
   const auto [reported, first] =
       reported_.try_emplace(member.http, member.state);
   if (!first) {
@@ -86,7 +98,7 @@
 }
 
 bool ConfigurationRollout::IsDeparted(const RolloutEntry& entry) const {
-  return entry.state == InstanceState::kLeaving ||
+  return entry.only_listed || entry.state == InstanceState::kLeaving ||
          entry.state == InstanceState::kGone;
 }
 
@@ -114,6 +126,16 @@
   return found;
 }
 
+std::vector<Endpoint> ConfigurationRollout::Present() const {
+  std::vector<Endpoint> endpoints;
+  for (const auto& [http, entry] : entries_) {
+    if (entry.reachable || !IsDeparted(entry)) {
+      endpoints.push_back(http);
+    }
+  }
+  return endpoints;
+}
+
 std::vector<RolloutEntry> ConfigurationRollout::Departed() const {
   std::vector<RolloutEntry> found;
   for (const auto& [http, entry] : entries_) {
--- a/src/transport/platform_client.cc
+++ b/src/transport/platform_client.cc
@@ -125,19 +125,20 @@
 PlatformClient::PlatformClient(std::shared_ptr<HttpClient> http)
     : http_(std::move(http)) {}
 
-PlatformClient::CallId PlatformClient::StartRead(std::string target,
+PlatformClient::CallId PlatformClient::StartRead(const ObjectKey& key,
+                                                 const std::string& parameters,
                                                  TimePoint deadline,
                                                  ReadCallback done) {
-  HttpCall call{"GET", target, {}, deadline};
-  return http_->Start(std::move(call),
-                      ParseWith<PlatformObject>(ParseObject, std::move(target),
-                                                std::move(done)));
+  HttpCall call{"GET", ObjectTarget(key) + parameters, {}, deadline};
+  return http_->Start(
+      std::move(call),
+      ParseWith<PlatformObject>(ParseObject, ToString(key), std::move(done)));
 }
 
 PlatformClient::CallId PlatformClient::Read(const ObjectKey& key,
                                             TimePoint deadline,
                                             ReadCallback done) {
-  return StartRead(ObjectTarget(key), deadline, std::move(done));
+  return StartRead(key, "", deadline, std::move(done));
 }
 
 PlatformClient::CallId PlatformClient::Watch(const ObjectKey& key,
@@ -145,7 +146,8 @@
                                              std::chrono::milliseconds wait,
                                              TimePoint deadline,
                                              ReadCallback done) {
-  return StartRead(ObjectTarget(key) + "?after=" + std::to_string(after) +
+  return StartRead(key,
+                   "?after=" + std::to_string(after) +
                        "&wait_ms=" + std::to_string(wait.count()),
                    deadline, std::move(done));
 }
--- a/tests/configuration_rollout_test.cc
+++ b/tests/configuration_rollout_test.cc
@@ -66,6 +66,21 @@
   cr_assert(!rollout.complete());
 }
 
+Test(ConfigurationRollout, DoesNotWaitForWhatOnlyTheLaggingListNames) {
+  ConfigurationRollout rollout(7, {});
+  rollout.AddListed({http_a, http_b});
+  rollout.OnUnreachable(http_b);
+  rollout.OnStatus(http_a, Status("a", 7));
+  rollout.EndRound();
+  cr_assert(rollout.complete());
+  cr_assert((rollout.Present() == std::vector<Endpoint>{http_a}));
+  InstanceStatus status = Status("a", 7);
+  status.members = {Member("b", http_b, InstanceState::kSuspect)};
+  rollout.OnStatus(http_a, status);
+  rollout.EndRound();
+  cr_assert(!rollout.complete());
+}
+
 Test(ConfigurationRollout, IsNeverCompleteWithoutAnAnswer) {
   ConfigurationRollout rollout(7, {});
   rollout.EndRound();
--- a/tools/greengagectl/apply_command.cc
+++ b/tools/greengagectl/apply_command.cc
@@ -135,14 +135,13 @@
 
   void WaitForInstances() {
     Say("accepted as version " + std::to_string(result_.version));
-    const auto instances = FindInstances(line_);
-    rollout_.emplace(result_.version,
-                     instances ? *instances : std::vector<Endpoint>());
-    if (!instances) {
-      Progress(instances.last_reason());
+    const auto started = StartRollout(line_, result_.version);
+    if (!started) {
+      Say(Describe(started.last_reason()));
       line_.exit_code = ExitCode::kNotInForce;
       return;
     }
+    rollout_ = *started;
     const TimePoint deadline = Now() + std::chrono::seconds(options_.wait_s);
     for (;;) {
       RunRound(*rollout_, line_.timeout);
@@ -159,14 +158,9 @@
   }
 
   void SayCounts() {
-    const std::string counts =
-        "in force at " + std::to_string(rollout_->InForce().size()) +
+    Say("in force at " + std::to_string(rollout_->InForce().size()) +
         ", lacking at " + std::to_string(rollout_->Lacking().size()) +
-        " instances";
-    if (counts != last_counts_) {
-      Say(counts);
-      last_counts_ = counts;
-    }
+        " instances");
   }
 
   void Report() const {
@@ -176,7 +170,8 @@
     }
     if (result_.outcome != UpdateOutcome::kAccepted) {
       std::cerr << "greengagectl: " << OutcomeName(result_.outcome) << ": "
-                << Describe(result_.reason) << '\n';
+                << result_.reason.subject << ": " << result_.reason.detail
+                << '\n';
       return;
     }
     std::cout << "version " << result_.version << " is accepted\n";
@@ -201,23 +196,26 @@
     return json;
   }
 
-  void Progress(const Failure& failure) const {
-    if (!failure.subject.empty()) {
+  // An object that does not exist yet is nothing to tell.
+  void Progress(const Failure& failure) {
+    if (!failure.subject.empty() && failure.kind != FailureKind::kNotFound) {
       Say(Describe(failure));
     }
   }
 
-  void Say(const std::string& text) const {
-    if (!line_.json) {
+  // Prints each line once, also when it is repeated.
+  void Say(const std::string& text) {
+    if (!line_.json && text != last_said_) {
       std::cerr << "greengagectl: " << text << '\n';
     }
+    last_said_ = text;
   }
 
   const ApplyOptions& options_;
   CommandLine& line_;
   UpdateResult result_;
   std::optional<ConfigurationRollout> rollout_;
-  std::string last_counts_;
+  std::string last_said_;
 };
 
 }  // namespace
--- a/tools/greengagectl/calls.cc
+++ b/tools/greengagectl/calls.cc
@@ -109,9 +109,11 @@
   return answers;
 }
 
-Result<std::vector<Endpoint>> FindInstances(const CommandLine& line) {
+Result<ConfigurationRollout> StartRollout(const CommandLine& line,
+                                          uint64_t version) {
+  ConfigurationRollout rollout(version, line.instances);
   if (!line.instances.empty()) {
-    return line.instances;
+    return rollout;
   }
   if (!line.platform) {
     return Failure{FailureKind::kMissingKey, "--instance",
@@ -128,7 +130,8 @@
   for (const Instance& instance : *listed) {
     endpoints.push_back(instance.http);
   }
-  return endpoints;
+  rollout.AddListed(endpoints);
+  return rollout;
 }
 
 void RunRound(ConfigurationRollout& rollout,
--- a/tools/greengagectl/calls.h
+++ b/tools/greengagectl/calls.h
@@ -31,9 +31,10 @@
     const std::string& target,
     std::chrono::milliseconds timeout);
 
-// The instances named on the command line, or those that the platform lists.
-// Fails with kMissingKey if neither is given.
-Result<std::vector<Endpoint>> FindInstances(const CommandLine& line);
+// Follows `version` at the instances named on the command line, or at those
+// that the platform lists. Fails with kMissingKey if neither is given.
+Result<ConfigurationRollout> StartRollout(const CommandLine& line,
+                                          uint64_t version);
 
 // Asks once all that `rollout` wants to know.
 void RunRound(ConfigurationRollout& rollout, std::chrono::milliseconds timeout);
--- a/tools/greengagectl/status_command.cc
+++ b/tools/greengagectl/status_command.cc
@@ -23,12 +23,12 @@
 }
 
 void RunStatus(CommandLine& line) {
-  const auto instances = FindInstances(line);
-  if (!instances) {
-    line.Fail(instances.last_reason());
+  Result<ConfigurationRollout> started = StartRollout(line, UINT64_MAX);
+  if (!started) {
+    line.Fail(started.last_reason());
     return;
   }
-  ConfigurationRollout rollout(UINT64_MAX, *instances);
+  ConfigurationRollout& rollout = started.value();
   FindMembers(rollout, line.timeout);
   const uint64_t version = NewestVersion(line, rollout);
   rollout.SetVersion(version);
--- a/tools/greengagectl/timeline_command.cc
+++ b/tools/greengagectl/timeline_command.cc
@@ -36,14 +36,13 @@
       : options_(options), line_(line) {}
 
   void Run() {
-    const auto instances = FindInstances(line_);
-    if (!instances) {
-      line_.Fail(instances.last_reason());
+    Result<ConfigurationRollout> members = StartRollout(line_, UINT64_MAX);
+    if (!members) {
+      line_.Fail(members.last_reason());
       return;
     }
-    ConfigurationRollout members(UINT64_MAX, *instances);
-    FindMembers(members, line_.timeout);
-    endpoints_ = members.ToAsk();
+    FindMembers(members.value(), line_.timeout);
+    endpoints_ = members->Present();
     HybridTime since{options_.since_ms.value_or(
                          WallMilliseconds() - int64_t{1000} * options_.last_s),
                      0};
