Give floors headroom, so that goodput keeps them

Cause: in a flood of urgent work the normal rank's whole answers came to 9.87 % and the background's to 4.83 % of capacity, below floors of 10 and 5: turns were counted on what is sent, of which some goes to deadlines and round trips. Change: a floor earns 1.1 turns.

--- a/src/coordination/rank_queue.cc
+++ b/src/coordination/rank_queue.cc
@@ -9,6 +9,9 @@
 
 constexpr double kPercent = 100;
 constexpr double kServiceSmoothing = 0.1;  // Weight of the newest value.
+// Turns that a floor earns for each one that it promises, since some of its
+// work is lost to deadlines and idle times.
+constexpr double kFloorHeadroom = 1.1;
 constexpr int kLargestSample = 4;          // In present means.
 constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(10);
 
@@ -231,7 +234,7 @@
 
 double RankQueue::ShareOf(size_t line) const {
   if (line > 0) {
-    return options_.floor_percent[line] / kPercent;
+    return kFloorHeadroom * options_.floor_percent[line] / kPercent;
   }
   double rest = kPercent;
   for (size_t i = 1; i < kRankCount; ++i) {
