--- a/tools/bench/experiments_fault.cc
+++ b/tools/bench/experiments_fault.cc
@@ -12,13 +12,15 @@
 constexpr double kMostP99Ms = 250;
 constexpr double kLongestSilenceMs = 1000;
 constexpr double kLyingHealthMost = 1.1;  // Times the p99 with true health.
-constexpr Duration kFaultAfter = std::chrono::milliseconds(500);
+constexpr double kLatestWorkMs = 5000;    // After the first sign of leaving.
 
 Scenario Usual(const Shape& shape) {
   Scenario scenario;
   scenario.shape = shape;
-  scenario.measured = std::chrono::seconds(shape.shards > 100 ? 5 : 10);
+  scenario.measured = std::chrono::seconds(8);
   scenario.deadline = std::chrono::seconds(1);
+  scenario.gives_hits = true;
+  scenario.tracks_hedges = true;
   return scenario;
 }
 
@@ -30,25 +32,28 @@
       Bound{BoundOn::kPolicy, BoundKind::kAtMost, kMostP99Ms});
   measures.Add("p99.9", "ms",
                [](const RunResult& r) { return r.All().Quantile(0.999); });
-  measures.Add("whole answers", "%", [](const RunResult& r) {
-    return 100 * r.All().WholeShare();
-  });
+  measures.Add("whole answers", "%",
+               [](const RunResult& r) { return 100 * r.All().WholeShare(); });
+  measures.Add(
+      "answers with untrue coverage", "",
+      [](const RunResult& r) { return static_cast<double>(r.untrue); },
+      Bound{BoundOn::kPolicy, BoundKind::kAtMost, 0});
   measures.Add(
       "sub-requests sent per one asked", "",
       [](const RunResult& r) { return r.SentPerAsked(); },
       Bound{BoundOn::kPolicy, BoundKind::kAtMost, kMostSentPerAsked});
 }
 
-using Prepare = std::function<void(Simulation&)>;
+using Figures = std::function<void(const Measures&)>;
 
 // Runs a fault at all shapes; `add` adds the figures of its own.
 Measurements RunFault(uint64_t seed,
-                      const Prepare& prepare,
-                      const std::function<void(const Measures&)>& add = {}) {
+                      const Fault& fault,
+                      const Figures& add = {}) {
   Measurements measurements;
   for (const Shape& shape : AllShapes()) {
     Scenario scenario = Usual(shape);
-    scenario.prepare = prepare;
+    scenario.prepare = fault;
     const Comparison runs = Compare(scenario, seed);
     const Measures measures(shape.name, runs, &measurements);
     AddCommon(measures);
@@ -81,6 +86,79 @@
       Bound{BoundOn::kPolicy, BoundKind::kAtMost, 0});
 }
 
+void AddDrain(const Measures& measures) {
+  measures.Add(
+      "last work after the first sign", "ms",
+      [](const RunResult& r) { return r.last_work_after_drain_ms; },
+      Bound{BoundOn::kPolicy, BoundKind::kAtMost, kLatestWorkMs});
+}
+
+// The p99 with lying health over the p99 with true health.
+Measurements RunLyingHealth(uint64_t seed) {
+  Measurements measurements;
+  for (const Shape& shape : AllShapes()) {
+    Scenario scenario = Usual(shape);
+    const Comparison honest = Compare(scenario, seed);
+    scenario.prepare = LyingHealth();
+    const Comparison lying = Compare(scenario, seed);
+    const Measures measures(shape.name, lying, &measurements);
+    AddCommon(measures);
+    const auto p99 = [](const RunResult& r) { return r.All().Quantile(0.99); };
+    measurements.push_back(
+        {shape.name, "p99 over the p99 with true health", "times",
+         p99(lying.baseline) / p99(honest.baseline),
+         p99(lying.policy) / p99(honest.policy),
+         Bound{BoundOn::kPolicy, BoundKind::kAtMost, kLyingHealthMost}});
+  }
+  return measurements;
+}
+
+const Registration kReplicaLoss(
+    {"replica-loss", "one replica of every tenth shard is killed",
+     [](uint64_t seed) { return RunFault(seed, ReplicaLoss()); }});
+
+const Registration kRepartition(
+    {"repartition", "shard boundaries move under load",
+     [](uint64_t seed) { return RunFault(seed, Repartition()); }});
+
+const Registration kSilentConnections(
+    {"silent-connections", "all connections to some searchers go silent",
+     [](uint64_t seed) {
+       return RunFault(seed, SilentConnections(), AddSilence);
+     }});
+
+const Registration kLyingHealth({"lying-health",
+                                 "health and load endpoints mislead",
+                                 RunLyingHealth});
+
+const Registration kColdStart(
+    {"cold-start", "one replica of every tenth shard starts anew",
+     [](uint64_t seed) { return RunFault(seed, ColdStart()); }});
+
+const Registration kDrain(
+    {"drain", "one replica of every tenth shard is leaving",
+     [](uint64_t seed) { return RunFault(seed, Drain(), AddDrain); }});
+
+const Registration kVersionChange(
+    {"version-change", "the index changes its version under load",
+     [](uint64_t seed) { return RunFault(seed, VersionChange(), AddMixed); }});
+
+const Registration kDrainAndSilence(
+    {"drain-and-silence", "searchers leave while their connections are silent",
+     [](uint64_t seed) {
+       return RunFault(seed, Both(Drain(), SilentConnections()),
+                       [](const Measures& measures) {
+                         AddDrain(measures);
+                         AddSilence(measures);
+                       });
+     }});
+
+const Registration kLossAndVersionChange(
+    {"loss-and-version-change", "replicas are lost during a version change",
+     [](uint64_t seed) {
+       return RunFault(seed, Both(ReplicaLoss(), VersionChange()), AddMixed);
+     }});
+
 }  // namespace
 
 }  // namespace greengage::bench
--- a/tools/bench/fake_owner.cc
+++ b/tools/bench/fake_owner.cc
@@ -152,7 +152,6 @@
   }
   for (const uint64_t key : silent) {
     const std::optional<CallId> call = connections_.at(key).call;
-    ++counts_.replaced_silent;
     Close(key);
     if (call) {
       queue_.Finish(events_->now(), std::nullopt);
@@ -163,6 +162,16 @@
   Pump();
 }
 
+Duration FakeOwner::LongestSilence(TimePoint now) const {
+  Duration longest = longest_silence_;
+  for (const auto& [key, connection] : connections_) {
+    if (connection.silent_use) {
+      longest = std::max(longest, now - *connection.silent_use);
+    }
+  }
+  return longest;
+}
+
 void FakeOwner::Pump() {
   for (;;) {
     QueuePop pop = queue_.Pop(events_->now());
@@ -217,6 +226,7 @@
   connection.liveness.OnRequest(now);
   if (connection.silent) {
     connection.silent_use = connection.silent_use.value_or(now);
+    call->swallowed = true;
     return;
   }
   events_->After(shape_->searcher_latency,
@@ -238,7 +248,6 @@
   if (it != connections_.end() && !searcher_->faults().dead) {
     it->second.open = true;
     it->second.liveness = ConnectionLiveness(events_->now(), {});
-    ++counts_.opened;
     if (waiting && IsWanted(*waiting)) {
       SendOn(key, *waiting);
     } else if (!unsent_.empty()) {
@@ -262,8 +271,8 @@
     return;
   }
   if (it->second.silent_use) {
-    counts_.longest_silence = std::max(counts_.longest_silence,
-                                       events_->now() - *it->second.silent_use);
+    longest_silence_ =
+        std::max(longest_silence_, events_->now() - *it->second.silent_use);
   }
   connections_.erase(it);
 }
--- a/tools/bench/fake_owner.h
+++ b/tools/bench/fake_owner.h
@@ -23,15 +23,6 @@
   bool watches_connections = true;
 };
 
-// What the connections to one searcher went through.
-struct ConnectionCounts {
-  uint64_t opened = 0;
-  uint64_t replaced_silent = 0;
-  // Longest time from the first request on a silent connection to the end of
-  // that connection.
-  Duration longest_silence{};
-};
-
 class FakeOwner {
  public:
   // Runs when a sub-request ends at the owner, in whatever way.
@@ -63,7 +54,9 @@
   // Replaces silent connections and probes idle ones; call now and then.
   void CheckConnections();
 
-  const ConnectionCounts& counts() const { return counts_; }
+  // The longest time, up to `now`, from the first request on a silent
+  // connection to the end of that connection.
+  Duration LongestSilence(TimePoint now) const;
 
  private:
   struct Connection {
@@ -103,7 +96,7 @@
   std::vector<CallId> unsent_;  // Taken from the queue, without a connection.
   uint64_t next_connection_ = 1;
   std::optional<TimePoint> last_answer_;
-  ConnectionCounts counts_;
+  Duration longest_silence_{};
 };
 
 }  // namespace greengage::bench
--- a/tools/bench/fake_searcher.cc
+++ b/tools/bench/fake_searcher.cc
@@ -36,7 +36,7 @@
   if (call == nullptr || faults_.dead) {
     return;
   }
-  ++arrivals_;
+  last_arrival_ = events_->now();
   const std::optional<Refusal> refusal = RefusalFor(call->request);
   if (refusal) {
     Refuse(id, call->request, *refusal);
@@ -48,12 +48,8 @@
 
 void FakeSearcher::Cancel(CallId id) {
   std::erase(waiting_, id);
-  for (size_t i = 0; i < running_.size(); ++i) {
-    if (running_[i].id == id) {
-      EndRunning(i);
-      StartNext();
-      return;
-    }
+  if (std::erase(running_, id) > 0) {
+    StartNext();
   }
 }
 
@@ -113,23 +109,20 @@
 }
 
 void FakeSearcher::Start(CallId id) {
-  running_.push_back({id, events_->now()});
+  running_.push_back(id);
   const TimePoint start = std::max(events_->now(), faults_.paused_until);
   events_->At(start + ServiceTime(), [this, id] { Complete(id); });
 }
 
 void FakeSearcher::Complete(CallId id) {
-  const auto it =
-      std::find_if(running_.begin(), running_.end(),
-                   [&](const Running& running) { return running.id == id; });
-  if (it == running_.end()) {
+  if (std::find(running_.begin(), running_.end(), id) == running_.end()) {
     return;
   }
   if (events_->now() < faults_.paused_until) {
     events_->At(faults_.paused_until, [this, id] { Complete(id); });
     return;
   }
-  EndRunning(static_cast<size_t>(it - running_.begin()));
+  std::erase(running_, id);
   const SubCall* call = calls_->Find(id);
   if (call != nullptr) {
     on_answer_(id, AnswerFor(call->request));
@@ -154,11 +147,6 @@
   return answer;
 }
 
-void FakeSearcher::EndRunning(size_t position) {
-  busy_ += events_->now() - running_[position].started;
-  running_.erase(running_.begin() + static_cast<std::ptrdiff_t>(position));
-}
-
 Duration FakeSearcher::ServiceTime() {
   std::lognormal_distribution<double> usual(std::log(shape_->service_median_ms),
                                             shape_->service_sigma);
--- a/tools/bench/fake_searcher.h
+++ b/tools/bench/fake_searcher.h
@@ -60,22 +60,15 @@
 
   SearcherFaults& faults() { return faults_; }
   const SearcherFaults& faults() const { return faults_; }
-  Duration busy_time() const { return busy_; }
-  uint64_t arrivals() const { return arrivals_; }
+  TimePoint last_arrival() const { return last_arrival_; }
 
  private:
-  struct Running {
-    CallId id;
-    TimePoint started;
-  };
-
   std::optional<Refusal> RefusalFor(const SubRequest& request) const;
   void Refuse(CallId id, const SubRequest& request, Refusal refusal);
   SubAnswer AnswerFor(const SubRequest& request) const;
   void StartNext();
   void Start(CallId id);
   void Complete(CallId id);
-  void EndRunning(size_t position);
   Duration ServiceTime();
   SearcherLoad Load() const;
 
@@ -86,13 +79,12 @@
   AnswerHook on_answer_;
   std::minstd_rand random_;
   SearcherFaults faults_;
-  std::vector<Running> running_;
+  std::vector<CallId> running_;
   std::deque<CallId> waiting_;
   double cold_factor_ = 1;
   TimePoint cold_since_;
   Duration warm_up_{1};
-  Duration busy_{};
-  uint64_t arrivals_ = 0;
+  TimePoint last_arrival_;
 };
 
 }  // namespace greengage::bench
--- a/tools/bench/naive_plan.cc
+++ b/tools/bench/naive_plan.cc
@@ -67,19 +67,33 @@
   return actions;
 }
 
+// Believes what health endpoints say.
+Endpoint NaivePlan::ChooseReplica(const ShardConfiguration& shard) {
+  std::vector<Endpoint> healthy;
+  for (const Endpoint& replica : shard.replicas) {
+    const auto view = context_->searchers->View(TimePoint(), replica);
+    if (!view || !view->hinted_unhealthy) {
+      healthy.push_back(replica);
+    }
+  }
+  const std::vector<Endpoint>& choice =
+      healthy.empty() ? shard.replicas : healthy;
+  std::uniform_int_distribution<size_t> any(0, choice.size() - 1);
+  return choice[any(random_)];
+}
+
 void NaivePlan::Send(size_t shard,
                      uint32_t number,
                      SendReason reason,
                      QueryActions& actions) {
   const ShardConfiguration& target =
       configuration_->services.at(query_.service).shards[shard];
-  std::uniform_int_distribution<size_t> any(0, target.replicas.size() - 1);
   SubRequest request;
   request.id = context_->next_sub_request_id.fetch_add(1);
   request.request_id = query_.request_id;
   request.service = query_.service;
   request.shard = target.name;
-  request.searcher = target.replicas[any(random_)];
+  request.searcher = ChooseReplica(target);
   request.range = target.range;
   request.configuration_version = configuration_->version;
   request.rank = query_.rank;
--- a/tools/bench/naive_plan.h
+++ b/tools/bench/naive_plan.h
@@ -31,6 +31,7 @@
     uint32_t number = 1;
   };
 
+  Endpoint ChooseReplica(const ShardConfiguration& shard);
   void Send(size_t shard,
             uint32_t number,
             SendReason reason,
--- a/tools/bench/run_result.h
+++ b/tools/bench/run_result.h
@@ -39,7 +39,13 @@
   uint64_t retries = 0;
   uint64_t reruns = 0;  // Sub-requests of queries that ran anew.
   uint64_t mixed = 0;   // Answers from more than one index version.
-  uint64_t refusals_without_time = 0;  // To come back at.
+  uint64_t untrue = 0;  // Covered and missing ranges do not tile.
+  uint64_t ejections = 0;
+  uint64_t swallowed = 0;         // Hedged after a silent connection.
+  double hedge_lateness_ms = 0;   // Of these, beyond the hedge delay, at most.
+  double longest_silence_ms = 0;  // Of a connection, from its first request.
+  double last_work_after_drain_ms = 0;  // After the first sign.
+  uint64_t refusals_without_time = 0;   // To come back at.
 
   const RankResult& rank(Rank r) const { return ranks[IndexOf(r)]; }
 
--- a/tools/bench/simulation.cc
+++ b/tools/bench/simulation.cc
@@ -1,5 +1,6 @@
 #include "tools/bench/simulation.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "tools/bench/naive_plan.h"
@@ -36,7 +37,11 @@
       random_(static_cast<std::minstd_rand::result_type>(seed)),
       configuration_(
           std::make_shared<Configuration>(ConfigurationOf(scenario_.shape))),
-      tracker_(SearcherStateOptions{}),
+      tracker_(SearcherStateOptions{},
+               [this](TimePoint, const Endpoint&, SearcherTracker::Change c) {
+                 const bool ejected = c == SearcherTracker::Change::kEjected;
+                 result_.ejections += ejected ? 1 : 0;
+               }),
       hedges_(HedgeOptions{}),
       extra_load_(configuration_->limits.hedge_percent),
       retries_(
@@ -92,6 +97,11 @@
   CheckConnections();
   events_.RunUntil(end + scenario_.deadline);
   result_.seconds = std::chrono::duration<double>(scenario_.measured).count();
+  for (const auto& owner : owners_) {
+    const Duration silence = owner->LongestSilence(end + scenario_.deadline);
+    result_.longest_silence_ms =
+        std::max(result_.longest_silence_ms, Milliseconds(silence));
+  }
   result_.capacity = scenario_.shape.CapacityPerSecond();
   return std::move(result_);
 }
@@ -213,14 +223,38 @@
   SubCall call;
   call.query = index;
   call.searcher = SearcherAt(action.request.searcher);
-  const uint64_t sub_id = action.request.id;
-  call.request = std::move(action.request);
+  call.request = action.request;
   const CallId id = calls_.Add(std::move(call));
-  calls_by_id_.emplace(sub_id, id);
+  calls_by_id_.emplace(action.request.id, id);
+  if (scenario_.tracks_hedges) {
+    TrackHedge(index, id, action);
+  }
   events_.After(scenario_.shape.owner_latency,
                 [this, id] { owners_[calls_.Find(id)->searcher]->Submit(id); });
 }
 
+// A sub-request that a silent connection swallowed must be hedged no later than
+// one hedge delay after it was sent.
+void Simulation::TrackHedge(uint32_t index,
+                            CallId id,
+                            const SendAction& action) {
+  LiveQuery& live = queries_[index];
+  const TimePoint now = events_.now();
+  if (action.reason == SendReason::kFirst) {
+    const Duration delay =
+        hedges_.Delay(now, live.query.service, live.query.rank);
+    live.firsts[action.request.shard] = {id, now + delay};
+    return;
+  }
+  const FirstSend& first = live.firsts[action.request.shard];
+  const SubCall* call = calls_.Find(first.call);
+  if (call != nullptr && call->swallowed) {
+    ++result_.swallowed;
+    result_.hedge_lateness_ms =
+        std::max(result_.hedge_lateness_ms, Milliseconds(now - first.due));
+  }
+}
+
 void Simulation::Cancel(const CancelAction& action) {
   const auto it = calls_by_id_.find(action.id);
   if (it == calls_by_id_.end()) {
@@ -300,6 +334,7 @@
   result.latencies_ms.push_back(
       Milliseconds(counted + 2 * scenario_.shape.client_latency));
   result_.mixed += IsMixed(answer) ? 1 : 0;
+  result_.untrue += scenario_.naive || IsTrue(answer) ? 0 : 1;
   if (answer.whole()) {
     ++result.whole;
   } else if (answer.outcome == Outcome::kAnswered) {
@@ -309,6 +344,23 @@
   }
 }
 
+// Covered and missing ranges must tile the key space.
+bool Simulation::IsTrue(const Answer& answer) const {
+  std::vector<KeyRange> ranges = answer.covered;
+  for (const MissingRange& missing : answer.missing) {
+    ranges.push_back(missing.range);
+  }
+  std::sort(ranges.begin(), ranges.end());
+  uint64_t next = 0;
+  for (const KeyRange& range : ranges) {
+    if (range.begin != next) {
+      return false;
+    }
+    next = range.end;
+  }
+  return next == configuration_->services.at(kServiceName).key_space;
+}
+
 void Simulation::CheckConnections() {
   for (const auto& owner : owners_) {
     owner->CheckConnections();
--- a/tools/bench/simulation.h
+++ b/tools/bench/simulation.h
@@ -4,9 +4,11 @@
 
 #include <array>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -38,6 +40,7 @@
   uint32_t extra_outstanding = 1;
   double extra_after = 0.6;
   bool gives_hits = false;
+  bool tracks_hedges = false;  // Measures how late hedges are.
   std::function<void(Simulation&)> prepare;
 };
 
@@ -52,20 +55,28 @@
   FakeSearcher& searcher(size_t i) { return *searchers_[i]; }
   FakeOwner& owner(size_t i) { return *owners_[i]; }
   size_t searchers() const { return searchers_.size(); }
+  size_t replicas() const { return scenario_.shape.replicas; }
   SearcherTracker& tracker() { return tracker_; }
   TimePoint MeasuredFrom() const { return TimePoint() + scenario_.warm_up; }
   const ConfigurationPtr& configuration() const { return configuration_; }
+  RunResult& result() { return result_; }
   void Kill(size_t searcher);
   void Restart(size_t searcher);
   void PutInForce(Configuration configuration);
 
  private:
+  struct FirstSend {
+    CallId call;
+    TimePoint due;  // When its hedge should go out.
+  };
+
   struct LiveQuery {
     std::unique_ptr<QueryDriver> driver;
     Query query;
     TimePoint started;
     TimePoint armed = TimePoint::max();
     bool measured = false;
+    std::map<std::string, FirstSend> firsts;  // By shard, if tracked.
   };
 
   void BuildSearchers(uint64_t seed);
@@ -78,12 +89,14 @@
   void CarryOut(uint32_t index, QueryActions actions);
   void Send(uint32_t index, SendAction action);
   void Cancel(const CancelAction& action);
+  void TrackHedge(uint32_t index, CallId id, const SendAction& action);
   void Arm(uint32_t index);
   void OnTimer(uint32_t index);
   void OnEnd(CallId id, SubAnswer answer);
   void Deliver(CallId id, SubAnswer answer);
   void Finish(uint32_t index, const Answer& answer);
   void Count(const LiveQuery& live, const Answer& answer);
+  bool IsTrue(const Answer& answer) const;
   void CheckConnections();
 
   const Scenario scenario_;
--- a/tools/bench/sub_call.h
+++ b/tools/bench/sub_call.h
@@ -20,7 +20,8 @@
   TimePoint sent;  // To the searcher.
   uint64_t connection = 0;
   bool cancelled = false;
-  bool ended = false;  // The end is on its way to the entry.
+  bool swallowed = false;  // By a silent connection.
+  bool ended = false;      // The end is on its way to the entry.
 };
 
 // Names a call even after its place has been taken by another one.
