Open a stream before its fresh connection can fail

Cause: PeerClient started a connection and then put the stream on it; a connection refused in between took no stream, and on_end never ran. Ruled out: nghttp2's handling of requests queued at a GOAWAY.

--- a/include/greengage/transport/peer_link.h
+++ b/include/greengage/transport/peer_link.h
@@ -20,7 +20,7 @@
 
 struct PeerLimits {
   size_t message_bytes = size_t{2} * 1024 * 1024;  // One message, either way.
-  size_t streams = 65536;                  // Concurrent on one connection.
+  size_t streams = 65536;  // Concurrent on one connection.
   std::chrono::milliseconds connect_timeout{1000};
   // A link that owes answers and makes no progress is pinged after this time,
   // and replaced when the ping stays unanswered as long again.
--- a/src/transport/peer_client_connection.cc
+++ b/src/transport/peer_client_connection.cc
@@ -44,7 +44,7 @@
       server_(server),
       authority_(ToString(server)),
       connect_timer_(strand),
-      deadline_timer_(strand),
+      deadlines_(strand),
       silence_timer_(strand),
       silence_(limits.silence_timeout, Now()) {}
 
@@ -139,7 +139,7 @@
     return;
   }
   const StreamId id = stream->id;
-  expiries_.emplace(stream->deadline, id);
+  deadlines_.Add(stream->deadline, id);
   PeerClientStream& added =
       *streams_.emplace(id, std::move(stream)).first->second;
   if (ready_) {
@@ -147,7 +147,7 @@
   } else {
     unsubmitted_.push_back(id);
   }
-  ArmDeadline();
+  ArmDeadlines();
 }
 
 void PeerClientConnection::Submit(PeerClientStream& stream) {
@@ -292,7 +292,7 @@
 void PeerClientConnection::OnClosed(const Failure& reason) {
   retired_ = true;
   connect_timer_.cancel();
-  deadline_timer_.cancel();
+  deadlines_.Cancel();
   silence_timer_.cancel();
   Execute(mailbox_.Close());
   while (!streams_.empty()) {
@@ -336,31 +336,20 @@
       nghttp2_session_get_stream_user_data(session(), stream_id));
 }
 
-void PeerClientConnection::ArmDeadline() {
-  if (expiries_.empty() || closed()) {
-    return;
-  }
-  const TimePoint next = expiries_.top().first;
-  if (armed_deadline_ && *armed_deadline_ <= next) {
-    return;
-  }
-  armed_deadline_ = next;
-  deadline_timer_.expires_at(next);
-  deadline_timer_.async_wait(
-      [self = shared_from_this(), this](boost::system::error_code error) {
-        if (!error) {
-          armed_deadline_.reset();
-          ExpireStreams(Now());
-          ArmDeadline();
-          Flush();
-        }
-      });
+void PeerClientConnection::ArmDeadlines() {
+  deadlines_.Arm([self = shared_from_this(), this] {
+    if (closed()) {
+      return;
+    }
+    ExpireStreams(Now());
+    ArmDeadlines();
+    Flush();
+  });
 }
 
 void PeerClientConnection::ExpireStreams(TimePoint now) {
-  while (!expiries_.empty() && expiries_.top().first <= now) {
-    const auto found = streams_.find(expiries_.top().second);
-    expiries_.pop();
+  for (const StreamId id : deadlines_.TakeExpired(now)) {
+    const auto found = streams_.find(id);
     if (found != streams_.end()) {
       Reset(*found->second, Describe(FailureKind::kTimedOut, "deadline"));
     }
--- a/src/transport/peer_client_connection.h
+++ b/src/transport/peer_client_connection.h
@@ -6,16 +6,14 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <functional>
 #include <memory>
 #include <optional>
-#include <queue>
 #include <string>
 #include <unordered_map>
-#include <utility>
 #include <vector>
 
 #include "greengage/transport/peer_link.h"
+#include "transport/deadline_timer.h"
 #include "transport/http2_connection.h"
 #include "transport/mailbox.h"
 #include "transport/message_framing.h"
@@ -65,9 +63,6 @@
     StreamId id = 0;
     std::unique_ptr<PeerClientStream> stream;
   };
-  using Expiry = std::pair<TimePoint, StreamId>;
-  using Expiries =
-      std::priority_queue<Expiry, std::vector<Expiry>, std::greater<Expiry>>;
 
   void OnHeader(int32_t stream_id,
                 std::string_view name,
@@ -100,7 +95,7 @@
   Failure Describe(FailureKind kind, std::string detail) const;
   PeerClientStream* Find(int32_t stream_id);
 
-  void ArmDeadline();
+  void ArmDeadlines();
   void ExpireStreams(TimePoint now);
   void ArmSilence();
   void WaitForSilence();
@@ -111,11 +106,9 @@
   Mailbox<Command> mailbox_;
   std::unordered_map<StreamId, std::unique_ptr<PeerClientStream>> streams_;
   std::vector<StreamId> unsubmitted_;
-  Expiries expiries_;
   boost::asio::steady_timer connect_timer_;
-  boost::asio::steady_timer deadline_timer_;
+  DeadlineTimer deadlines_;
   boost::asio::steady_timer silence_timer_;
-  std::optional<TimePoint> armed_deadline_;
   SilenceMonitor silence_;
   bool silence_armed_ = false;
   bool ready_ = false;    // The server's SETTINGS have come.
--- a/src/transport/peer_link_client.cc
+++ b/src/transport/peer_link_client.cc
@@ -67,19 +67,20 @@
       return id;
     }
     if (current_ == nullptr || !current_->Open(stream)) {
-      Connect();
+      Reconnect();
+      // Before the start, since a failed connection takes no streams.
       current_->Open(stream);
+      current_->Start();
     }
     return id;
   }
 
-  void Connect() {
+  void Reconnect() {
     current_ = std::make_shared<PeerClientConnection>(
         asio::make_strand(context_), server_, limits_);
     std::erase_if(connections_,
                   [](const auto& weak) { return weak.expired(); });
     connections_.push_back(current_);
-    current_->Start();
   }
 
   void CloseConnections() {
--- a/tests/peer_link_test.cc
+++ b/tests/peer_link_test.cc
@@ -118,6 +118,15 @@
   cr_assert(end.failure->kind == FailureKind::kConnectFailed && end.not_run);
 }
 
+Test(PeerLink, EveryStreamEndsWhileConnectionsFail) {
+  IoThreads io(3);
+  const auto client =
+      PeerClient::Create(io.context(), {"127.0.0.1", 1}, PeerLimits{});
+  for (int i = 0; i < 5000; ++i) {
+    cr_assert(PeerCall(*client, "/echo", "m").Wait().not_run);
+  }
+}
+
 Test(PeerLink, CancelReachesTheHandler) {
   Peers peers;
   PeerCall call(peers.client(), "/hold", "m");
