--- a/include/greengage/coordination/configuration_rollout.h
+++ b/include/greengage/coordination/configuration_rollout.h
@@ -19,6 +19,9 @@
   std::string data_centre;
   InstanceState state = InstanceState::kLive;
   bool reachable = false;
+  // Only the platform's lagging list names it; not waited for until it
+  // answers or another instance knows of it.
+  bool only_listed = false;
   uint64_t configuration_version = 0;
 };
 
@@ -29,6 +32,12 @@
  public:
   ConfigurationRollout(uint64_t version, const std::vector<Endpoint>& known);
 
+  // Adds what the platform's lagging list of instances names.
+  void AddListed(const std::vector<Endpoint>& endpoints);
+
+  // Follows another version from here on.
+  void SetVersion(uint64_t version) { version_ = version; }
+
   // Instances that are not known to have the version in force, and one that
   // has, whose list of members keeps up with arrivals and departures.
   std::vector<Endpoint> ToAsk() const;
@@ -37,6 +46,9 @@
   void OnUnreachable(const Endpoint& http);
   void EndRound();
 
+  // The highest version that an instance has in force.
+  uint64_t HighestVersion() const;
+
   // Whether at least one instance answered, and none lacks the version that is
   // live or suspected. Leaving and gone instances are not waited for.
   bool complete() const;
@@ -44,6 +56,9 @@
   std::vector<RolloutEntry> InForce() const;
   // Instances that are waited for: behind, or not reachable.
   std::vector<RolloutEntry> Lacking() const;
+  // All that are waited for or answer, also with the version in force.
+  std::vector<Endpoint> Present() const;
+
   // Instances that nobody waits for.
   std::vector<RolloutEntry> Departed() const;
 
@@ -52,7 +67,7 @@
   bool HasVersion(const RolloutEntry& entry) const;
   void OnMember(const Instance& member);
 
-  const uint64_t version_;
+  uint64_t version_;
   std::map<Endpoint, RolloutEntry> entries_;
   // Of the present round: what members that answered say of others.
   std::map<Endpoint, InstanceState> reported_;
