Answer requests whose body comes in a segment of its own

The demo's callers saw connections closed without an answer. While a request is handled, the socket is watched for the client's end; the event for the body's segment can come after the body was read, the wait then ends with nothing to read, and the server took that for the end. Ruled out: crashes (all processes ended with 0) and timeouts.

--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -42,10 +42,14 @@
   }
 
  private:
+  // What waits on the socket: nothing yet, the next request, or its end.
+  enum class Input : uint8_t { kNone, kBytes, kEnded };
+
   void WaitForRequest();
   void ReadRequest();
   void OnRequest(boost::system::error_code error);
   void RejectRequest(boost::system::error_code error);
+  Input LookAtInput();
   void WatchForAbandon();
   void Write(HttpResponse response, bool keep_alive);
   void SetTimeout(std::chrono::milliseconds timeout);
@@ -354,16 +358,33 @@
   Write(std::move(response), false);
 }
 
+// Readiness may have been reported for bytes that were read meanwhile, so that
+// only a look at the socket tells whether the client has gone.
+Session::Input Session::LookAtInput() {
+  boost::system::error_code error;
+  socket_.non_blocking(true, error);
+  char byte = 0;
+  socket_.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+  if (error == asio::error::would_block || error == asio::error::try_again) {
+    return Input::kNone;
+  }
+  return error ? Input::kEnded : Input::kBytes;
+}
+
 void Session::WatchForAbandon() {
   socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this(),
                                               number = exchange_](auto error) {
     if (error || !self->handling_ || self->exchange_ != number) {
       return;
     }
-    boost::system::error_code state;
-    const size_t available = self->socket_.available(state);
-    if (!state && available > 0) {
-      return;  // The next request is already here.
+    switch (self->LookAtInput()) {
+      case Input::kNone:
+        self->WatchForAbandon();
+        return;
+      case Input::kBytes:
+        return;
+      case Input::kEnded:
+        break;
     }
     const std::function<void()> hook =
         std::exchange(self->abandoned_hook_, nullptr);
