Send configuration changes between instances as deltas

An instance keeps its last four texts and answers an asker that has one of them with the changed sections, or with the whole text where that is smaller or the order of sections changed.

--- a/include/greengage/transport/configuration_service.h
+++ b/include/greengage/transport/configuration_service.h
@@ -7,6 +7,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -54,6 +55,9 @@
   // The text in force; empty before there is one.
   std::optional<ConfigurationText> current_text() const;
 
+  // The text of `version`, if it is among the last few that were in force.
+  std::optional<ConfigurationText> recent_text(uint64_t version) const;
+
   // Begins or ends to watch the platform.
   void SetWatching(bool watching);
 
@@ -86,7 +90,7 @@
   mutable std::mutex mutex_;
   boost::asio::steady_timer retry_timer_;
   ConfigurationPtr current_;
-  std::string text_;
+  std::deque<ConfigurationText> texts_;  // The newest first.
   ConfigurationSpread spread_;
   boost::asio::steady_timer tick_timer_;
   bool watching_ = false;
--- a/src/entry_instance.cc
+++ b/src/entry_instance.cc
@@ -226,8 +226,9 @@
           },
           [this](const ConfigurationFetch& fetch,
                  ConfigurationService::TextCallback done) {
-            FetchConfiguration(*router_->LinkTo(fetch.source),
-                               fetch.have_version, clock_, std::move(done));
+            FetchConfiguration(router_->LinkTo(fetch.source),
+                               configuration_->current_text(), clock_,
+                               std::move(done));
           },
           [this](const ConfigurationPtr& configuration) {
             OnConfiguration(configuration);
@@ -252,8 +253,7 @@
       &events_, &metrics_);
   peer_service_ = std::make_shared<PeerService>(
       owner_service_.get(), &clock_, [this](const std::string& request) {
-        return ServeConfiguration(request, configuration_->current_text(),
-                                  clock_);
+        return ServeConfiguration(request, *configuration_, clock_);
       });
 }
 
--- a/src/transport/configuration_fetch.h
+++ b/src/transport/configuration_fetch.h
@@ -2,6 +2,7 @@
 #ifndef GREENGAGE_SRC_TRANSPORT_CONFIGURATION_FETCH_H_
 #define GREENGAGE_SRC_TRANSPORT_CONFIGURATION_FETCH_H_
 
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -12,17 +13,20 @@
 
 namespace greengage {
 
-// Asks the instance behind `link` for a version above `have_version`. Fails
-// with kUnavailable or kMalformedMessage.
-void FetchConfiguration(PeerClient& link,
-                        uint64_t have_version,
+// Asks the instance behind `link` for a version above that of `base`, the text
+// held here. Where the answer is a delta that does not fit, asks once more for
+// the whole text. Fails with kUnavailable or kMalformedMessage.
+void FetchConfiguration(const std::shared_ptr<PeerClient>& link,
+                        std::optional<ConfigurationText> base,
                         HybridClock& clock,
                         ConfigurationService::TextCallback done);
 
-// Answers such a request; nothing where `text` is no higher version.
+// Answers such a request with a delta where `service` still has the asker's
+// version and a delta is smaller, or with the whole text; nothing where it has
+// no higher version.
 std::optional<std::string> ServeConfiguration(
     const std::string& request,
-    const std::optional<ConfigurationText>& text,
+    const ConfigurationService& service,
     HybridClock& clock);
 
 }  // namespace greengage
--- a/src/transport/configuration_service.cc
+++ b/src/transport/configuration_service.cc
@@ -12,6 +12,9 @@
 // Between two looks at whether a fetch from a peer should be given up.
 constexpr std::chrono::milliseconds kSpreadTick{100};
 
+// Versions that deltas can be made from.
+constexpr size_t kTextsKept = 4;
+
 TimePoint Now() {
   return std::chrono::steady_clock::now();
 }
@@ -40,7 +43,18 @@
   if (!current_) {
     return std::nullopt;
   }
-  return ConfigurationText{current_->version, text_};
+  return texts_.front();
+}
+
+std::optional<ConfigurationText> ConfigurationService::recent_text(
+    uint64_t version) const {
+  const std::lock_guard lock(mutex_);
+  for (const ConfigurationText& text : texts_) {
+    if (text.version == version) {
+      return text;
+    }
+  }
+  return std::nullopt;
 }
 
 uint64_t ConfigurationService::version() const {
@@ -203,7 +217,10 @@
   {
     const std::lock_guard lock(mutex_);
     current_ = configuration;
-    text_ = offered.text;
+    texts_.push_front(offered);
+    if (texts_.size() > kTextsKept) {
+      texts_.pop_back();
+    }
     next = spread_.OnInForce(offered.version, Now());
   }
   hooks_.on_in_force(configuration);
--- a/tests/greengagectl_process_test.cc
+++ b/tests/greengagectl_process_test.cc
@@ -4,7 +4,7 @@
 #include <chrono>
 #include <csignal>
 #include <memory>
-#include <optional>
+#include <thread>
 
 #include "greengage/transport/http_client.h"
 #include "tests/harness/program.h"
--- a/tests/harness/program.cc
+++ b/tests/harness/program.cc
@@ -123,10 +123,10 @@
 
 std::string TemporaryFile(const std::string& text) {
   static TemporaryFiles files;
-  const std::string name = (std::filesystem::temp_directory_path() /
-                            ("greengage-test-" + std::to_string(getpid()) +
-                             "-" + std::to_string(files.names.size()) + ".ini"))
-                               .string();
+  std::string name = (std::filesystem::temp_directory_path() /
+                      ("greengage-test-" + std::to_string(getpid()) + "-" +
+                       std::to_string(files.names.size()) + ".ini"))
+                         .string();
   files.names.push_back(name);
   std::ofstream(name) << text;
   return name;
--- a/tools/greengagectl/search_command.cc
+++ b/tools/greengagectl/search_command.cc
@@ -46,9 +46,10 @@
 
 std::string_view TextOf(const boost::json::object& object, const char* name) {
   const boost::json::value* value = object.if_contains(name);
-  return value != nullptr && value->is_string()
-             ? std::string_view(value->get_string())
-             : std::string_view();
+  if (value == nullptr || !value->is_string()) {
+    return {};
+  }
+  return value->get_string();
 }
 
 void PrintArray(const boost::json::object& answer, const char* name) {
