--- /dev/null
+++ b/tests/operations_page_test.cc
@@ -0,0 +1,39 @@
+// Compares docs/OPERATIONS.md with what the code knows.
+#include <fstream>
+#include <iterator>
+#include <string>
+
+#include "greengage/state/event_log.h"
+#include "greengage/state/metrics.h"
+
+#include <criterion/criterion.h>
+
+namespace greengage {
+namespace {
+
+std::string Page() {
+  std::ifstream file(GREENGAGE_SOURCE_DIR "/docs/OPERATIONS.md");
+  return {std::istreambuf_iterator<char>(file), {}};
+}
+
+}  // namespace
+
+Test(OperationsPage, HasEveryMetricWithItsMeaning) {
+  const std::string page = Page();
+  for (const MetricInfo& info : AllMetrics()) {
+    const std::string row = "| `" + std::string(info.name) + "` | " +
+                            std::string(info.type) + " | " +
+                            std::string(info.help) + " |\n";
+    cr_expect(page.find(row) != std::string::npos, "%s", row.c_str());
+  }
+}
+
+Test(OperationsPage, HasEveryEvent) {
+  const std::string page = Page();
+  for (const EventKind kind : AllEventKinds()) {
+    const std::string row = "\n| `" + std::string(EventKindName(kind)) + "` | ";
+    cr_expect(page.find(row) != std::string::npos, "%s", row.c_str());
+  }
+}
+
+}  // namespace greengage
