Bound HTTP client pools and replace silent connections to searchers

The pool runs on one strand a server. It checks that a peer has not closed an idle connection before a call goes out on it, opens a bounded number at once, and reports sent only from bytes that the kernel took. Silent connections are judged by ConnectionMonitor against the searcher's other answers; at the connection limit an idle suspect makes room for a fresh one.

--- a/include/greengage/coordination/connection_monitor.h
+++ b/include/greengage/coordination/connection_monitor.h
@@ -28,7 +28,9 @@
 struct ConnectionDecision {
   std::vector<uint64_t> replace;  // Silent: their calls have failed.
   std::vector<uint64_t> probe;    // Idle: ask for an answer on these.
-  bool probe_anew = false;        // Ask for one on a fresh connection.
+  // Suspect while the searcher has answered nowhere else.
+  std::vector<uint64_t> suspect;
+  bool probe_anew = false;  // Ask for an answer on a fresh connection.
 };
 
 // Judges connections that carry one request at a time. A suspect connection
--- a/include/greengage/transport/http_client.h
+++ b/include/greengage/transport/http_client.h
@@ -19,11 +19,14 @@
 namespace greengage {
 
 struct HttpClientLimits {
-  size_t connections = 25;          // Open at once.
-  size_t connecting = 4;            // Being opened at once.
-  size_t body_bytes = 1024 * 1024;  // Largest answer.
+  size_t connections = 25;                  // Open at once.
+  size_t connecting = 4;                    // Being opened at once.
+  size_t body_bytes = size_t{1024} * 1024;  // Largest answer.
   std::chrono::milliseconds connect_timeout{1000};
   std::chrono::milliseconds idle_timeout{30000};
+  // Path of a cheap GET. With one, idle connections are probed, and those that
+  // have gone silent are replaced. Empty: neither.
+  std::string probe_target = {};
 };
 
 struct HttpCall {
@@ -51,7 +54,7 @@
 
   static std::shared_ptr<HttpClient> Create(boost::asio::io_context& context,
                                             const Endpoint& server,
-                                            HttpClientLimits limits);
+                                            const HttpClientLimits& limits);
 
   // Starts a call. `done` runs exactly once, at the latest at the deadline.
   virtual CallId Start(HttpCall call, Callback done) = 0;
--- a/src/coordination/connection_monitor.cc
+++ b/src/coordination/connection_monitor.cc
@@ -71,10 +71,12 @@
     } else if (last_answer_ && *last_answer_ > connection.last_progress) {
       decision.replace.push_back(id);
     } else {
-      decision.probe_anew = !probing_anew_;
+      decision.suspect.push_back(id);
     }
   }
+  decision.probe_anew = !decision.suspect.empty() && !probing_anew_;
   std::sort(decision.probe.begin(), decision.probe.end());
+  std::sort(decision.suspect.begin(), decision.suspect.end());
   std::sort(decision.replace.begin(), decision.replace.end());
   return decision;
 }
--- /dev/null
+++ b/src/transport/http_client_connection.cc
@@ -0,0 +1,255 @@
+#include "transport/http_client_connection.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <boost/asio/bind_executor.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <chrono>
+#include <utility>
+
+namespace greengage {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+constexpr size_t kReadBytes = 4096;
+constexpr uint32_t kMaxHeaderBytes = 8 * 1024;
+constexpr unsigned kHttp11 = 11;
+// Sent bytes that the peer's kernel does not acknowledge for this time close
+// the connection, whatever the searcher does.
+constexpr std::chrono::milliseconds kAcknowledgeTimeout{800};
+
+void SetAcknowledgeTimeout(int socket) {
+  const auto timeout = static_cast<unsigned>(kAcknowledgeTimeout.count());
+  setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+}
+
+Failure Describe(FailureKind kind, std::string detail) {
+  return {kind, "server", std::move(detail)};
+}
+
+}  // namespace
+
+HttpClientConnection::HttpClientConnection(Id id,
+                                           const Strand& strand,
+                                           const HttpClientLimits& limits,
+                                           std::shared_ptr<const Hooks> hooks)
+    : id_(id),
+      strand_(strand),
+      limits_(limits),
+      hooks_(std::move(hooks)),
+      socket_(strand),
+      connect_timer_(strand) {}
+
+void HttpClientConnection::Connect(const asio::ip::tcp::endpoint& server) {
+  connect_timer_.expires_after(limits_.connect_timeout);
+  connect_timer_.async_wait(
+      [self = shared_from_this()](boost::system::error_code error) {
+        if (!error && !self->connected_) {
+          self->Close(Describe(FailureKind::kConnectFailed, "timed out"));
+        }
+      });
+  socket_.async_connect(
+      server, asio::bind_executor(
+                  strand_,
+                  [self = shared_from_this()](boost::system::error_code error) {
+                    self->OnConnected(error);
+                  }));
+}
+
+void HttpClientConnection::OnConnected(const boost::system::error_code& error) {
+  if (closed_) {
+    return;
+  }
+  if (error) {
+    Close(Describe(FailureKind::kConnectFailed, error.message()));
+    return;
+  }
+  connected_ = true;
+  connect_timer_.cancel();
+  boost::system::error_code ignored;
+  socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+  socket_.non_blocking(true, ignored);
+  SetAcknowledgeTimeout(socket_.native_handle());
+  Read();
+  hooks_->on_connected(id_);
+}
+
+bool HttpClientConnection::IsUsable() {
+  if (closed_ || !connected_ || parser_) {
+    return false;
+  }
+  char unasked = 0;
+  const ssize_t size = recv(socket_.native_handle(), &unasked, sizeof(unasked),
+                            MSG_PEEK | MSG_DONTWAIT);
+  return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void HttpClientConnection::Send(const HttpCall& call, const std::string& host) {
+  request_ = Request();
+  request_.version(kHttp11);
+  request_.method_string(call.method);
+  request_.target(call.target);
+  request_.set(http::field::host, host);
+  if (!call.body.empty()) {
+    request_.set(http::field::content_type, "application/json");
+  }
+  request_.body() = call.body;
+  request_.prepare_payload();
+  serializer_.emplace(request_);
+  parser_.emplace();
+  parser_->eager(true);
+  parser_->header_limit(kMaxHeaderBytes);
+  parser_->body_limit(limits_.body_bytes);
+  parser_->skip(call.method == "HEAD");
+  sent_ = false;
+  Write();
+}
+
+void HttpClientConnection::Write() {
+  while (!closed_ && serializer_ && !serializer_->is_done()) {
+    boost::system::error_code error;
+    const size_t size = http::write_some(socket_, *serializer_, error);
+    sent_ = sent_ || size > 0;
+    if (error == asio::error::would_block) {
+      WaitWritable();
+      return;
+    }
+    if (error) {
+      Close(Describe(FailureKind::kConnectionClosed, error.message()));
+      return;
+    }
+  }
+  serializer_.reset();
+}
+
+void HttpClientConnection::WaitWritable() {
+  socket_.async_wait(
+      asio::ip::tcp::socket::wait_write,
+      asio::bind_executor(strand_, [self = shared_from_this()](
+                                       boost::system::error_code error) {
+        if (!error) {
+          self->Write();
+        }
+      }));
+}
+
+// Always under way, also on an idle connection, so that one which the peer
+// closes is noticed.
+void HttpClientConnection::Read() {
+  socket_.async_read_some(
+      input_.prepare(kReadBytes),
+      asio::bind_executor(
+          strand_, [self = shared_from_this()](boost::system::error_code error,
+                                               size_t size) {
+            if (!self->closed_) {
+              self->OnRead(error, size);
+            }
+          }));
+}
+
+void HttpClientConnection::OnRead(const boost::system::error_code& error,
+                                  size_t size) {
+  if (error) {
+    OnEndOfStream(error);
+    return;
+  }
+  input_.commit(size);
+  Parse();
+  if (!closed_) {
+    Read();
+  }
+}
+
+void HttpClientConnection::Parse() {
+  if (!parser_) {
+    Close(Describe(FailureKind::kMalformedMessage, "bytes without a request"));
+    return;
+  }
+  boost::system::error_code error;
+  while (input_.size() > 0 && !parser_->is_done()) {
+    const size_t used = parser_->put(input_.data(), error);
+    input_.consume(used);
+    if (error == http::error::need_more) {
+      break;
+    }
+    if (error) {
+      OnParseError(error);
+      return;
+    }
+  }
+  if (parser_->is_done()) {
+    OnParsed();
+    return;
+  }
+  hooks_->on_progress(id_);
+}
+
+void HttpClientConnection::OnParsed() {
+  const bool reusable = parser_->get().keep_alive() && !parser_->need_eof() &&
+                        input_.size() == 0 && !serializer_;
+  HttpCallResult result{TakeResponse(), true};
+  parser_.reset();
+  if (!reusable) {
+    Close(Describe(FailureKind::kConnectionClosed, "not to be kept"));
+  }
+  hooks_->on_answer(id_, std::move(result));
+}
+
+HttpResponse HttpClientConnection::TakeResponse() {
+  auto message = parser_->release();
+  HttpResponse response;
+  response.status = message.result_int();
+  response.content_type = message[http::field::content_type];
+  for (const auto& field : message) {
+    response.headers.emplace_back(field.name_string(), field.value());
+  }
+  response.body = std::move(message.body());
+  return response;
+}
+
+void HttpClientConnection::OnEndOfStream(
+    const boost::system::error_code& error) {
+  if (error == asio::error::eof && parser_ && parser_->got_some()) {
+    boost::system::error_code parse_error;
+    parser_->put_eof(parse_error);
+    if (!parse_error && parser_->is_done()) {
+      OnParsed();
+      return;
+    }
+  }
+  const bool silent = error == asio::error::timed_out;
+  Close(Describe(
+      silent ? FailureKind::kSilentConnection : FailureKind::kConnectionClosed,
+      error.message()));
+}
+
+void HttpClientConnection::OnParseError(
+    const boost::system::error_code& error) {
+  const bool too_large =
+      error == http::error::body_limit || error == http::error::header_limit;
+  Close(Describe(
+      too_large ? FailureKind::kTooLarge : FailureKind::kMalformedMessage,
+      error.message()));
+}
+
+void HttpClientConnection::Close(Failure reason) {
+  if (closed_) {
+    return;
+  }
+  closed_ = true;
+  connect_timer_.cancel();
+  boost::system::error_code ignored;
+  socket_.close(ignored);
+  asio::post(strand_, [self = shared_from_this(),
+                       reason = std::move(reason)]() mutable {
+    self->hooks_->on_closed(self->id_, std::move(reason), self->sent_);
+  });
+}
+
+}  // namespace greengage
--- /dev/null
+++ b/src/transport/http_client_connection.h
@@ -0,0 +1,97 @@
+// One HTTP/1.1 client connection, which carries one call at a time.
+#ifndef GREENGAGE_TRANSPORT_HTTP_CLIENT_CONNECTION_H_
+#define GREENGAGE_TRANSPORT_HTTP_CLIENT_CONNECTION_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "greengage/transport/http_client.h"
+
+namespace greengage {
+
+// Used on its owner's strand only. A connection that fails or is closed with a
+// call under way ends that call first.
+class HttpClientConnection
+    : public std::enable_shared_from_this<HttpClientConnection> {
+ public:
+  using Id = uint64_t;
+  using Strand = boost::asio::strand<boost::asio::io_context::executor_type>;
+
+  // What the owner is told. No hook runs inside Connect(), Send() or Close().
+  struct Hooks {
+    std::function<void(Id)> on_connected;
+    std::function<void(Id)> on_progress;  // A part of an answer has come.
+    std::function<void(Id, HttpCallResult)> on_answer;  // Idle again.
+    // Closed, with the reason; `sent` tells whether a byte of the call under
+    // way was written.
+    std::function<void(Id, Failure, bool sent)> on_closed;
+  };
+
+  HttpClientConnection(Id id,
+                       const Strand& strand,
+                       const HttpClientLimits& limits,
+                       std::shared_ptr<const Hooks> hooks);
+
+  void Connect(const boost::asio::ip::tcp::endpoint& server);
+
+  // Whether an idle connection can take a call: false if the peer has closed
+  // it or sent something unasked.
+  bool IsUsable();
+
+  // Starts a call on an idle connection.
+  void Send(const HttpCall& call, const std::string& host);
+
+  // Closes the connection and reports `reason` later.
+  void Close(Failure reason);
+
+  Id id() const { return id_; }
+  bool closed() const { return closed_; }
+
+ private:
+  using Request = boost::beast::http::request<boost::beast::http::string_body>;
+  using Serializer =
+      boost::beast::http::request_serializer<boost::beast::http::string_body>;
+  using Parser =
+      boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+  void OnConnected(const boost::system::error_code& error);
+  void Write();
+  void WaitWritable();
+  void Read();
+  void OnRead(const boost::system::error_code& error, size_t size);
+  void Parse();
+  void OnParsed();
+  void OnEndOfStream(const boost::system::error_code& error);
+  void OnParseError(const boost::system::error_code& error);
+  HttpResponse TakeResponse();
+
+  const Id id_;
+  const Strand strand_;
+  const HttpClientLimits limits_;
+  const std::shared_ptr<const Hooks> hooks_;
+  boost::asio::ip::tcp::socket socket_;
+  boost::asio::steady_timer connect_timer_;
+  boost::beast::flat_buffer input_;
+  Request request_;
+  std::optional<Serializer> serializer_;
+  std::optional<Parser> parser_;  // Present while an answer is owed.
+  bool connected_ = false;
+  bool sent_ = false;
+  bool closed_ = false;
+};
+
+}  // namespace greengage
+
+#endif  // GREENGAGE_TRANSPORT_HTTP_CLIENT_CONNECTION_H_
--- /dev/null
+++ b/src/transport/http_client_pool.h
@@ -0,0 +1,123 @@
+// HttpClient: a bounded pool of connections to one server.
+#ifndef GREENGAGE_TRANSPORT_HTTP_CLIENT_POOL_H_
+#define GREENGAGE_TRANSPORT_HTTP_CLIENT_POOL_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <atomic>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "greengage/coordination/connection_monitor.h"
+#include "greengage/transport/http_client.h"
+#include "transport/deadline_timer.h"
+#include "transport/http_client_connection.h"
+#include "transport/mailbox.h"
+
+namespace greengage {
+
+// Everything but the public functions runs on one strand for the whole pool.
+class HttpClientPool : public HttpClient {
+ public:
+  HttpClientPool(boost::asio::io_context& context,
+                 const Endpoint& server,
+                 const HttpClientLimits& limits);
+
+  CallId Start(HttpCall call, Callback done) override;
+  void Cancel(CallId id) override;
+  void Close() override;
+  const Endpoint& server() const override { return server_; }
+  size_t open_connections() const override { return open_; }
+
+ private:
+  using ConnectionId = HttpClientConnection::Id;
+
+  struct Call {
+    HttpCall request;
+    Callback done;
+    ConnectionId connection = 0;  // 0 while it waits.
+  };
+
+  enum class Operation : uint8_t { kStart, kCancel, kClose };
+  struct Command {
+    Operation operation = Operation::kStart;
+    CallId id = 0;
+    Call call;
+  };
+
+  struct Connection {
+    std::shared_ptr<HttpClientConnection> link;
+    CallId call = 0;  // 0 if none is under way.
+    bool connecting = true;
+    bool probing = false;
+    bool opened_to_probe = false;
+    TimePoint idle_since;
+  };
+
+  std::shared_ptr<HttpClientPool> Self();
+  void Push(Command command);
+  void Execute(std::vector<Command> commands);
+  void Add(CallId id, Call call);
+  void CancelCall(CallId id);
+  void CloseIdle();
+
+  // Gives waiting calls to idle connections and opens more as needed.
+  void Dispatch();
+  std::optional<CallId> TakeWaiting();
+  Connection* TakeIdle();
+  void SendCall(Connection& connection, CallId id);
+  bool CanConnect(TimePoint now) const;
+  void Connect(TimePoint now, bool to_probe);
+  void EndCall(CallId id, HttpCallResult result);
+  void FailWaiting(const Failure& reason);
+  void ArmDeadlines();
+  void ExpireCall(CallId id);
+
+  std::shared_ptr<const HttpClientConnection::Hooks> MakeHooks();
+  void OnConnected(ConnectionId id);
+  void OnAnswer(ConnectionId id, HttpCallResult result);
+  void OnClosed(ConnectionId id, const Failure& reason, bool sent);
+
+  // Probing and replacing silent connections, and closing long idle ones.
+  void ArmMaintenance(TimePoint now);
+  void Maintain(TimePoint now);
+  void ProbeAnew(TimePoint now, const std::vector<ConnectionId>& suspects);
+  void ExpireIdle(TimePoint now);
+  void SendProbe(TimePoint now, Connection& connection);
+  std::optional<TimePoint> NextMaintenance() const;
+
+  Failure Describe(FailureKind kind, std::string detail) const;
+
+  boost::asio::io_context& context_;
+  const Endpoint server_;
+  const std::string host_;
+  const HttpClientLimits limits_;
+  const HttpClientConnection::Strand strand_;
+  Mailbox<Command> mailbox_;
+  std::atomic<CallId> last_call_ = 0;
+  std::atomic<size_t> open_ = 0;
+
+  std::unordered_map<CallId, Call> calls_;
+  std::deque<CallId> waiting_;  // May hold ids of calls that have ended.
+  size_t waiting_count_ = 0;
+  std::unordered_map<ConnectionId, Connection> connections_;
+  std::vector<ConnectionId> idle_;  // Most recently used last.
+  size_t connecting_ = 0;
+  ConnectionId last_connection_ = 0;
+  std::optional<TimePoint> connect_after_;
+  DeadlineTimer deadlines_;
+  ConnectionMonitor monitor_;
+  boost::asio::steady_timer maintenance_timer_;
+  std::optional<TimePoint> maintenance_at_;
+  bool closed_ = false;
+};
+
+}  // namespace greengage
+
+#endif  // GREENGAGE_TRANSPORT_HTTP_CLIENT_POOL_H_
--- a/src/transport/mailbox.h
+++ b/src/transport/mailbox.h
@@ -21,7 +21,7 @@
 class Mailbox {
  public:
   // Moves from `item` unless the mailbox is closed.
-  PushResult Push(T&& item) {
+  PushResult Push(T& item) {
     const std::lock_guard<std::mutex> lock(mutex_);
     if (closed_) {
       return PushResult::kClosed;
--- a/src/transport/owner_service.cc
+++ b/src/transport/owner_service.cc
@@ -12,6 +12,9 @@
 
 constexpr std::chrono::milliseconds kCancelTimeout{1000};
 
+// Where a searcher's connections are probed.
+constexpr const char* kHealthTarget = "/health";
+
 TimePoint Now() {
   return std::chrono::steady_clock::now();
 }
@@ -66,6 +69,7 @@
 HttpClientLimits OwnerService::ClientLimits(const Endpoint& endpoint) const {
   const RankQueueOptions queue = QueueOptions(endpoint);
   HttpClientLimits limits;
+  limits.probe_target = kHealthTarget;
   limits.connections =
       queue.slots + queue.extra_outstanding + kSpareConnections;
   const std::lock_guard lock(configuration_mutex_);
--- a/src/transport/peer_client_connection.cc
+++ b/src/transport/peer_client_connection.cc
@@ -37,7 +37,7 @@
 
 }  // namespace
 
-PeerClientConnection::PeerClientConnection(Strand strand,
+PeerClientConnection::PeerClientConnection(const Strand& strand,
                                            const Endpoint& server,
                                            PeerLimits limits)
     : Http2Connection(asio::ip::tcp::socket(strand), strand, limits),
@@ -92,7 +92,7 @@
 
 bool PeerClientConnection::Open(std::unique_ptr<PeerClientStream>& stream) {
   Command command{stream->id, std::move(stream)};
-  const PushResult result = mailbox_.Push(std::move(command));
+  const PushResult result = mailbox_.Push(command);
   if (result == PushResult::kClosed) {
     stream = std::move(command.stream);
     return false;
@@ -104,7 +104,8 @@
 }
 
 void PeerClientConnection::Cancel(StreamId id) {
-  if (mailbox_.Push({id, nullptr}) == PushResult::kSchedule) {
+  Command command{id, nullptr};
+  if (mailbox_.Push(command) == PushResult::kSchedule) {
     Schedule();
   }
 }
--- a/src/transport/peer_client_connection.h
+++ b/src/transport/peer_client_connection.h
@@ -44,7 +44,7 @@
  public:
   using StreamId = PeerClient::StreamId;
 
-  PeerClientConnection(Strand strand,
+  PeerClientConnection(const Strand& strand,
                        const Endpoint& server,
                        PeerLimits limits);
 
--- a/src/transport/peer_server_connection.cc
+++ b/src/transport/peer_server_connection.cc
@@ -107,7 +107,7 @@
 }
 
 void PeerServerConnection::Post(Command command) {
-  if (mailbox_.Push(std::move(command)) != PushResult::kSchedule) {
+  if (mailbox_.Push(command) != PushResult::kSchedule) {
     return;
   }
   asio::post(strand(), [self = shared_from_this(), this] {
--- a/tests/harness/tcp_relay.cc
+++ b/tests/harness/tcp_relay.cc
@@ -92,7 +92,7 @@
 
 std::shared_ptr<TcpRelay> TcpRelay::Start(asio::io_context& context,
                                           const Endpoint& target) {
-  const std::shared_ptr<TcpRelay> relay(new TcpRelay(context, target));
+  std::shared_ptr<TcpRelay> relay(new TcpRelay(context, target));
   relay->Accept();
   return relay;
 }
--- /dev/null
+++ b/tests/http_client_test.cc
@@ -0,0 +1,257 @@
+#include "greengage/transport/http_client.h"
+
+#include <chrono>
+#include <deque>
+#include <future>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "greengage/transport/http_server.h"
+#include "tests/harness/io_threads.h"
+#include "tests/harness/scripted_server.h"
+#include "tests/harness/tcp_relay.h"
+
+#include <criterion/criterion.h>
+
+namespace greengage {
+namespace {
+
+using Ms = std::chrono::milliseconds;
+
+constexpr size_t kThreads = 3;
+constexpr char kWhole[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+class Call {
+ public:
+  Call(HttpClient& client, std::string target, Ms timeout = Ms(10000))
+      : state_(std::make_shared<std::promise<HttpCallResult>>()),
+        ended_(state_->get_future()) {
+    HttpCall call;
+    call.target = std::move(target);
+    call.deadline = std::chrono::steady_clock::now() + timeout;
+    id_ =
+        client.Start(std::move(call), [state = state_](HttpCallResult result) {
+          state->set_value(std::move(result));
+        });
+  }
+
+  HttpCallResult Wait() { return ended_.get(); }
+  bool EndsWithin(Ms time) {
+    return ended_.wait_for(time) == std::future_status::ready;
+  }
+  HttpClient::CallId id() const { return id_; }
+
+ private:
+  std::shared_ptr<std::promise<HttpCallResult>> state_;
+  std::future<HttpCallResult> ended_;
+  HttpClient::CallId id_ = 0;
+};
+
+// Answers at once, except for /hold.
+class Server {
+ public:
+  explicit Server(IoThreads& io)
+      : server_(*HttpServer::Listen(
+            io.context(),
+            {"127.0.0.1", 0},
+            {},
+            [this](const HttpRequest& request,
+                   const std::shared_ptr<HttpExchange>& exchange) {
+              Handle(request, exchange);
+            })) {}
+
+  Endpoint endpoint() const { return server_->endpoint(); }
+  size_t connections() const { return server_->connections(); }
+
+ private:
+  void Handle(const HttpRequest& request,
+              const std::shared_ptr<HttpExchange>& exchange) {
+    if (request.path == "/hold") {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      held_.push_back(exchange);
+      return;
+    }
+    exchange->Reply({.body = request.path});
+  }
+
+  std::mutex mutex_;
+  std::vector<std::shared_ptr<HttpExchange>> held_;
+  std::shared_ptr<HttpServer> server_;
+};
+
+FailureKind KindOf(const HttpCallResult& result) {
+  cr_assert(!result.response.ok());
+  return result.response.last_reason().kind;
+}
+
+HttpCallResult CallScripted(const std::string& answer, size_t body_bytes) {
+  IoThreads io(kThreads);
+  const auto server = ScriptedServer::Start(io.context(), answer, true);
+  const auto client = HttpClient::Create(io.context(), server->endpoint(),
+                                         {.body_bytes = body_bytes});
+  return Call(*client, "/").Wait();
+}
+
+}  // namespace
+
+Test(HttpClient, AnswersManyCallsWithinItsConnectionLimit) {
+  IoThreads io(kThreads);
+  Server server(io);
+  const auto client = HttpClient::Create(io.context(), server.endpoint(),
+                                         {.connections = 3, .connecting = 2});
+  std::deque<Call> calls;
+  for (int i = 0; i < 500; ++i) {
+    calls.emplace_back(*client, "/" + std::to_string(i));
+  }
+  for (int i = 0; i < 500; ++i) {
+    const HttpCallResult result = calls[i].Wait();
+    cr_assert(result.response->body == "/" + std::to_string(i));
+    cr_assert(client->open_connections() <= 3);
+  }
+}
+
+Test(HttpClient, QueuedCallsEndWithoutBeingSent) {
+  IoThreads io(kThreads);
+  Server server(io);
+  const auto client =
+      HttpClient::Create(io.context(), server.endpoint(), {.connections = 1});
+  Call busy(*client, "/hold");
+  Call expired(*client, "/x", Ms(50));
+  Call cancelled(*client, "/x");
+  const HttpCallResult timed_out = expired.Wait();
+  cr_assert(KindOf(timed_out) == FailureKind::kTimedOut && !timed_out.sent);
+  client->Cancel(cancelled.id());
+  const HttpCallResult given_up = cancelled.Wait();
+  cr_assert(KindOf(given_up) == FailureKind::kCancelled && !given_up.sent);
+  cr_assert(!busy.EndsWithin(Ms(0)));
+}
+
+Test(HttpClient, CancelAndDeadlineCloseTheBusyConnection) {
+  IoThreads io(kThreads);
+  Server server(io);
+  const auto client =
+      HttpClient::Create(io.context(), server.endpoint(), {.connections = 1});
+  Call late(*client, "/hold", Ms(50));
+  const HttpCallResult timed_out = late.Wait();
+  cr_assert(KindOf(timed_out) == FailureKind::kTimedOut && timed_out.sent);
+  Call cancelled(*client, "/hold");
+  std::this_thread::sleep_for(Ms(50));
+  client->Cancel(cancelled.id());
+  const HttpCallResult given_up = cancelled.Wait();
+  cr_assert(KindOf(given_up) == FailureKind::kCancelled && given_up.sent);
+  cr_assert(Call(*client, "/next").Wait().response->body == "/next");
+}
+
+Test(HttpClient, UnreachableServerIsProvedUnsent) {
+  IoThreads io(kThreads);
+  const auto client = HttpClient::Create(io.context(), {"127.0.0.1", 1}, {});
+  for (int i = 0; i < 100; ++i) {
+    const HttpCallResult result = Call(*client, "/").Wait();
+    cr_assert(KindOf(result) == FailureKind::kConnectFailed && !result.sent);
+  }
+}
+
+Test(HttpClient, LosesNoCallOnAConnectionClosedWhileIdle) {
+  IoThreads io(kThreads);
+  const auto server = ScriptedServer::Start(io.context(), kWhole, true);
+  const auto client =
+      HttpClient::Create(io.context(), server->endpoint(), {.connections = 1});
+  for (size_t i = 1; i <= 20; ++i) {
+    cr_assert(Call(*client, "/").Wait().response->body == "ok");
+    // The close comes right behind the answer, but it takes its way.
+    std::this_thread::sleep_for(Ms(5));
+    cr_assert(server->accepted() == i);
+  }
+}
+
+Test(HttpClient, MalformedAnswersAreTyped) {
+  for (const char* answer : {"nonsense\r\n\r\n", "HTTP/1.1 2000 OK\r\n\r\n",
+                             "HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n"}) {
+    const HttpCallResult result = CallScripted(answer, 100);
+    cr_assert(KindOf(result) == FailureKind::kMalformedMessage, "%s", answer);
+    cr_assert(result.sent);
+  }
+  const HttpCallResult cut =
+      CallScripted("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", 100);
+  cr_assert(KindOf(cut) == FailureKind::kConnectionClosed);
+}
+
+Test(HttpClient, AnswersOverTheLimitsAreRefused) {
+  const HttpCallResult body =
+      CallScripted("HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n", 100);
+  cr_assert(KindOf(body) == FailureKind::kTooLarge);
+  const HttpCallResult header = CallScripted(
+      "HTTP/1.1 200 OK\r\nX: " + std::string(10000, 'x') + "\r\n\r\n", 100);
+  cr_assert(KindOf(header) == FailureKind::kTooLarge);
+}
+
+Test(HttpClient, UnaskedAnswerIsNotTakenForTheNextCall) {
+  IoThreads io(kThreads);
+  const auto server =
+      ScriptedServer::Start(io.context(), std::string(kWhole) + kWhole, false);
+  const auto client =
+      HttpClient::Create(io.context(), server->endpoint(), {.connections = 1});
+  cr_assert(Call(*client, "/").Wait().response.ok());
+  cr_assert(Call(*client, "/").Wait().response.ok());
+  cr_assert(server->accepted() == 2);
+}
+
+Test(HttpClient, IdleConnectionsExpire) {
+  IoThreads io(kThreads);
+  Server server(io);
+  const auto client = HttpClient::Create(io.context(), server.endpoint(),
+                                         {.idle_timeout = Ms(50)});
+  cr_assert(Call(*client, "/").Wait().response.ok());
+  for (int i = 0; i < 500 && client->open_connections() > 0; ++i) {
+    std::this_thread::sleep_for(Ms(10));
+  }
+  cr_assert(client->open_connections() == 0);
+}
+
+Test(HttpClient, BusySilentConnectionIsReplacedWithinASecond) {
+  IoThreads io(kThreads);
+  Server server(io);
+  const auto relay = TcpRelay::Start(io.context(), server.endpoint());
+  const auto client =
+      HttpClient::Create(io.context(), relay->endpoint(),
+                         {.connections = 2, .probe_target = "/health"});
+  cr_assert(Call(*client, "/").Wait().response.ok());
+  relay->SilenceConnections();
+  Call stalled(*client, "/stalled");
+  cr_assert(stalled.EndsWithin(Ms(1000)));
+  const HttpCallResult result = stalled.Wait();
+  cr_assert(KindOf(result) == FailureKind::kSilentConnection && result.sent);
+  cr_assert(Call(*client, "/", Ms(1000)).Wait().response.ok());
+}
+
+Test(HttpClient, OnlyConnectionAllowedIsReplacedWhenSilentAndIdle) {
+  IoThreads io(kThreads);
+  Server server(io);
+  const auto relay = TcpRelay::Start(io.context(), server.endpoint());
+  const auto client =
+      HttpClient::Create(io.context(), relay->endpoint(),
+                         {.connections = 1, .probe_target = "/health"});
+  cr_assert(Call(*client, "/").Wait().response.ok());
+  relay->SilenceConnections();
+  std::this_thread::sleep_for(Ms(1000));
+  cr_assert(Call(*client, "/", Ms(200)).Wait().response.ok());
+}
+
+Test(HttpClient, IdleSilentConnectionIsReplacedWithinASecond) {
+  IoThreads io(kThreads);
+  Server server(io);
+  const auto relay = TcpRelay::Start(io.context(), server.endpoint());
+  const auto client =
+      HttpClient::Create(io.context(), relay->endpoint(),
+                         {.connections = 2, .probe_target = "/health"});
+  cr_assert(Call(*client, "/").Wait().response.ok());
+  relay->SilenceConnections();
+  std::this_thread::sleep_for(Ms(1000));
+  cr_assert(relay->accepted() == 2);
+  cr_assert(Call(*client, "/", Ms(200)).Wait().response.ok());
+}
+
+}  // namespace greengage
--- a/tests/peer_link_test.cc
+++ b/tests/peer_link_test.cc
@@ -25,15 +25,15 @@
 class Peers {
  public:
   explicit Peers(PeerLimits limits = {})
-      : server_(*PeerServer::Listen(io_.context(),
-                                    AnyPort(),
-                                    limits,
-                                    [this](const std::string& path,
-                                           std::string message,
-                                           std::shared_ptr<PeerStream> stream) {
-                                      Handle(path, std::move(message),
-                                             std::move(stream));
-                                    })),
+      : server_(*PeerServer::Listen(
+            io_.context(),
+            AnyPort(),
+            limits,
+            [this](const std::string& path,
+                   std::string message,
+                   const std::shared_ptr<PeerStream>& stream) {
+              Handle(path, std::move(message), stream);
+            })),
         client_(PeerClient::Create(io_.context(), server_->endpoint(), {})) {}
 
   PeerServer& server() { return *server_; }
