--- a/include/greengage/transport/http_client.h
+++ b/include/greengage/transport/http_client.h
@@ -54,7 +54,7 @@
 
   static std::shared_ptr<HttpClient> Create(boost::asio::io_context& context,
                                             const Endpoint& server,
-                                            HttpClientLimits limits);
+                                            const HttpClientLimits& limits);
 
   // Starts a call. `done` runs exactly once, at the latest at the deadline.
   virtual CallId Start(HttpCall call, Callback done) = 0;
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -11,7 +11,7 @@
 
 std::shared_ptr<HttpClient> HttpClient::Create(boost::asio::io_context& context,
                                                const Endpoint& server,
-                                               HttpClientLimits limits) {
+                                               const HttpClientLimits& limits) {
   return std::make_shared<HttpClientPool>(context, server, limits);
 }
 
--- a/tests/harness/scripted_server.h
+++ b/tests/harness/scripted_server.h
@@ -25,7 +25,7 @@
   static std::shared_ptr<ScriptedServer> Start(boost::asio::io_context& context,
                                                std::string answer,
                                                bool close) {
-    const std::shared_ptr<ScriptedServer> server(
+    std::shared_ptr<ScriptedServer> server(
         new ScriptedServer(context, std::move(answer), close));
     server->Accept();
     return server;
