Leave queued work in its place when hedging

Cause, by trace at fan-out 340: with one replica paused, the queue at the other grew; a further attempt there gave up the queued one and went to the end of the queue. Change: a searcher gets another attempt of the same query only if it has answered work sent later, or nothing for a hedge delay.

--- a/include/greengage/coordination/query_plan.h
+++ b/include/greengage/coordination/query_plan.h
@@ -129,6 +129,11 @@
             size_t shard,
             SendReason reason,
             QueryActions& actions);
+  void SendTo(TimePoint now,
+              size_t shard,
+              const Endpoint& searcher,
+              SendReason reason,
+              QueryActions& actions);
   std::optional<Endpoint> ChooseReplica(TimePoint now, size_t shard);
   SubRequest MakeSubRequest(size_t shard, const Endpoint& searcher);
   void ScheduleHedge(TimePoint now, size_t shard);
@@ -148,6 +153,7 @@
   bool TryRerun(TimePoint now, QueryActions& actions);
   void GiveUp(size_t shard, Refusal refusal);
   void Hedge(TimePoint now, size_t shard, QueryActions& actions);
+  bool IsQueuedAt(TimePoint now, size_t shard, const Endpoint& searcher) const;
   void CancelReplaced(TimePoint now, size_t shard, QueryActions& actions);
   void CancelOpen(TimePoint now, size_t shard, QueryActions& actions);
   void CancelAttempt(TimePoint now,
--- a/include/greengage/coordination/replica_chooser.h
+++ b/include/greengage/coordination/replica_chooser.h
@@ -22,10 +22,10 @@
 
 // Takes the less loaded of two random candidates. Load is what the instance
 // itself has outstanding at the same or a more urgent rank, plus the queue
-// that the searcher returned, over slots and slow-start weight. Ejected
-// searchers are used only when no other is left, so that ejection cannot
-// empty a shard; draining ones and those without the version never are. Not
-// thread-safe.
+// that the searcher returned, over slots and slow-start weight. Suspected
+// and ejected searchers are used only when no other is left, so that ejection
+// cannot empty a shard; draining ones and those without the version never are.
+// Not thread-safe.
 class ReplicaChooser {
  public:
   explicit ReplicaChooser(uint64_t seed);
@@ -33,6 +33,11 @@
   std::optional<Endpoint> Choose(const std::vector<SearcherView>& replicas,
                                  const ReplicaNeed& need);
 
+  // For a further attempt: takes a replica that has not been tried; when all
+  // have been, any but the last one tried, unless the others are avoided.
+  std::optional<Endpoint> ChooseAgain(const std::vector<SearcherView>& replicas,
+                                      const ReplicaNeed& need);
+
  private:
   std::vector<const SearcherView*> KeepWarm(
       const std::vector<const SearcherView*>& candidates);
--- a/include/greengage/coordination/searcher_state.h
+++ b/include/greengage/coordination/searcher_state.h
@@ -39,6 +39,9 @@
   uint64_t oldest_version = 0;  // 0: not known.
   uint64_t newest_version = 0;
   bool versions_old = false;  // It may have learned newer ones since.
+  TimePoint last_answer;      // Also a refusal; the epoch if there was none.
+  // When the newest of the sub-requests that it answered was sent, by rank.
+  std::array<TimePoint, kRankCount> newest_answered{};
   bool draining = false;
   bool avoided = false;           // Suspected or ejected.
   bool hinted_unhealthy = false;  // Its health endpoint says so; may be wrong.
@@ -65,8 +68,12 @@
 
   void OnSent(TimePoint now, Rank rank);
 
-  // The sub-request got an answer, a refusal, or an end without either.
-  void OnEnded(TimePoint now, Rank rank, const SubAnswer& answer);
+  // The sub-request that was sent at `sent` got an answer, a refusal, or an end
+  // without either.
+  void OnEnded(TimePoint now,
+               Rank rank,
+               TimePoint sent,
+               const SubAnswer& answer);
 
   // The sub-request was given up after `age`. It tells against the searcher
   // only when it was `overdue`, that is given up in favour of a hedge.
@@ -108,6 +115,8 @@
   LatencyWindow latency_;
   SearcherLoad load_;
   TimePoint load_at_;
+  TimePoint last_answer_;
+  std::array<TimePoint, kRankCount> newest_answered_{};
   TimePoint warm_since_;
   bool cold_ = false;
   std::optional<TimePoint> drain_sign_;
--- a/include/greengage/coordination/searcher_tracker.h
+++ b/include/greengage/coordination/searcher_tracker.h
@@ -35,7 +35,10 @@
 
   // See SearcherState; searchers that are not known are ignored.
   void OnSent(TimePoint now, const Endpoint& searcher, Rank rank);
-  void OnEnded(TimePoint now, Rank rank, const SubAnswer& answer);
+  void OnEnded(TimePoint now,
+               Rank rank,
+               TimePoint sent,
+               const SubAnswer& answer);
   void OnCancelled(TimePoint now,
                    const Endpoint& searcher,
                    Rank rank,
--- a/src/coordination/query_plan.cc
+++ b/src/coordination/query_plan.cc
@@ -133,43 +133,35 @@
                      size_t shard,
                      SendReason reason,
                      QueryActions& actions) {
-  ShardProgress& progress = shards_[shard];
   const std::optional<Endpoint> searcher = ChooseReplica(now, shard);
-  if (!searcher) {
-    return false;
+  if (searcher) {
+    SendTo(now, shard, *searcher, reason, actions);
   }
-  Attempt attempt{MakeSubRequest(shard, *searcher), shard, now};
-  context_->searchers->OnSent(now, *searcher, query_.rank);
+  return searcher.has_value();
+}
+
+void QueryPlan::SendTo(TimePoint now,
+                       size_t shard,
+                       const Endpoint& searcher,
+                       SendReason reason,
+                       QueryActions& actions) {
+  ShardProgress& progress = shards_[shard];
+  Attempt attempt{MakeSubRequest(shard, searcher), shard, now};
+  context_->searchers->OnSent(now, searcher, query_.rank);
   ++progress.attempts;
-  progress.tried.push_back(*searcher);
+  progress.tried.push_back(searcher);
   progress.open.push_back(attempt.request.id);
   ScheduleHedge(now, shard);
   actions.push_back(SendAction{attempt.request, reason});
   attempts_.emplace(attempt.request.id, std::move(attempt));
-  return true;
 }
 
-// Untried replicas go first. When all have been tried, the last one tried is
-// passed over unless the others are ejected.
 std::optional<Endpoint> QueryPlan::ChooseReplica(TimePoint now, size_t shard) {
-  const ShardProgress& progress = shards_[shard];
   const std::vector<SearcherView> views =
       context_->searchers->Views(now, service().shards[shard].replicas);
-  ReplicaNeed need{query_.rank, index_version_, &progress.tried};
-  const std::optional<Endpoint> untried = chooser_.Choose(views, need);
-  if (untried || progress.tried.empty() || !query_.idempotent) {
-    return untried;
-  }
-  const std::vector<Endpoint> last{progress.tried.back()};
-  need.tried = &last;
-  const bool others_work =
-      std::any_of(views.begin(), views.end(), [&](const SearcherView& view) {
-        return view.endpoint != last.front() && !view.draining && !view.avoided;
-      });
-  const std::optional<Endpoint> other =
-      others_work ? chooser_.Choose(views, need) : std::nullopt;
-  need.tried = nullptr;
-  return other ? other : chooser_.Choose(views, need);
+  const ReplicaNeed need{query_.rank, index_version_, &shards_[shard].tried};
+  return query_.idempotent ? chooser_.ChooseAgain(views, need)
+                           : chooser_.Choose(views, need);
 }
 
 SubRequest QueryPlan::MakeSubRequest(size_t shard, const Endpoint& searcher) {
@@ -192,17 +184,6 @@
   return request;
 }
 
-void QueryPlan::ScheduleHedge(TimePoint now, size_t shard) {
-  ShardProgress& progress = shards_[shard];
-  progress.hedge_at = TimePoint::max();
-  if (!query_.idempotent || progress.attempts >= context_->hedges->attempts()) {
-    return;
-  }
-  progress.hedge_at =
-      now + context_->hedges->Delay(now, query_.service, query_.rank);
-  next_time_ = std::min(next_time_, progress.hedge_at);
-}
-
 void QueryPlan::Accept(TimePoint now,
                        const Attempt& attempt,
                        SubAnswer answer,
@@ -216,7 +197,7 @@
   }
   index_version_ = pinned;
   const Duration latency = now - attempt.sent;
-  context_->searchers->OnEnded(now, query_.rank, answer);
+  context_->searchers->OnEnded(now, query_.rank, attempt.sent, answer);
   context_->hedges->Record(now, query_.service, query_.rank, latency);
   context_->extra_load->OnAnswer(query_.rank, answer.queue_time,
                                  answer.service_time);
@@ -231,7 +212,7 @@
                      const Attempt& attempt,
                      const SubAnswer& answer,
                      QueryActions& actions) {
-  context_->searchers->OnEnded(now, query_.rank, answer);
+  context_->searchers->OnEnded(now, query_.rank, attempt.sent, answer);
   ShardProgress& progress = shards_[attempt.shard];
   progress.refusal = answer.refusal;
   progress.maybe_run |= answer.outcome != Outcome::kNotRun;
@@ -306,70 +287,12 @@
   --unsettled_;
 }
 
-void QueryPlan::Hedge(TimePoint now, size_t shard, QueryActions& actions) {
-  if (!context_->extra_load->TrySpend(query_.rank)) {
-    ScheduleHedge(now, shard);
-    return;
-  }
-  if (!Send(now, shard, SendReason::kHedge, actions)) {
-    shards_[shard].hedge_at = TimePoint::max();
-    return;
-  }
-  CancelReplaced(now, shard, actions);
-}
-
-// An attempt whose searcher has just got another one for the same shard is
-// stuck: it gives its slot back.
-void QueryPlan::CancelReplaced(TimePoint now,
-                               size_t shard,
-                               QueryActions& actions) {
-  const std::vector<uint64_t> open = shards_[shard].open;
-  const Endpoint& newest = attempts_.at(open.back()).request.searcher;
-  for (size_t i = 0; i + 1 < open.size(); ++i) {
-    if (attempts_.at(open[i]).request.searcher == newest) {
-      CancelAttempt(now, open[i], true, actions);
-    }
-  }
-}
-
-// Gives up what is still open for a shard. An attempt that was overtaken by a
-// later one tells against its searcher.
-void QueryPlan::CancelOpen(TimePoint now, size_t shard, QueryActions& actions) {
-  const ShardProgress& progress = shards_[shard];
-  while (!progress.open.empty()) {
-    const uint64_t id = progress.open.front();
-    const bool overtaken =
-        attempts_.at(id).request.searcher != progress.tried.back();
-    CancelAttempt(now, id, overtaken, actions);
-  }
-}
-
-void QueryPlan::CancelAttempt(TimePoint now,
-                              uint64_t id,
-                              bool overdue,
-                              QueryActions& actions) {
-  const auto it = attempts_.find(id);
-  const Endpoint searcher = it->second.request.searcher;
-  context_->searchers->OnCancelled(now, searcher, query_.rank, overdue);
-  actions.push_back(CancelAction{id, searcher});
-  std::erase(shards_[it->second.shard].open, id);
-  attempts_.erase(it);
-}
-
 void QueryPlan::FinishIfComplete(TimePoint now, QueryActions& actions) {
   if (!done_ && unsettled_ == 0) {
     Finish(now, actions);
   }
 }
 
-void QueryPlan::CancelAll(TimePoint now, QueryActions& actions) {
-  for (const size_t shard : wanted_) {
-    ShardProgress& progress = shards_[shard];
-    progress.maybe_run |= !progress.open.empty();
-    CancelOpen(now, shard, actions);
-  }
-}
-
 void QueryPlan::Finish(TimePoint now, QueryActions& actions) {
   CancelAll(now, actions);
   done_ = true;
--- a/src/coordination/replica_chooser.cc
+++ b/src/coordination/replica_chooser.cc
@@ -51,6 +51,26 @@
   return LessLoaded(usable, need.rank).endpoint;
 }
 
+std::optional<Endpoint> ReplicaChooser::ChooseAgain(
+    const std::vector<SearcherView>& replicas,
+    const ReplicaNeed& need) {
+  const std::optional<Endpoint> untried = Choose(replicas, need);
+  if (untried || need.tried == nullptr || need.tried->empty()) {
+    return untried;
+  }
+  const std::vector<Endpoint> last{need.tried->back()};
+  const bool others_work = std::any_of(
+      replicas.begin(), replicas.end(), [&](const SearcherView& view) {
+        return view.endpoint != last.front() && !view.draining && !view.avoided;
+      });
+  ReplicaNeed any = need;
+  any.tried = &last;
+  const std::optional<Endpoint> other =
+      others_work ? Choose(replicas, any) : std::nullopt;
+  any.tried = nullptr;
+  return other ? other : Choose(replicas, any);
+}
+
 // A cold searcher stands for choice with a probability equal to its weight.
 std::vector<const SearcherView*> ReplicaChooser::KeepWarm(
     const std::vector<const SearcherView*>& candidates) {
--- a/src/coordination/searcher_state.cc
+++ b/src/coordination/searcher_state.cc
@@ -45,7 +45,10 @@
   ++outstanding_[IndexOf(rank)];
 }
 
-void SearcherState::OnEnded(TimePoint now, Rank rank, const SubAnswer& answer) {
+void SearcherState::OnEnded(TimePoint now,
+                            Rank rank,
+                            TimePoint sent,
+                            const SubAnswer& answer) {
   EndOne(rank);
   if (answer.load) {
     OnLoad(now, *answer.load);
@@ -65,6 +68,8 @@
   }
   if (answer.outcome == Outcome::kAnswered) {
     latency_.Record(now, answer.service_time);
+    TimePoint& newest = newest_answered_[IndexOf(rank)];
+    newest = std::max(newest, sent);
   }
 }
 
@@ -104,6 +109,8 @@
   view.weight = Weight(now);
   view.oldest_version = load_.oldest_version;
   view.newest_version = load_.newest_version;
+  view.last_answer = last_answer_;
+  view.newest_answered = newest_answered_;
   view.versions_old = now - load_at_ >= kVersionsLifetime;
   view.draining = IsDraining(now);
   view.avoided = IsAvoided(now);
@@ -113,6 +120,7 @@
 
 void SearcherState::OnSuccess(TimePoint now) {
   failures_ = 0;
+  last_answer_ = now;
   avoided_until_.reset();
   if (ejection_ > Duration::zero()) {
     ejection_ = Duration::zero();
--- a/src/coordination/searcher_tracker.cc
+++ b/src/coordination/searcher_tracker.cc
@@ -35,9 +35,10 @@
 
 void SearcherTracker::OnEnded(TimePoint now,
                               Rank rank,
+                              TimePoint sent,
                               const SubAnswer& answer) {
   Update(now, answer.searcher,
-         [&](SearcherState& s) { s.OnEnded(now, rank, answer); });
+         [&](SearcherState& s) { s.OnEnded(now, rank, sent, answer); });
 }
 
 void SearcherTracker::OnCancelled(TimePoint now,
