--- /dev/null
+++ b/tests/query_plan_test.cc
@@ -0,0 +1,240 @@
+#include "greengage/coordination/query_plan.h"
+
+#include <criterion/criterion.h>
+
+namespace greengage {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr uint64_t kVersion = 5;
+
+// Two shards of ten keys, two replicas each; all hold version 5.
+struct Fixture {
+  explicit Fixture(uint64_t configuration_version = 1) {
+    auto built = std::make_shared<Configuration>();
+    built->version = configuration_version;
+    ServiceConfiguration service;
+    service.name = "s";
+    service.key_space = 20;
+    for (uint16_t shard = 0; shard < 2; ++shard) {
+      ShardConfiguration entry;
+      entry.name = "s/" + std::to_string(shard);
+      entry.range = {shard * 10ULL, shard * 10ULL + 10};
+      for (uint16_t replica = 0; replica < 2; ++replica) {
+        const Endpoint endpoint{
+            "127.0.0.1", static_cast<uint16_t>(10 * shard + replica + 1)};
+        entry.replicas.push_back(endpoint);
+        built->searchers[endpoint].endpoint = endpoint;
+      }
+      service.shards.push_back(entry);
+    }
+    built->services["s"] = service;
+    configuration = built;
+    context.searchers = &searchers;
+    context.hedges = &hedges;
+    context.extra_load = &extra_load;
+    context.retries = &retries;
+    context.configuration = [this] { return configuration; };
+    searchers.Apply(now, *configuration);
+    for (const auto& [endpoint, entry] : configuration->searchers) {
+      Tell(endpoint, kVersion, kVersion);
+    }
+    extra_load.OnSent(Rank::kUrgent, 1000);
+  }
+
+  void Tell(const Endpoint& searcher, uint64_t oldest, uint64_t newest) {
+    SearcherLoad load;
+    load.oldest_version = oldest;
+    load.newest_version = newest;
+    searchers.OnLoad(now, searcher, load);
+  }
+
+  Query MakeQuery() const {
+    Query query;
+    query.request_id = "r";
+    query.service = "s";
+    query.deadline = now + seconds(1);
+    return query;
+  }
+
+  TimePoint now = TimePoint() + seconds(100);
+  ConfigurationPtr configuration;
+  SearcherTracker searchers{SearcherStateOptions{}};
+  HedgePolicy hedges{HedgeOptions{}};
+  ExtraLoadBudget extra_load{2};
+  RetryBudget retries{10, 100};
+  QueryContext context;
+};
+
+template <typename Action>
+std::vector<Action> Of(const QueryActions& actions) {
+  std::vector<Action> chosen;
+  for (const QueryAction& action : actions) {
+    if (const auto* match = std::get_if<Action>(&action)) {
+      chosen.push_back(*match);
+    }
+  }
+  return chosen;
+}
+
+SubAnswer AnswerTo(const SubRequest& request) {
+  SubAnswer answer;
+  answer.id = request.id;
+  answer.request_id = request.request_id;
+  answer.outcome = Outcome::kAnswered;
+  answer.range = request.range;
+  answer.index_version = request.index_version;
+  answer.hits = {{request.range.begin, 1, ""}};
+  return answer;
+}
+
+SubAnswer EndOf(const SubRequest& request, Outcome outcome, Refusal refusal) {
+  SubAnswer answer;
+  answer.id = request.id;
+  answer.request_id = request.request_id;
+  answer.outcome = outcome;
+  answer.refusal = refusal;
+  return answer;
+}
+
+}  // namespace
+
+Test(QueryPlan, AnswersWholeFromOneVersion) {
+  Fixture f;
+  QueryPlan plan(f.MakeQuery(), f.configuration, &f.context, 1);
+  const auto sends = Of<SendAction>(plan.Start(f.now));
+  cr_assert_eq(sends.size(), 2U);
+  cr_assert_eq(sends[0].request.index_version, kVersion);
+  cr_assert(plan.OnSubAnswer(f.now, AnswerTo(sends[0].request)).empty());
+  const auto answers =
+      Of<AnswerAction>(plan.OnSubAnswer(f.now, AnswerTo(sends[1].request)));
+  cr_assert(answers.at(0).answer.whole());
+  cr_assert_eq(answers[0].answer.covered.size(), 1U);
+  cr_assert_eq(answers[0].answer.hits.size(), 2U);
+  cr_assert(plan.done());
+}
+
+Test(QueryPlan, HedgesAndCancelsTheLoser) {
+  Fixture f;
+  QueryPlan plan(f.MakeQuery(), f.configuration, &f.context, 1);
+  const auto sends = Of<SendAction>(plan.Start(f.now));
+  plan.OnSubAnswer(f.now, AnswerTo(sends[0].request));
+  f.now = plan.next_time();
+  const auto hedges = Of<SendAction>(plan.OnTime(f.now));
+  cr_assert_eq(hedges.size(), 1U);
+  cr_assert(hedges[0].reason == SendReason::kHedge);
+  cr_assert(hedges[0].request.searcher != sends[1].request.searcher);
+  const QueryActions last =
+      plan.OnSubAnswer(f.now, AnswerTo(hedges[0].request));
+  cr_assert_eq(Of<CancelAction>(last).at(0).id, sends[1].request.id);
+  cr_assert(Of<AnswerAction>(last).at(0).answer.whole());
+  plan.OnSubAnswer(f.now, AnswerTo(sends[1].request));
+  cr_assert_eq(f.context.rejected_answers.load(), 1U);
+}
+
+Test(QueryPlan, TellsTrueCoverageAtTheDeadline) {
+  Fixture f;
+  QueryPlan plan(f.MakeQuery(), f.configuration, &f.context, 1);
+  const auto sends = Of<SendAction>(plan.Start(f.now));
+  plan.OnSubAnswer(f.now, AnswerTo(sends[0].request));
+  const auto answers = Of<AnswerAction>(plan.OnTime(f.now + seconds(1)));
+  const Answer& answer = answers.at(0).answer;
+  cr_assert(answer.outcome == Outcome::kAnswered);
+  cr_assert_eq(answer.missing.size(), 1U);
+  cr_assert(answer.missing[0].range == sends[1].request.range);
+  cr_assert(answer.missing[0].refusal == Refusal::kDeadline);
+}
+
+Test(QueryPlan, RejectsACrossedAnswerAndAsksAnotherReplica) {
+  Fixture f;
+  QueryPlan plan(f.MakeQuery(), f.configuration, &f.context, 1);
+  const auto sends = Of<SendAction>(plan.Start(f.now));
+  SubAnswer crossed = AnswerTo(sends[1].request);
+  crossed.id = sends[0].request.id;
+  const auto retries = Of<SendAction>(plan.OnSubAnswer(f.now, crossed));
+  cr_assert_eq(retries.size(), 1U);
+  cr_assert(retries[0].request.range == sends[0].request.range);
+  cr_assert(retries[0].request.searcher != sends[0].request.searcher);
+}
+
+Test(QueryPlan, DoesNotRetryOverload) {
+  Fixture f;
+  QueryPlan plan(f.MakeQuery(), f.configuration, &f.context, 1);
+  const auto sends = Of<SendAction>(plan.Start(f.now));
+  SubAnswer refused =
+      EndOf(sends[0].request, Outcome::kNotRun, Refusal::kOverloaded);
+  refused.retry_after = milliseconds(70);
+  cr_assert(plan.OnSubAnswer(f.now, refused).empty());
+  refused.id = sends[1].request.id;
+  const auto answers = Of<AnswerAction>(plan.OnSubAnswer(f.now, refused));
+  cr_assert(answers.at(0).answer.outcome == Outcome::kNotRun);
+  cr_assert(answers[0].answer.refusal == Refusal::kOverloaded);
+  cr_assert(answers[0].answer.retry_after == milliseconds(70));
+}
+
+Test(QueryPlan, RunsAnewAtAnotherVersion) {
+  Fixture f;
+  QueryPlan plan(f.MakeQuery(), f.configuration, &f.context, 1);
+  const auto sends = Of<SendAction>(plan.Start(f.now));
+  plan.OnSubAnswer(f.now, AnswerTo(sends[1].request));
+  for (const auto& [endpoint, entry] : f.configuration->searchers) {
+    f.Tell(endpoint, kVersion + 1, kVersion + 1);
+  }
+  const QueryActions actions = plan.OnSubAnswer(
+      f.now,
+      EndOf(sends[0].request, Outcome::kNotRun, Refusal::kVersionNotHeld));
+  cr_assert_eq(Of<RerunAction>(actions).at(0).to_version, kVersion + 1);
+  const auto again = Of<SendAction>(actions);
+  cr_assert_eq(again.size(), 2U);
+  plan.OnSubAnswer(f.now, AnswerTo(again[0].request));
+  const auto answers =
+      Of<AnswerAction>(plan.OnSubAnswer(f.now, AnswerTo(again[1].request)));
+  cr_assert(answers.at(0).answer.whole());
+  cr_assert_eq(answers[0].answer.index_version, kVersion + 1);
+}
+
+Test(QueryPlan, SendsANonIdempotentQueryAtMostOnce) {
+  Fixture f;
+  Query query = f.MakeQuery();
+  query.idempotent = false;
+  query.key = 12;
+  QueryPlan plan(query, f.configuration, &f.context, 1);
+  const auto sends = Of<SendAction>(plan.Start(f.now));
+  cr_assert_eq(sends.size(), 1U);
+  cr_assert_eq(sends[0].request.shard, "s/1");
+  cr_assert(plan.OnTime(f.now + milliseconds(500)).empty());
+  const auto answers = Of<AnswerAction>(plan.OnSubAnswer(
+      f.now,
+      EndOf(sends[0].request, Outcome::kUnknown, Refusal::kConnectionLost)));
+  cr_assert(answers.at(0).answer.outcome == Outcome::kUnknown);
+}
+
+Test(QueryPlan, SendsANonIdempotentQueryAgainAfterAProof) {
+  Fixture f;
+  Query query = f.MakeQuery();
+  query.idempotent = false;
+  query.key = 12;
+  QueryPlan plan(query, f.configuration, &f.context, 1);
+  const auto sends = Of<SendAction>(plan.Start(f.now));
+  const auto again = Of<SendAction>(plan.OnSubAnswer(
+      f.now, EndOf(sends[0].request, Outcome::kNotRun, Refusal::kDraining)));
+  cr_assert_eq(again.size(), 1U);
+  cr_assert(again[0].request.searcher != sends[0].request.searcher);
+}
+
+Test(QueryPlan, AbandonedQueriesLeaveNothingOutstanding) {
+  Fixture f;
+  QueryPlan plan(f.MakeQuery(), f.configuration, &f.context, 1);
+  const auto sends = Of<SendAction>(plan.Start(f.now));
+  cr_assert_eq(Of<CancelAction>(plan.Abandon(f.now)).size(), 2U);
+  for (const SendAction& send : sends) {
+    const auto view = f.searchers.View(f.now, send.request.searcher);
+    cr_assert_eq(view->outstanding[0], 0U);
+  }
+  cr_assert(plan.done());
+}
+
+}  // namespace greengage
--- /dev/null
+++ b/tests/searcher_state_test.cc
@@ -0,0 +1,153 @@
+#include "greengage/coordination/searcher_state.h"
+
+#include "greengage/coordination/connection_liveness.h"
+#include "greengage/coordination/replica_chooser.h"
+
+#include <criterion/criterion.h>
+
+namespace greengage {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const Endpoint kSearcher{"127.0.0.1", 1};
+const Endpoint kOther{"127.0.0.1", 2};
+
+SubAnswer End(Outcome outcome, Refusal refusal) {
+  SubAnswer answer;
+  answer.outcome = outcome;
+  answer.refusal = refusal;
+  return answer;
+}
+
+void Fail(SearcherState& state, TimePoint now, int times) {
+  for (int i = 0; i < times; ++i) {
+    state.OnSent(now, Rank::kUrgent);
+    state.OnEnded(now, Rank::kUrgent, now,
+                  End(Outcome::kUnknown, Refusal::kConnectionLost));
+  }
+}
+
+void Succeed(SearcherState& state, TimePoint now) {
+  state.OnSent(now, Rank::kUrgent);
+  state.OnEnded(now, Rank::kUrgent, now,
+                End(Outcome::kAnswered, Refusal::kNone));
+}
+
+SearcherView ViewOf(const Endpoint& endpoint) {
+  SearcherView view;
+  view.endpoint = endpoint;
+  return view;
+}
+
+}  // namespace
+
+Test(SearcherState, IsSuspectedThenEjectedThenWarmsUp) {
+  TimePoint now;
+  SearcherState state(now, {}, 2);
+  Fail(state, now, 3);
+  cr_assert(state.View(now, kSearcher).avoided);
+  cr_assert(!state.signs(now).ejected);
+  now += milliseconds(150);
+  cr_assert(!state.View(now, kSearcher).avoided);
+  Fail(state, now, 1);
+  cr_assert(state.signs(now).ejected);
+  now += milliseconds(300);
+  state.OnSent(now, Rank::kUrgent);
+  cr_assert(state.View(now, kSearcher).avoided);  // One trial at a time.
+  state.OnEnded(now, Rank::kUrgent, now,
+                End(Outcome::kAnswered, Refusal::kNone));
+  cr_assert(!state.View(now, kSearcher).avoided);
+  cr_assert_lt(state.View(now, kSearcher).weight, 0.2);
+  cr_assert_eq(state.View(now + seconds(5), kSearcher).weight, 1);
+}
+
+Test(SearcherState, AnswersClearSuspicion) {
+  const TimePoint now;
+  SearcherState state(now, {}, 2);
+  for (int i = 0; i < 9; ++i) {
+    Fail(state, now, 2);
+    Succeed(state, now);
+  }
+  cr_assert(!state.View(now, kSearcher).avoided);
+}
+
+Test(SearcherState, DrainsFromTheFirstSign) {
+  const TimePoint now;
+  SearcherState state(now, {}, 2);
+  state.OnHealthHint(true);
+  state.OnDrainSign(now);
+  state.OnLoad(now, SearcherLoad{});
+  cr_assert(state.View(now + seconds(5), kSearcher).draining);
+}
+
+Test(SearcherState, OldVersionsMayHaveGrown) {
+  const TimePoint now = TimePoint() + seconds(9);
+  SearcherState state(now, {}, 2);
+  SearcherLoad load;
+  load.oldest_version = 3;
+  load.newest_version = 4;
+  state.OnLoad(now, load);
+  cr_assert(!state.View(now, kSearcher).MayHold(5));
+  cr_assert(state.View(now + seconds(1), kSearcher).MayHold(5));
+  cr_assert(!state.View(now + seconds(1), kSearcher).MayHold(2));
+}
+
+Test(ReplicaChooser, NeverEmptiesAShardByEjection) {
+  ReplicaChooser chooser(1);
+  SearcherView ejected = ViewOf(kSearcher);
+  ejected.avoided = true;
+  cr_assert(chooser.Choose({ejected}, {}) == kSearcher);
+  cr_assert(chooser.Choose({ejected, ViewOf(kOther)}, {}) == kOther);
+  SearcherView draining = ViewOf(kOther);
+  draining.draining = true;
+  cr_assert(!chooser.Choose({draining}, {}));
+}
+
+Test(ReplicaChooser, TakesTheLessLoadedForTheRank) {
+  ReplicaChooser chooser(1);
+  SearcherView busy = ViewOf(kSearcher);
+  busy.outstanding = {2, 0, 0};
+  SearcherView flooded = ViewOf(kOther);
+  flooded.outstanding = {1, 0, 50};
+  ReplicaNeed need;
+  cr_assert(chooser.Choose({busy, flooded}, need) == kOther);
+  need.rank = Rank::kBackground;
+  cr_assert(chooser.Choose({busy, flooded}, need) == kSearcher);
+}
+
+Test(ReplicaChooser, ExcludesTriedReplicasAndMissingVersions) {
+  ReplicaChooser chooser(1);
+  const std::vector<Endpoint> tried{kSearcher};
+  ReplicaNeed need;
+  need.tried = &tried;
+  const std::vector<SearcherView> both{ViewOf(kSearcher), ViewOf(kOther)};
+  cr_assert(chooser.Choose(both, need) == kOther);
+  SearcherView old = ViewOf(kOther);
+  old.oldest_version = 1;
+  old.newest_version = 1;
+  need.index_version = 2;
+  cr_assert(!chooser.Choose({ViewOf(kSearcher), old}, need));
+  cr_assert(chooser.ChooseAgain({ViewOf(kSearcher), old}, need) == kSearcher);
+}
+
+Test(ConnectionLiveness, TellsASilentConnectionFromASlowSearcher) {
+  const TimePoint now = TimePoint() + seconds(1);
+  ConnectionLiveness connection(now, {});
+  connection.OnRequest(now);
+  const TimePoint later = now + milliseconds(250);
+  cr_assert(connection.Judge(later, now + milliseconds(100)) ==
+            ConnectionVerdict::kSilent);
+  cr_assert(connection.Judge(later, now - milliseconds(1)) ==
+            ConnectionVerdict::kLive);
+  cr_assert(connection.Judge(now + milliseconds(900), std::nullopt) ==
+            ConnectionVerdict::kSilent);
+  connection.OnAnswer(later);
+  cr_assert(connection.Judge(later, later) == ConnectionVerdict::kLive);
+  cr_assert(connection.Judge(later + seconds(2), later) ==
+            ConnectionVerdict::kProbe);
+}
+
+}  // namespace greengage
