--- a/include/greengage/protocol/setting_table.h
+++ b/include/greengage/protocol/setting_table.h
@@ -7,7 +7,6 @@
 #include <concepts>
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <optional>
 #include <string>
 #include <utility>
@@ -86,7 +85,8 @@
                      NumberBounds bounds,
                      std::string meaning) {
     using Duration = std::chrono::duration<Rep, Period>;
-    bounds.unit = std::ratio_equal_v<Period, std::milli> ? "ms" : "s";
+    bounds.unit =
+        std::string(std::ratio_equal_v<Period, std::milli> ? "ms" : "s");
     return AddNumber<Duration>(
         std::move(key), member, std::move(bounds), std::move(meaning),
         [](uint64_t number) { return Duration(static_cast<Rep>(number)); },
@@ -97,7 +97,7 @@
   template <typename Choice>
   SettingTable& OneOf(std::string key,
                       Choice Target::*member,
-                      std::map<std::string, Choice> choices,
+                      std::vector<std::pair<std::string, Choice>> choices,
                       std::optional<std::string> initial,
                       std::string meaning) {
     std::string allowed;
@@ -108,9 +108,12 @@
         std::move(key), member, "choice", "one of " + allowed,
         std::move(initial), std::move(meaning),
         [choices, allowed](const std::string& value) -> Result<Choice> {
-          const auto found = choices.find(value);
-          return found != choices.end() ? Result<Choice>(found->second)
-                                        : NotOneOf(value, allowed);
+          for (const auto& [name, choice] : choices) {
+            if (name == value) {
+              return choice;
+            }
+          }
+          return NotOneOf(value, allowed);
         },
         [choices](const Choice& wanted) {
           for (const auto& [name, choice] : choices) {
@@ -130,7 +133,9 @@
         std::move(key), member, "end point", kEndpointRule, std::move(initial),
         std::move(meaning),
         [](const std::string& value) { return ParseEndpoint(value); },
-        [](const Endpoint& endpoint) { return ToString(endpoint); });
+        [](const Endpoint& endpoint) {
+          return endpoint.host.empty() ? std::string() : ToString(endpoint);
+        });
   }
 
   // End points separated by spaces; required ones need at least one.
@@ -170,6 +175,18 @@
             Target& target,
             std::vector<Failure>& failures) const;
 
+  // Appends a failure for every section that `document` lacks and that has
+  // required keys. For tables whose sections stand once in a file.
+  void CheckPresent(const IniDocument& document,
+                    std::vector<Failure>& failures) const;
+
+  // The values of `target`, in the order of the table, for tables whose
+  // sections stand once in a file.
+  std::vector<IniSection> ToSections(const Target& target) const;
+
+  // The names of all sections, separated by commas.
+  std::string SectionNames() const;
+
  private:
   template <typename Value>
   SettingTable& Add(std::string key,
@@ -280,6 +297,47 @@
   }
 }
 
+template <typename Target>
+void SettingTable<Target>::CheckPresent(const IniDocument& document,
+                                        std::vector<Failure>& failures) const {
+  for (const Setting& setting : settings_) {
+    if (!setting.info.initial &&
+        document.Find(setting.info.section) == nullptr) {
+      failures.push_back(
+          {FailureKind::kMissingKey,
+           document.Subject(setting.info.section, setting.info.key),
+           "the key is required; want " + setting.info.allowed});
+    }
+  }
+}
+
+template <typename Target>
+std::vector<IniSection> SettingTable<Target>::ToSections(
+    const Target& target) const {
+  std::vector<IniSection> sections;
+  for (const Setting& setting : settings_) {
+    if (sections.empty() || sections.back().name != setting.info.section) {
+      sections.push_back({setting.info.section, 0, {}});
+    }
+    sections.back().entries.push_back(
+        {setting.info.key, setting.print(target), 0});
+  }
+  return sections;
+}
+
+template <typename Target>
+std::string SettingTable<Target>::SectionNames() const {
+  std::string names;
+  std::string last;
+  for (const Setting& setting : settings_) {
+    if (setting.info.section != last) {
+      last = setting.info.section;
+      names += (names.empty() ? "" : ", ") + last;
+    }
+  }
+  return names;
+}
+
 }  // namespace greengage
 
 #endif  // GREENGAGE_PROTOCOL_SETTING_TABLE_H_
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -18,13 +18,21 @@
 
 class Listener;
 
+// How long input is still read after the last answer of a connection.
+constexpr std::chrono::milliseconds kLingerTimeout{500};
+constexpr size_t kDiscardBytes = size_t{16} * 1024;
+
 // One connection: reads a request, waits for its answer, and so on. All
 // members run on the socket's strand.
 class Session : public std::enable_shared_from_this<Session> {
  public:
-  Session(tcp::socket socket, std::shared_ptr<Listener> listener);
+  Session(tcp::socket socket,
+          std::shared_ptr<Listener> listener,
+          uint64_t number);
   ~Session();
 
+  uint64_t number() const { return number_; }
+
   void Start();
   void Reply(uint64_t exchange, HttpResponse response);
   void Abort();
@@ -41,11 +49,14 @@
   void WatchForAbandon();
   void Write(HttpResponse response, bool keep_alive);
   void SetTimeout(std::chrono::milliseconds timeout);
+  void Linger();
+  void DiscardInput();
   void Close();
 
   tcp::socket socket_;
   asio::steady_timer timer_;
   std::shared_ptr<Listener> listener_;
+  const uint64_t number_;
   boost::beast::flat_buffer buffer_;
   std::optional<http::request_parser<http::string_body>> parser_;
   http::response<http::string_body> response_;
@@ -75,6 +86,8 @@
     });
   }
 
+  uint64_t connection() const override { return session_->number(); }
+
   void Abort() override {
     if (!answered_.exchange(true)) {
       asio::post(executor_, [session = session_] { session->Abort(); });
@@ -124,6 +137,10 @@
     return sessions_.size();
   }
 
+  void EndKeepAlive() override { keep_alive_ended_ = true; }
+
+  bool keep_alive_ended() const { return keep_alive_ended_; }
+
   void StopAccepting() override {
     asio::post(acceptor_.get_executor(), [self = shared_from_this()] {
       boost::system::error_code ignored;
@@ -172,8 +189,8 @@
     }
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
-    const auto session =
-        std::make_shared<Session>(std::move(socket), shared_from_this());
+    const auto session = std::make_shared<Session>(
+        std::move(socket), shared_from_this(), ++accepted_);
     {
       const std::lock_guard lock(mutex_);
       if (stopped_) {
@@ -191,12 +208,17 @@
   mutable std::mutex mutex_;
   std::unordered_set<Session*> sessions_;
   bool stopped_ = false;
+  std::atomic<uint64_t> accepted_{0};
+  std::atomic<bool> keep_alive_ended_{false};
 };
 
-Session::Session(tcp::socket socket, std::shared_ptr<Listener> listener)
+Session::Session(tcp::socket socket,
+                 std::shared_ptr<Listener> listener,
+                 uint64_t number)
     : socket_(std::move(socket)),
       timer_(socket_.get_executor()),
-      listener_(std::move(listener)) {}
+      listener_(std::move(listener)),
+      number_(number) {}
 
 Session::~Session() {
   listener_->Remove(this);
@@ -233,6 +255,27 @@
   });
 }
 
+// Closing a socket that has unread input resets the connection, and the client
+// may lose the answer. So what still comes in is read and dropped for a while.
+void Session::Linger() {
+  boost::system::error_code ignored;
+  socket_.shutdown(tcp::socket::shutdown_send, ignored);
+  SetTimeout(kLingerTimeout);
+  DiscardInput();
+}
+
+void Session::DiscardInput() {
+  buffer_.clear();
+  socket_.async_read_some(buffer_.prepare(kDiscardBytes),
+                          [self = shared_from_this()](auto error, size_t) {
+                            if (error) {
+                              self->Close();
+                            } else {
+                              self->DiscardInput();
+                            }
+                          });
+}
+
 // The idle timeout counts until the first byte, the read timeout from there.
 void Session::WaitForRequest() {
   if (buffer_.size() > 0) {
@@ -335,7 +378,8 @@
   if (!handling_ || exchange != exchange_ || !socket_.is_open()) {
     return;
   }
-  Write(std::move(response), keep_alive_ && !close_when_idle_);
+  Write(std::move(response),
+        keep_alive_ && !close_when_idle_ && !listener_->keep_alive_ended());
 }
 
 void Session::Abort() {
@@ -365,9 +409,7 @@
         if (error) {
           self->Close();
         } else if (!keep_alive) {
-          boost::system::error_code ignored;
-          self->socket_.shutdown(tcp::socket::shutdown_send, ignored);
-          self->Close();
+          self->Linger();
         } else {
           self->WaitForRequest();
         }
