--- a/src/coordination/replica_chooser.cc
+++ b/src/coordination/replica_chooser.cc
@@ -6,6 +6,12 @@
 
 namespace {
 
+// What a searcher says of itself may mislead. Its own queue counts less than
+// what is known to be outstanding, and up to its slots; its health endpoint
+// only decides between equals.
+constexpr double kToldWeight = 0.25;
+constexpr double kHintWeight = 0.1;
+
 bool IsTried(const Endpoint& endpoint, const std::vector<Endpoint>* tried) {
   return tried != nullptr &&
          std::find(tried->begin(), tried->end(), endpoint) != tried->end();
@@ -40,11 +46,31 @@
     return std::nullopt;
   }
   usable =
-      KeepPreferred(usable, [](const SearcherView& v) { return !v.ejected; });
+      KeepPreferred(usable, [](const SearcherView& v) { return !v.avoided; });
   usable = KeepWarm(usable);
   return LessLoaded(usable, need.rank).endpoint;
 }
 
+std::optional<Endpoint> ReplicaChooser::ChooseAgain(
+    const std::vector<SearcherView>& replicas,
+    const ReplicaNeed& need) {
+  const std::optional<Endpoint> untried = Choose(replicas, need);
+  if (untried || need.tried == nullptr || need.tried->empty()) {
+    return untried;
+  }
+  const std::vector<Endpoint> last{need.tried->back()};
+  const bool others_work = std::any_of(
+      replicas.begin(), replicas.end(), [&](const SearcherView& view) {
+        return view.endpoint != last.front() && !view.draining && !view.avoided;
+      });
+  ReplicaNeed any = need;
+  any.tried = &last;
+  const std::optional<Endpoint> other =
+      others_work ? Choose(replicas, any) : std::nullopt;
+  any.tried = nullptr;
+  return other ? other : Choose(replicas, any);
+}
+
 // A cold searcher stands for choice with a probability equal to its weight.
 std::vector<const SearcherView*> ReplicaChooser::KeepWarm(
     const std::vector<const SearcherView*>& candidates) {
@@ -75,16 +101,13 @@
 }
 
 double LoadAhead(const SearcherView& searcher, Rank rank) {
-  uint32_t ahead = 0;
+  double ahead = 0;
   for (size_t i = 0; i <= IndexOf(rank); ++i) {
     ahead += searcher.outstanding[i];
   }
-  // What a searcher says of itself may mislead: it counts up to its slots.
-  ahead += std::min(searcher.returned_queue, searcher.slots);
-  if (searcher.hinted_unhealthy) {
-    ahead += 1;
-  }
-  return static_cast<double>(ahead) / std::max(1U, searcher.slots);
+  ahead += kToldWeight * std::min(searcher.returned_queue, searcher.slots);
+  ahead += searcher.hinted_unhealthy ? kHintWeight : 0;
+  return ahead / std::max(1U, searcher.slots);
 }
 
 }  // namespace greengage
