Close the connections of single calls, and let no test leave processes behind

Cause: CallAndWait() gave up its pool without closing it; pool and connections refer to each other, so each call left a connection open, and the differential test ran into the searchers' connection limit ("faults refused with 0": 199 of them established, all held by the test process). Ruled out: the servers, which held no closed connection. The new test Http/CallsLeaveNoConnectionBehind failed before and passes after. A failed check ends a test without destructors and left its programs running; they are now killed with the test's process.

--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -27,6 +27,10 @@
     context.stop();
   });
   context.run();
+  // The pool and its connections refer to each other until it is closed.
+  client->Close();
+  context.restart();
+  context.poll();
   return std::move(result->response);
 }
 
--- a/tests/harness/process.cc
+++ b/tests/harness/process.cc
@@ -1,8 +1,6 @@
 #include "tests/harness/process.h"
 
-#include <fcntl.h>
 #include <poll.h>
-#include <spawn.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -11,6 +9,8 @@
 #include <cstdlib>
 #include <thread>
 
+#include "tests/harness/spawn.h"
+
 #include <criterion/criterion.h>
 
 namespace greengage {
@@ -20,12 +20,6 @@
 constexpr std::chrono::milliseconds kPollPeriod{5};
 constexpr std::string_view kListening = "listening ";
 
-std::string ProgramPath(const std::string& program) {
-  const char* folder = std::getenv("GREENGAGE_BIN_DIR");
-  cr_assert(folder != nullptr, "GREENGAGE_BIN_DIR is not set");
-  return std::string(folder) + "/" + program;
-}
-
 }  // namespace
 
 Process::Process(const std::string& program,
@@ -43,26 +37,10 @@
 void Process::Start(const std::string& program,
                     const std::vector<std::string>& arguments,
                     const std::string& log) {
-  std::array<int, 2> pipe_ends{};
-  cr_assert(pipe2(pipe_ends.data(), O_CLOEXEC) == 0);
-  output_ = pipe_ends[0];
-  std::string path = ProgramPath(program);
-  std::vector<std::string> texts = arguments;
-  std::vector<char*> argv{path.data()};
-  for (std::string& text : texts) {
-    argv.push_back(text.data());
-  }
-  argv.push_back(nullptr);
-  posix_spawn_file_actions_t actions;
-  posix_spawn_file_actions_init(&actions);
-  posix_spawn_file_actions_adddup2(&actions, pipe_ends[1], STDOUT_FILENO);
-  posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log.c_str(),
-                                   O_WRONLY | O_CREAT | O_APPEND, 0600);
-  const int error =
-      posix_spawn(&id_, path.c_str(), &actions, nullptr, argv.data(), environ);
-  posix_spawn_file_actions_destroy(&actions);
-  close(pipe_ends[1]);
-  cr_assert(error == 0, "cannot start %s", path.c_str());
+  const Spawned spawned = Spawn(program, arguments, log);
+  id_ = spawned.id;
+  output_ = spawned.output;
+  cr_assert(id_ > 0, "cannot start %s", program.c_str());
 }
 
 void Process::ReadEndpoint() {
--- a/tests/harness/program.cc
+++ b/tests/harness/program.cc
@@ -1,28 +1,19 @@
 #include "tests/harness/program.h"
 
-#include <fcntl.h>
-#include <spawn.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include <boost/asio.hpp>
-
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
 
-extern char** environ;
+#include "tests/harness/spawn.h"
 
 namespace greengage {
 
 namespace {
 
-std::string PathOf(const std::string& name) {
-  const char* folder = std::getenv("GREENGAGE_BIN_DIR");
-  return std::string(folder != nullptr ? folder : "build/bin") + "/" + name;
-}
-
 // Names of files to remove at exit.
 struct TemporaryFiles {
   ~TemporaryFiles() {
@@ -36,27 +27,11 @@
 
 }  // namespace
 
-Program::Program(const std::string& name, std::vector<std::string> arguments) {
-  std::string path = PathOf(name);
-  std::vector<char*> argv{path.data()};
-  for (std::string& argument : arguments) {
-    argv.push_back(argument.data());
-  }
-  argv.push_back(nullptr);
-  int ends[2];
-  if (pipe2(ends, O_CLOEXEC) != 0) {
-    return;
-  }
-  posix_spawn_file_actions_t actions;
-  posix_spawn_file_actions_init(&actions);
-  posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
-  if (posix_spawn(&pid_, path.c_str(), &actions, nullptr, argv.data(),
-                  environ) != 0) {
-    pid_ = -1;
-  }
-  posix_spawn_file_actions_destroy(&actions);
-  close(ends[1]);
-  output_ = ends[0];
+Program::Program(const std::string& name,
+                 const std::vector<std::string>& arguments) {
+  const Spawned spawned = Spawn(name, arguments, TemporaryFile(""));
+  pid_ = spawned.id;
+  output_ = spawned.output;
 }
 
 Program::~Program() {
--- a/tests/harness/program.h
+++ b/tests/harness/program.h
@@ -10,12 +10,12 @@
 
 namespace greengage {
 
-// One running program. Its standard output goes to a pipe; standard error is
-// the test's own. Killed when destroyed, if it still runs.
+// One running program. Its standard output goes to a pipe; standard error goes
+// to a temporary file. Killed when destroyed, if it still runs.
 class Program {
  public:
   // `name` is that of a program in GREENGAGE_BIN_DIR.
-  Program(const std::string& name, std::vector<std::string> arguments);
+  Program(const std::string& name, const std::vector<std::string>& arguments);
   ~Program();
 
   Program(const Program&) = delete;
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -36,6 +36,8 @@
 
   Endpoint endpoint() const { return server_->endpoint(); }
 
+  size_t connections() const { return server_->connections(); }
+
  private:
   boost::asio::io_context context_;
   std::shared_ptr<HttpServer> server_;
@@ -66,6 +68,20 @@
   cr_assert(response->body.find("too_large") != std::string::npos);
 }
 
+Test(Http, CallsLeaveNoConnectionBehind) {
+  EchoServer server;
+  for (int i = 0; i < 20; ++i) {
+    cr_assert(
+        CallAndWait(server.endpoint(), HttpCall{.target = "/"}, kTimeout).ok());
+  }
+  const auto limit = std::chrono::steady_clock::now() + kTimeout;
+  while (server.connections() > 0 &&
+         std::chrono::steady_clock::now() < limit) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  cr_assert(server.connections() == 0);
+}
+
 Test(Http, NothingIsSentToAClosedPort) {
   Endpoint closed;
   {
