--- a/src/entry_instance.cc
+++ b/src/entry_instance.cc
@@ -1,13 +1,13 @@
 #include "greengage/entry_instance.h"
 
 #include <boost/asio.hpp>
-#include <boost/json.hpp>
 
 #include <random>
 
 #include "greengage/coordination/owner_directory.h"
 #include "greengage/coordination/stop_sequence.h"
 #include "greengage/coordination/watcher_set.h"
+#include "greengage/protocol/status_codec.h"
 #include "greengage/transport/claim_service.h"
 #include "greengage/transport/claim_store.h"
 #include "greengage/transport/configuration_service.h"
@@ -24,7 +24,6 @@
 namespace {
 
 namespace asio = boost::asio;
-namespace json = boost::json;
 
 constexpr size_t kTimeLineEvents = 65536;
 
@@ -343,20 +342,15 @@
 
 std::string EntryInstanceImpl::Status() const {
   const ConfigurationPtr configuration = configuration_->current();
-  json::object status;
-  status["instance"] = settings_.id;
-  status["data_centre"] = settings_.data_centre;
-  status["state"] = stopping_ ? "leaving" : "live";
-  status["configuration_version"] = configuration ? configuration->version : 0;
-  status["platform_down"] = configuration_->platform_down();
-  json::array& members = status["members"].emplace_array();
-  for (const Instance& member : gossip_->table()->members) {
-    members.push_back({{"id", member.id},
-                       {"data_centre", member.data_centre},
-                       {"state", InstanceStateName(member.state)},
-                       {"http", ToString(member.http)}});
-  }
-  return json::serialize(status);
+  const auto table = gossip_->table();
+  InstanceStatus status;
+  status.id = settings_.id;
+  status.data_centre = settings_.data_centre;
+  status.state = stopping_ ? InstanceState::kLeaving : InstanceState::kLive;
+  status.configuration_version = configuration ? configuration->version : 0;
+  status.platform_down = configuration_->platform_down();
+  status.members.assign(table->members.begin(), table->members.end());
+  return SerializeStatus(status);
 }
 
 void EntryInstanceImpl::MakeFront() {
