Pass over a replica that has just refused a shard's range

Ruled out: ejection, which must not happen to a searcher that serves its other shards. The refusal is now remembered for two seconds for that searcher and shard, as a preference only, so that it cannot empty a shard.

--- a/include/greengage/coordination/searcher_state.h
+++ b/include/greengage/coordination/searcher_state.h
@@ -4,7 +4,11 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <optional>
+#include <string>
+#include <string_view>
 
 #include "greengage/coordination/latency_window.h"
 #include "greengage/state/query.h"
@@ -43,7 +47,8 @@
   // When the newest of the sub-requests that it answered was sent, by rank.
   std::array<TimePoint, kRankCount> newest_answered{};
   bool draining = false;
-  bool avoided = false;           // Suspected or ejected.
+  bool lacks_shard = false;  // Has just refused the shard that is asked for.
+  bool avoided = false;      // Suspected or ejected.
   bool hinted_unhealthy = false;  // Its health endpoint says so; may be wrong.
 
   bool MayHold(uint64_t version) const {
@@ -89,6 +94,12 @@
   // The searcher is known to have started anew: it is cold.
   void OnColdStart(TimePoint now);
 
+  // It has refused a range of `shard` as not held. It is passed over for that
+  // shard for a while, since a searcher that refuses at once looks idle.
+  void OnRangeNotHeld(TimePoint now, const std::string& shard);
+
+  bool LacksShard(TimePoint now, std::string_view shard) const;
+
   void OnHealthHint(bool healthy) { hinted_unhealthy_ = !healthy; }
 
   void set_slots(uint32_t slots) { slots_ = slots; }
@@ -124,6 +135,7 @@
   std::optional<TimePoint> avoided_until_;
   Duration ejection_{};  // Zero while the searcher is only suspected.
   bool hinted_unhealthy_ = false;
+  std::map<std::string, TimePoint, std::less<>> lacking_until_;  // By shard.
 };
 
 }  // namespace greengage
--- a/include/greengage/coordination/searcher_tracker.h
+++ b/include/greengage/coordination/searcher_tracker.h
@@ -48,15 +48,18 @@
               const SearcherLoad& load);
   void OnDrainSign(TimePoint now, const Endpoint& searcher);
   void OnColdStart(TimePoint now, const Endpoint& searcher);
+  void OnRangeNotHeld(TimePoint now,
+                      const Endpoint& searcher,
+                      const std::string& shard);
   void OnHealthHint(TimePoint now, const Endpoint& searcher, bool healthy);
 
   // How a searcher looks now; empty if it is not known.
   std::optional<SearcherView> View(TimePoint now,
                                    const Endpoint& searcher) const;
 
-  // The views of those `searchers` that are known, in their order.
+  // The views of those replicas of `shard` that are known, in their order.
   std::vector<SearcherView> Views(TimePoint now,
-                                  const std::vector<Endpoint>& searchers) const;
+                                  const ShardConfiguration& shard) const;
 
  private:
   static constexpr size_t kShards = 16;
--- a/src/coordination/query_plan.cc
+++ b/src/coordination/query_plan.cc
@@ -103,7 +103,7 @@
 void QueryPlan::Pin(TimePoint now) {
   index_version_ =
       ChooseIndexVersion(service(), [&](const ShardConfiguration& shard) {
-        return context_->searchers->Views(now, shard.replicas);
+        return context_->searchers->Views(now, shard);
       });
   merger_ = AnswerMerger(index_version_, query_.limit);
   const std::vector<ShardConfiguration>& shards = service().shards;
@@ -158,7 +158,7 @@
 
 std::optional<Endpoint> QueryPlan::ChooseReplica(TimePoint now, size_t shard) {
   const std::vector<SearcherView> views =
-      context_->searchers->Views(now, service().shards[shard].replicas);
+      context_->searchers->Views(now, service().shards[shard]);
   const ReplicaNeed need{query_.rank, index_version_, &shards_[shard].tried};
   return query_.idempotent ? chooser_.ChooseAgain(views, need)
                            : chooser_.Choose(views, need);
@@ -213,6 +213,10 @@
                      const SubAnswer& answer,
                      QueryActions& actions) {
   context_->searchers->OnEnded(now, query_.rank, attempt.sent, answer);
+  if (answer.refusal == Refusal::kRangeNotHeld) {
+    context_->searchers->OnRangeNotHeld(now, attempt.request.searcher,
+                                        attempt.request.shard);
+  }
   ShardProgress& progress = shards_[attempt.shard];
   progress.refusal = answer.refusal;
   progress.maybe_run |= answer.outcome != Outcome::kNotRun;
@@ -245,7 +249,7 @@
 bool QueryPlan::HasUntriedReplica(TimePoint now, const Attempt& attempt) {
   const size_t shard = attempt.shard;
   const std::vector<SearcherView> views =
-      context_->searchers->Views(now, service().shards[shard].replicas);
+      context_->searchers->Views(now, service().shards[shard]);
   // A sub-request for no version in particular may meet the pinned one where
   // it was sent first.
   const bool was_unpinned = attempt.request.index_version == 0;
@@ -260,11 +264,11 @@
       newest->services.count(query_.service) == 0) {
     return false;
   }
-  const uint64_t version = ChooseIndexVersion(
-      newest->services.at(query_.service),
-      [&](const ShardConfiguration& shard) {
-        return context_->searchers->Views(now, shard.replicas);
-      });
+  const uint64_t version =
+      ChooseIndexVersion(newest->services.at(query_.service),
+                         [&](const ShardConfiguration& shard) {
+                           return context_->searchers->Views(now, shard);
+                         });
   const bool same =
       version == index_version_ && newest->version == configuration_->version;
   if (same || !context_->retries->TrySpend(query_.service, query_.rank,
--- a/src/coordination/replica_chooser.cc
+++ b/src/coordination/replica_chooser.cc
@@ -47,6 +47,8 @@
   }
   usable =
       KeepPreferred(usable, [](const SearcherView& v) { return !v.avoided; });
+  usable = KeepPreferred(usable,
+                         [](const SearcherView& v) { return !v.lacks_shard; });
   usable = KeepWarm(usable);
   return LessLoaded(usable, need.rank).endpoint;
 }
--- a/src/coordination/searcher_state.cc
+++ b/src/coordination/searcher_state.cc
@@ -7,6 +7,9 @@
 
 namespace {
 
+// How long a refusal of a shard's range is remembered.
+constexpr Duration kLackingMemory = std::chrono::seconds(2);
+
 // Load that a searcher returned longer ago than this says nothing any more.
 constexpr Duration kLoadLifetime = std::chrono::milliseconds(100);
 
@@ -97,6 +100,17 @@
   warm_since_ = now;
 }
 
+void SearcherState::OnRangeNotHeld(TimePoint now, const std::string& shard) {
+  std::erase_if(lacking_until_,
+                [now](const auto& entry) { return now >= entry.second; });
+  lacking_until_[shard] = now + kLackingMemory;
+}
+
+bool SearcherState::LacksShard(TimePoint now, std::string_view shard) const {
+  const auto found = lacking_until_.find(shard);
+  return found != lacking_until_.end() && now < found->second;
+}
+
 SearcherView SearcherState::View(TimePoint now,
                                  const Endpoint& endpoint) const {
   SearcherView view;
--- a/src/coordination/searcher_tracker.cc
+++ b/src/coordination/searcher_tracker.cc
@@ -83,18 +83,29 @@
 
 std::vector<SearcherView> SearcherTracker::Views(
     TimePoint now,
-    const std::vector<Endpoint>& searchers) const {
+    const ShardConfiguration& shard) const {
   std::vector<SearcherView> views;
-  views.reserve(searchers.size());
-  for (const Endpoint& searcher : searchers) {
-    std::optional<SearcherView> view = View(now, searcher);
-    if (view) {
-      views.push_back(*std::move(view));
+  views.reserve(shard.replicas.size());
+  for (const Endpoint& searcher : shard.replicas) {
+    const Shard& part = ShardOf(searcher);
+    const std::lock_guard lock(part.mutex);
+    const auto it = part.states.find(searcher);
+    if (it != part.states.end()) {
+      SearcherView view = it->second.View(now, searcher);
+      view.lacks_shard = it->second.LacksShard(now, shard.name);
+      views.push_back(std::move(view));
     }
   }
   return views;
 }
 
+void SearcherTracker::OnRangeNotHeld(TimePoint now,
+                                     const Endpoint& searcher,
+                                     const std::string& shard) {
+  Update(now, searcher,
+         [&](SearcherState& state) { state.OnRangeNotHeld(now, shard); });
+}
+
 SearcherTracker::Shard& SearcherTracker::ShardOf(const Endpoint& searcher) {
   return shards_[std::hash<Endpoint>()(searcher) % kShards];
 }
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -75,8 +75,7 @@
         CallAndWait(server.endpoint(), HttpCall{.target = "/"}, kTimeout).ok());
   }
   const auto limit = std::chrono::steady_clock::now() + kTimeout;
-  while (server.connections() > 0 &&
-         std::chrono::steady_clock::now() < limit) {
+  while (server.connections() > 0 && std::chrono::steady_clock::now() < limit) {
     std::this_thread::sleep_for(std::chrono::milliseconds(5));
   }
   cr_assert(server.connections() == 0);
