--- a/include/greengage/protocol/peer_codec.h
+++ b/include/greengage/protocol/peer_codec.h
@@ -35,6 +35,13 @@
 // Fails with kMalformedMessage.
 Result<StampedSubAnswer> ParseSubAnswer(std::string_view message);
 
+// Searchers that are leaving, as told to their owners.
+std::string SerializeLeavingSearchers(const std::vector<Endpoint>& searchers,
+                                      HybridTime stamp);
+
+// Fails with kMalformedMessage.
+Result<std::vector<Endpoint>> ParseLeavingSearchers(std::string_view message);
+
 }  // namespace greengage
 
 #endif  // GREENGAGE_PROTOCOL_PEER_CODEC_H_
--- a/include/greengage/transport/peer_service.h
+++ b/include/greengage/transport/peer_service.h
@@ -23,9 +23,13 @@
   using ConfigurationHook =
       std::function<std::optional<std::string>(const std::string& request)>;
 
+  // A searcher is leaving.
+  using LeavingHook = std::function<void(const Endpoint&)>;
+
   PeerService(OwnerService* owner_service,
               HybridClock* clock,
-              ConfigurationHook on_configuration);
+              ConfigurationHook on_configuration,
+              LeavingHook on_leaving);
 
   void Handle(const std::string& path,
               const std::string& message,
@@ -41,10 +45,13 @@
                     const std::shared_ptr<PeerStream>& stream);
   void HandleConfiguration(const std::string& message,
                            const std::shared_ptr<PeerStream>& stream);
+  void HandleLeavingSearchers(const std::string& message,
+                              const std::shared_ptr<PeerStream>& stream);
 
   OwnerService* const owner_service_;
   HybridClock* const clock_;
   const ConfigurationHook on_configuration_;
+  const LeavingHook on_leaving_;
   std::mutex mutex_;
   // Batches under way by request id, for cancelling single sub-requests.
   std::unordered_multimap<std::string, std::weak_ptr<Batch>> batches_;
--- a/include/greengage/transport/sub_request_router.h
+++ b/include/greengage/transport/sub_request_router.h
@@ -26,6 +26,7 @@
 inline constexpr char kSubRequestsPath[] = "/sub-requests";
 inline constexpr char kCancelPath[] = "/cancel";
 inline constexpr char kConfigurationPath[] = "/configuration";
+inline constexpr char kLeavingSearchersPath[] = "/leaving-searchers";
 
 // Where one sub-request went, for cancelling it.
 struct Route {
--- a/src/entry_instance.cc
+++ b/src/entry_instance.cc
@@ -10,6 +10,7 @@
 #include "greengage/protocol/status_codec.h"
 #include "greengage/transport/claim_service.h"
 #include "greengage/transport/claim_store.h"
+#include "greengage/transport/claim_sweeper.h"
 #include "greengage/transport/configuration_service.h"
 #include "greengage/transport/front_service.h"
 #include "greengage/transport/gossip_service.h"
@@ -17,6 +18,7 @@
 #include "greengage/transport/peer_service.h"
 #include "greengage/transport/platform_client.h"
 #include "greengage/transport/query_service.h"
+#include "greengage/transport/upstream_watch.h"
 #include "state/gauge_names.h"
 #include "transport/configuration_fetch.h"
 
@@ -97,7 +99,9 @@
   static constexpr double kRetryBurst = 20;
 
   void MakeServices();
+  void MakeBackgroundWork();
   void MakeFront();
+  void OnLeaving(const Endpoint& searcher);
   std::vector<Gauge> Gauges();
   Result<Done> ListenToPeers();
   Result<Done> ListenToCallers();
@@ -136,6 +140,8 @@
   std::unique_ptr<QueryService> queries_;
   std::unique_ptr<ClaimService> claims_;
   std::shared_ptr<PeerService> peer_service_;
+  std::shared_ptr<UpstreamWatch> upstream_watch_;
+  std::shared_ptr<ClaimSweeper> claim_sweeper_;
   std::shared_ptr<FrontService> front_;
   std::shared_ptr<PeerServer> peer_server_;
   std::shared_ptr<HttpServer> http_server_;
@@ -251,9 +257,12 @@
                      }),
       &events_, &metrics_);
   peer_service_ = std::make_shared<PeerService>(
-      owner_service_.get(), &clock_, [this](const std::string& request) {
+      owner_service_.get(), &clock_,
+      [this](const std::string& request) {
         return ServeConfiguration(request, *configuration_, clock_);
-      });
+      },
+      [this](const Endpoint& searcher) { OnLeaving(searcher); });
+  MakeBackgroundWork();
 }
 
 void EntryInstanceImpl::WatchPlatform(uint64_t after,
@@ -334,7 +343,9 @@
         }
         std::vector<Endpoint> seeds = self->settings_.seeds;
         for (const Instance& instance : *listed) {
-          seeds.push_back(instance.gossip);
+          if (instance.gossip.port != 0) {
+            seeds.push_back(instance.gossip);
+          }
         }
         self->gossip_->SetSeeds(std::move(seeds));
       });
@@ -353,6 +364,33 @@
   return SerializeStatus(status);
 }
 
+void EntryInstanceImpl::MakeBackgroundWork() {
+  upstream_watch_ = std::make_shared<UpstreamWatch>(
+      context_, settings_.id, platform_, settings_.platform_timeout, router_,
+      &clock_,
+      UpstreamWatch::Hooks{
+          [this] { return !stopping_ && ShouldWatch(*gossip_->table()); },
+          [this] { return owners_.owners(); },
+          [this](const Endpoint& searcher) { OnLeaving(searcher); }});
+  claim_sweeper_ = std::make_shared<ClaimSweeper>(
+      context_, platform_, settings_.platform_timeout,
+      ClaimSweeper::Hooks{
+          [this] {
+            return !stopping_ && configuration_->current() &&
+                   SweepsClaims(settings_.id, gossip_->table()->members);
+          },
+          [this] {
+            const ConfigurationPtr configuration = configuration_->current();
+            return ClaimLimits{configuration->limits.claim_retention,
+                               configuration->limits.clock_skew};
+          }});
+}
+
+void EntryInstanceImpl::OnLeaving(const Endpoint& searcher) {
+  searchers_.OnDrainSign(std::chrono::steady_clock::now(), searcher);
+  owner_service_->Drain(searcher);
+}
+
 void EntryInstanceImpl::MakeFront() {
   FrontHooks hooks;
   hooks.configuration = [this] { return configuration_->current(); };
@@ -448,6 +486,8 @@
                  "", GREENGAGE_VERSION);
   OnMembers(gossip_->table());
   SeedFromPlatform();
+  upstream_watch_->Start();
+  claim_sweeper_->Start();
   return Done{};
 }
 
@@ -491,6 +531,8 @@
   peer_server_->Stop([self = shared_from_this()] {
     self->router_->Close();
     self->configuration_->Stop();
+    self->upstream_watch_->Stop();
+    self->claim_sweeper_->Stop();
     self->seed_timer_.cancel();
     self->gossip_->Stop([self] {
       self->events_.Record(std::chrono::system_clock::now(),
--- a/src/protocol/peer_codec.cc
+++ b/src/protocol/peer_codec.cc
@@ -174,4 +174,26 @@
   return stamped;
 }
 
+std::string SerializeLeavingSearchers(const std::vector<Endpoint>& searchers,
+                                      HybridTime stamp) {
+  wire::LeavingSearchers message;
+  WriteStamp(stamp, message.mutable_stamp());
+  for (const Endpoint& searcher : searchers) {
+    WriteEndpoint(searcher, message.add_searchers());
+  }
+  return message.SerializeAsString();
+}
+
+Result<std::vector<Endpoint>> ParseLeavingSearchers(std::string_view message) {
+  wire::LeavingSearchers read;
+  if (!read.ParseFromArray(message.data(), static_cast<int>(message.size()))) {
+    return Malformed("leaving_searchers");
+  }
+  std::vector<Endpoint> searchers;
+  for (const wire::Endpoint& searcher : read.searchers()) {
+    searchers.push_back(ReadEndpoint(searcher));
+  }
+  return searchers;
+}
+
 }  // namespace greengage
--- a/src/protocol/platform_codec.cc
+++ b/src/protocol/platform_codec.cc
@@ -59,15 +59,18 @@
 
 std::optional<Instance> ReadInstance(const json::object& object) {
   const auto id = ReadText(object, "id");
+  // Upstreams are listed too; they have neither of these.
+  const auto gossip = ReadEndpoint(object, "gossip");
   const auto peer = ReadEndpoint(object, "peer");
   const auto http = ReadEndpoint(object, "http");
-  if (!id || !peer || !http) {
+  if (!id || !http) {
     return std::nullopt;
   }
   Instance instance;
   instance.id = *id;
   instance.data_centre = ReadText(object, "data_centre").value_or("");
-  instance.peer = *peer;
+  instance.gossip = gossip.value_or(Endpoint{});
+  instance.peer = peer.value_or(Endpoint{});
   instance.http = *http;
   instance.state = ReadText(object, "state") == "leaving"
                        ? InstanceState::kLeaving
--- a/src/transport/peer_service.cc
+++ b/src/transport/peer_service.cc
@@ -39,7 +39,8 @@
       const uint64_t id = request.id;
       const Endpoint searcher = request.searcher;
       const SubmissionId submission = service_->owner_service_->Submit(
-          std::move(request), [self = shared_from_this()](SubAnswer answer) {
+          std::move(request),
+          [self = shared_from_this()](const SubAnswer& answer) {
             self->OnAnswer(answer);
           });
       const std::lock_guard lock(mutex_);
@@ -93,10 +94,12 @@
 
 PeerService::PeerService(OwnerService* owner_service,
                          HybridClock* clock,
-                         ConfigurationHook on_configuration)
+                         ConfigurationHook on_configuration,
+                         LeavingHook on_leaving)
     : owner_service_(owner_service),
       clock_(clock),
-      on_configuration_(std::move(on_configuration)) {}
+      on_configuration_(std::move(on_configuration)),
+      on_leaving_(std::move(on_leaving)) {}
 
 void PeerService::Handle(const std::string& path,
                          const std::string& message,
@@ -107,6 +110,8 @@
     HandleCancel(message, stream);
   } else if (path == kConfigurationPath) {
     HandleConfiguration(message, stream);
+  } else if (path == kLeavingSearchersPath) {
+    HandleLeavingSearchers(message, stream);
   } else {
     stream->Refuse();
   }
@@ -177,4 +182,18 @@
   stream->Finish();
 }
 
+void PeerService::HandleLeavingSearchers(
+    const std::string& message,
+    const std::shared_ptr<PeerStream>& stream) {
+  stream->Finish();
+  const Result<std::vector<Endpoint>> searchers =
+      ParseLeavingSearchers(message);
+  if (!searchers) {
+    return;
+  }
+  for (const Endpoint& searcher : *searchers) {
+    on_leaving_(searcher);
+  }
+}
+
 }  // namespace greengage
