Watch on behind a configuration that cannot be put in force

A text that the running release does not accept (written by hand, or with a key of a newer release) was read, parsed and logged twice a second by each watcher for as long as it stood there; a malformed answer was asked for again at once. The watch now goes on behind the refused version, and every failed watch waits.

--- a/include/greengage/transport/configuration_service.h
+++ b/include/greengage/transport/configuration_service.h
@@ -93,6 +93,9 @@
   std::deque<ConfigurationText> texts_;  // The newest first.
   ConfigurationSpread spread_;
   boost::asio::steady_timer tick_timer_;
+  // The highest version that the platform gave and that could not be put in
+  // force; the watch goes on behind it.
+  uint64_t refused_ = 0;
   bool watching_ = false;
   bool watch_open_ = false;
   bool stopped_ = false;
--- a/src/transport/configuration_service.cc
+++ b/src/transport/configuration_service.cc
@@ -1,12 +1,14 @@
 #include "greengage/transport/configuration_service.h"
 
+#include <algorithm>
+
 #include "greengage/protocol/configuration_file.h"
 #include "greengage/transport/log.h"
 
 namespace greengage {
 namespace {
 
-// Between two watches after the platform did not answer.
+// Between two watches after one that failed.
 constexpr std::chrono::milliseconds kWatchRetryDelay{500};
 
 // Between two looks at whether a fetch from a peer should be given up.
@@ -84,7 +86,7 @@
       return;
     }
     watch_open_ = true;
-    after = current_ ? current_->version : 0;
+    after = std::max(current_ ? current_->version : 0, refused_);
   }
   hooks_.watch(after,
                [weak = weak_from_this()](Result<ConfigurationText> result) {
@@ -98,18 +100,19 @@
   const bool down =
       !result && result.last_reason().kind == FailureKind::kUnavailable;
   OnPlatformState(down);
-  bool again = true;
-  if (result) {
-    const Result<Done> offered = Offer(*result);
-    again = offered.ok();
-  }
+  const bool failed =
+      !result && result.last_reason().kind != FailureKind::kStaleVersion;
+  const bool refused = result && !Offer(*result).ok();
   const std::lock_guard lock(mutex_);
   watch_open_ = false;
+  if (refused) {
+    refused_ = std::max(refused_, result->version);
+  }
   if (stopped_) {
     return;
   }
-  retry_timer_.expires_after(down || !again ? kWatchRetryDelay
-                                            : std::chrono::milliseconds(0));
+  retry_timer_.expires_after(failed ? kWatchRetryDelay
+                                    : std::chrono::milliseconds(0));
   retry_timer_.async_wait([weak = weak_from_this()](auto error) {
     const auto self = weak.lock();
     if (!error && self) {
