Measure membership and spreading, and send more news in a datagram

Five tests are added for what no test missed when it was taken out: indirect pings, reconnection without seeds, anti-entropy, the allowance for one's own pause and the longer timeout of an isolated instance. Each was seen to fail without its mechanism.

--- a/src/coordination/datagram.cc
+++ b/src/coordination/datagram.cc
@@ -18,9 +18,13 @@
 }  // namespace
 
 size_t MaxEncodedBytes(const Instance& instance) {
-  return kInstanceOverheadBytes + instance.id.size() +
-         instance.data_centre.size() + MaxEncodedBytes(instance.gossip) +
-         MaxEncodedBytes(instance.peer) + MaxEncodedBytes(instance.http);
+  size_t bytes =
+      kInstanceOverheadBytes + instance.id.size() + instance.data_centre.size();
+  if (!instance.gossip.host.empty()) {
+    bytes += MaxEncodedBytes(instance.gossip) + MaxEncodedBytes(instance.peer) +
+             MaxEncodedBytes(instance.http);
+  }
+  return bytes;
 }
 
 size_t MaxEncodedBytes(const Datagram& datagram) {
--- a/src/entry_instance.cc
+++ b/src/entry_instance.cc
@@ -350,7 +350,8 @@
   status["configuration_version"] = configuration ? configuration->version : 0;
   status["platform_down"] = configuration_->platform_down();
   json::array& members = status["members"].emplace_array();
-  for (const Instance& member : gossip_->table()->members) {
+  const MemberTablePtr table = gossip_->table();
+  for (const Instance& member : table->members) {
     members.push_back({{"id", member.id},
                        {"data_centre", member.data_centre},
                        {"state", InstanceStateName(member.state)},
--- a/tests/datagram_codec_test.cc
+++ b/tests/datagram_codec_test.cc
@@ -61,6 +61,11 @@
 Test(DatagramCodec, StaysWithinItsBound) {
   const Datagram datagram = LargestDatagram();
   cr_assert(EncodeDatagram(datagram).size() <= MaxEncodedBytes(datagram));
+  Datagram gone = datagram;
+  for (Instance& member : gone.members) {
+    member.gossip = member.peer = member.http = {};
+  }
+  cr_assert(EncodeDatagram(gone).size() <= MaxEncodedBytes(gone));
 }
 
 Test(DatagramCodec, RejectsWhatIsNoDatagram) {
--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -184,6 +184,81 @@
   cr_assert(count.changes[MembershipChangeKind::kSuspected] == 0);
 }
 
+Test(Membership, CutLinkBetweenTwoIsBridgedByOthers) {
+  DatagramFake fake({.instances = 3});
+  fake.Run(kWarmUp);
+  Count count;
+  count.Attach(fake);
+  fake.SetCut([](size_t from, size_t to) { return from + to == 1; });
+  fake.Run(seconds(30));
+  cr_assert(count.changes[MembershipChangeKind::kGone] == 0);
+}
+
+Test(Membership, HalvesWithoutSeedsMeetAgain) {
+  DatagramFake fake({.instances = 12});
+  for (size_t i = 0; i < fake.size(); ++i) {
+    fake.at(i).SetSeeds({});
+  }
+  fake.Run(kWarmUp);
+  fake.SetCut([](size_t from, size_t to) { return from % 2 != to % 2; });
+  fake.Run(seconds(30));
+  fake.SetCut({});
+  fake.Run(seconds(20));
+  cr_assert(AllAgree(fake));
+}
+
+Test(Membership, MissedNewsIsFoundByComparingTables) {
+  DatagramFake fake({.instances = 12});
+  fake.Run(kWarmUp);
+  fake.SetCut([](size_t from, size_t to) { return from == 3 || to == 3; });
+  fake.Perform(4, fake.at(4).Leave(fake.now()));
+  fake.Run(seconds(3));
+  cr_assert(StateAt(fake, 3, 4) != InstanceState::kLeaving);
+  fake.SetCut({});
+  fake.Run(seconds(10));
+  cr_assert(StateAt(fake, 3, 4) == InstanceState::kLeaving);
+}
+
+Test(Membership, IsolatedInstanceDoubtsItselfFirst) {
+  DatagramFake fake({.instances = 12});
+  fake.Run(kWarmUp);
+  fake.SetCut([](size_t from, size_t to) { return from == 3 || to == 3; });
+  size_t declared = 0;
+  fake.OnChange([&](size_t at, const MembershipChange& change, TimePoint) {
+    const bool gone = change.kind == MembershipChangeKind::kGone;
+    declared += at == 3 && gone ? 1 : 0;
+  });
+  fake.Run(milliseconds(5500));
+  cr_assert(declared == 0);
+  cr_assert(StateAt(fake, 0, 3) == InstanceState::kGone);
+  fake.Run(seconds(15));
+  cr_assert(declared == 11);
+}
+
+Test(Membership, OwnPauseProvesNothingAboutOthers) {
+  TimePoint now{};
+  Membership membership(DatagramFake::MakeInstance(0, 1), {}, 1, now);
+  Datagram introduction;
+  introduction.kind = DatagramKind::kMembers;
+  introduction.sender = "entry-1001";
+  introduction.members = {DatagramFake::MakeInstance(1, 1)};
+  membership.OnDatagram(introduction, {}, now);
+  const auto run = [&](milliseconds length) {
+    bool gone = false;
+    for (const TimePoint end = now + length; now < end;) {
+      now += milliseconds(100);
+      for (const MembershipChange& change : membership.Tick(now).changes) {
+        gone |= change.kind == MembershipChangeKind::kGone;
+      }
+    }
+    return gone;
+  };
+  cr_assert(!run(seconds(2)));
+  now += seconds(20);
+  cr_assert(!run(seconds(1)));
+  cr_assert(run(seconds(4)));
+}
+
 Test(Membership, HigherVersionIsHeardFromAMember) {
   DatagramFake fake({.instances = 30, .loss = 0.3});
   fake.OnVersion([&](size_t at, const VersionHeard& heard, TimePoint) {
