--- a/tools/bench/experiments_flood.cc
+++ b/tools/bench/experiments_flood.cc
@@ -1,5 +1,6 @@
 // Experiments on floods of work.
 #include "tools/bench/experiment.h"
+#include "tools/bench/faults.h"
 #include "tools/bench/measures.h"
 #include "tools/bench/simulation.h"
 
@@ -15,18 +16,23 @@
 constexpr double kNormalFloorPercent = 10;
 constexpr double kBackgroundFloorPercent = 5;
 
-Scenario Flood(const Shape& shape, const RankRates& flood) {
+Scenario Flood(const Shape& shape, const RankRates& flood, const Fault& fault) {
   Scenario scenario;
   scenario.shape = shape;
   scenario.load = kUsual;
   scenario.flood = flood;
+  scenario.prepare = fault;
   scenario.measured = std::chrono::seconds(shape.shards > 100 ? 2 : 5);
   return scenario;
 }
 
 // The urgent rank's p99 with no other work at all.
-double UnloadedP99(const Shape& shape, uint64_t seed, bool naive) {
+double UnloadedP99(const Shape& shape,
+                   uint64_t seed,
+                   const Fault& fault,
+                   bool naive) {
   Scenario scenario;
+  scenario.prepare = fault;
   scenario.shape = shape;
   scenario.load = {kUsual[0], 0, 0};
   scenario.naive = naive;
@@ -36,10 +42,11 @@
 
 void AddUrgentSlowdown(const Shape& shape,
                        uint64_t seed,
+                       const Fault& fault,
                        const Comparison& runs,
                        Measurements* out) {
-  const double naive = UnloadedP99(shape, seed, true);
-  const double policy = UnloadedP99(shape, seed, false);
+  const double naive = UnloadedP99(shape, seed, fault, true);
+  const double policy = UnloadedP99(shape, seed, fault, false);
   out->push_back(
       {shape.name, "urgent p99 unloaded", "ms", naive, policy, std::nullopt});
   out->push_back({shape.name, "urgent p99 over unloaded", "times",
@@ -90,15 +97,17 @@
   }
 }
 
-Measurements RunFlood(uint64_t seed, const RankRates& flood) {
+Measurements RunFlood(uint64_t seed,
+                      const RankRates& flood,
+                      const Fault& fault = {}) {
   const bool urgent_fits = flood[0] <= kUsual[0];
   Measurements measurements;
   for (const Shape& shape : AllShapes()) {
-    const Comparison runs = Compare(Flood(shape, flood), seed);
+    const Comparison runs = Compare(Flood(shape, flood, fault), seed);
     const Measures measures(shape.name, runs, &measurements);
     AddLatency(measures);
     if (urgent_fits) {
-      AddUrgentSlowdown(shape, seed, runs, &measurements);
+      AddUrgentSlowdown(shape, seed, fault, runs, &measurements);
     }
     AddFloors(measures);
     AddOverload(measures);
@@ -123,6 +132,47 @@
        return RunFlood(seed, {kFlood, kFlood, kFlood});
      }});
 
+const Registration kStragglersInFlood(
+    {"stragglers-in-flood",
+     "slow sub-requests and pauses in a flood of background work",
+     [](uint64_t seed) {
+       return RunFlood(seed, {kUsual[0], kUsual[1], kFlood},
+                       StragglersAndPauses(seed));
+     }});
+
+// Strict priority with floors as the policy, weighted queues as the baseline.
+Measurements RunOrdering(uint64_t seed) {
+  Measurements measurements;
+  for (const Shape& shape : AllShapes()) {
+    for (const double urgent : {0.3, 0.6, 0.8}) {
+      Scenario scenario = Flood(shape, {urgent, kUsual[1], kFlood}, {});
+      scenario.load = {urgent, 0, 0};
+      Comparison runs;
+      runs.policy = Simulation(scenario, seed).Run();
+      scenario.ordering = RankOrdering::kWeighted;
+      runs.baseline = Simulation(scenario, seed).Run();
+      const std::string load =
+          " at urgent load " + std::to_string(static_cast<int>(urgent * 100));
+      const Measures measures(shape.name, runs, &measurements);
+      measures.Add("urgent p99" + load, "ms", [](const RunResult& r) {
+        return r.rank(Rank::kUrgent).Quantile(0.99);
+      });
+      measures.Add("background goodput" + load, "%", [](const RunResult& r) {
+        return r.GoodputPercent(Rank::kBackground);
+      });
+      measures.Add("goodput" + load, "%",
+                   [](const RunResult& r) { return r.GoodputPercent(); });
+    }
+  }
+  return measurements;
+}
+
+const Registration kOrdering(
+    {"rank-ordering",
+     "weighted queues (as baseline) against strict priority with floors, in a "
+     "flood of background work",
+     RunOrdering});
+
 }  // namespace
 
 }  // namespace greengage::bench
--- a/tools/bench/simulation.cc
+++ b/tools/bench/simulation.cc
@@ -253,8 +253,8 @@
   const SubCall* call = calls_.Find(first.mapped().call);
   if (call != nullptr && call->swallowed) {
     ++result_.swallowed;
-    result_.hedge_lateness_ms =
-        std::max(result_.hedge_lateness_ms, Milliseconds(now - first.mapped().due));
+    result_.hedge_lateness_ms = std::max(
+        result_.hedge_lateness_ms, Milliseconds(now - first.mapped().due));
   }
 }
 
