Build the JSON of sub-requests in memory on the stack

CPU per sub-request, 28 to 53 us over all runs, differed more between runs on the shared machine than by this change, so nothing is claimed for it.

--- a/src/protocol/searcher_codec.cc
+++ b/src/protocol/searcher_codec.cc
@@ -13,8 +13,34 @@
 
 namespace {
 
-// Enough for the JSON tree of a usual answer without touching the heap.
-constexpr size_t kParseBufferBytes = size_t{16} * 1024;
+// Enough for the JSON trees of usual messages, and for the parser's own stack,
+// without touching the heap.
+constexpr size_t kRequestTreeBytes = size_t{4} * 1024;
+constexpr size_t kAnswerTreeBytes = size_t{16} * 1024;
+constexpr size_t kParserBytes = size_t{8} * 1024;
+
+constexpr size_t kRequestMembers = 13;
+
+// A bounded piece of stack for one JSON tree; the heap serves what is more.
+template <size_t Size>
+class TreeMemory {
+ public:
+  json::storage_ptr storage() { return &resource_; }
+
+ private:
+  std::array<unsigned char, Size> buffer_;
+  json::monotonic_resource resource_{buffer_.data(), buffer_.size()};
+};
+
+// The tree of `text` in `storage`; null if it is not one JSON value.
+json::value ParseTree(std::string_view text, const json::storage_ptr& storage) {
+  std::array<unsigned char, kParserBytes> buffer;
+  json::parser parser({}, {}, buffer.data(), buffer.size());
+  parser.reset(storage);
+  boost::system::error_code error;
+  parser.write(text.data(), text.size(), error);
+  return error ? json::value() : parser.release();
+}
 
 constexpr std::pair<std::string_view, Refusal> kRefusals[] = {
     {"shed", Refusal::kShed},
@@ -80,7 +106,9 @@
 }  // namespace
 
 std::string SerializeSearch(const SubRequest& request, TimePoint now) {
-  json::object object;
+  TreeMemory<kRequestTreeBytes> memory;
+  json::object object(memory.storage());
+  object.reserve(kRequestMembers);
   object["request_id"] = request.request_id;
   object["sub_request_id"] = request.id;
   object["service"] = request.service;
@@ -122,12 +150,9 @@
                             std::string_view body) {
   SubAnswer malformed =
       FailedSubAnswer(request, Outcome::kUnknown, Refusal::kMalformedAnswer);
-  std::array<unsigned char, kParseBufferBytes> buffer;
-  json::monotonic_resource memory(buffer.data(), buffer.size());
-  boost::system::error_code error;
-  const json::value value =
-      json::parse(json::string_view(body.data(), body.size()), error, &memory);
-  if (error || !value.is_object()) {
+  TreeMemory<kAnswerTreeBytes> memory;
+  const json::value value = ParseTree(body, memory.storage());
+  if (!value.is_object()) {
     return malformed;
   }
   const json::object& object = value.get_object();
