--- a/tools/bench/path_cost.cc
+++ b/tools/bench/path_cost.cc
@@ -1,4 +1,6 @@
 // Cost of a sub-request on its way from an owner to a searcher and back.
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/json.hpp>
@@ -115,7 +117,7 @@
   for (const Endpoint& searcher : searchers) {
     clients[searcher] = HttpClient::Create(context, searcher, {});
   }
-  return [clients](SubRequest request, std::function<void(bool)> done) {
+  return [clients](const SubRequest& request, std::function<void(bool)> done) {
     HttpCall call;
     call.method = "POST";
     call.target = "/search";
@@ -312,7 +314,7 @@
   return out;
 }
 
-const Registration kPathCost{
+Registration path_cost_registration{
     {"path-cost",
      "CPU, allocations and memory of sub-requests from owner to searcher over "
      "loopback; baseline: a plain call for each, without queues",
