--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -436,7 +436,9 @@
         keep_alive_ && !close_when_idle_ && !listener_->keep_alive_ended());
 }
 
+// The hook may keep this session alive through its exchange.
 void Session::Abort() {
+  abandoned_hook_ = nullptr;
   Close();
 }
 
