--- a/tests/at_most_once_process_test.cc
+++ b/tests/at_most_once_process_test.cc
@@ -35,12 +35,14 @@
                                       const std::string& id,
                                       uint64_t deadline_ms = 1000) {
   std::vector<std::future<JsonReply>> calls;
+  calls.reserve(deployment.instances());
   for (size_t i = 0; i < deployment.instances(); ++i) {
     calls.push_back(std::async(std::launch::async, [&, i] {
       return Book(deployment, i, id, deadline_ms);
     }));
   }
   std::vector<JsonReply> replies;
+  replies.reserve(calls.size());
   for (auto& call : calls) {
     replies.push_back(call.get());
   }
--- a/tests/configuration_process_test.cc
+++ b/tests/configuration_process_test.cc
@@ -79,8 +79,10 @@
 Test(Configuration, RacingOperatorsHaveOneWinner) {
   const Deployment deployment({.shards = 1});
   const uint64_t base = deployment.VersionAt(0);
+  constexpr int kOperators = 4;
   std::vector<std::future<JsonReply>> operators;
-  for (int i = 0; i < 4; ++i) {
+  operators.reserve(kOperators);
+  for (int i = 0; i < kOperators; ++i) {
     operators.push_back(std::async(std::launch::async, [&, i] {
       return deployment.PutConfiguration(
           deployment.ConfigurationText("hedge_percent = " + std::to_string(i)),
