--- a/include/greengage/coordination/searcher_state.h
+++ b/include/greengage/coordination/searcher_state.h
@@ -4,7 +4,11 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <optional>
+#include <string>
+#include <string_view>
 
 #include "greengage/coordination/latency_window.h"
 #include "greengage/state/query.h"
@@ -14,8 +18,12 @@
 namespace greengage {
 
 struct SearcherStateOptions {
-  // Ends without an answer in a row before the searcher is ejected.
+  // Ends without an answer in a row before the searcher is suspected.
   uint32_t ejection_failures = 3;
+  // A suspected searcher gets no work for this time, and then one sub-request
+  // at a time. Only when that has no answer either is the searcher ejected:
+  // connections that went silent look alike, but new ones work.
+  Duration suspicion = std::chrono::milliseconds(100);
   Duration first_ejection = std::chrono::milliseconds(250);
   Duration longest_ejection = std::chrono::seconds(8);
   // A cold searcher gets its full share of work after this time.
@@ -34,13 +42,21 @@
   double weight = 1;            // Below 1 during slow start.
   uint64_t oldest_version = 0;  // 0: not known.
   uint64_t newest_version = 0;
+  bool versions_old = false;  // It may have learned newer ones since.
+  TimePoint last_answer;      // Also a refusal; the epoch if there was none.
+  // When the newest of the sub-requests that it answered was sent, by rank.
+  std::array<TimePoint, kRankCount> newest_answered{};
   bool draining = false;
-  bool ejected = false;
+  bool lacks_shard = false;  // Has just refused the shard that is asked for.
+  bool avoided = false;      // Suspected or ejected.
   bool hinted_unhealthy = false;  // Its health endpoint says so; may be wrong.
 
   bool MayHold(uint64_t version) const {
-    return version == 0 || newest_version == 0 ||
-           (oldest_version <= version && version <= newest_version);
+    if (version == 0 || newest_version == 0) {
+      return true;
+    }
+    return oldest_version <= version &&
+           (versions_old || version <= newest_version);
   }
 };
 
@@ -57,8 +73,12 @@
 
   void OnSent(TimePoint now, Rank rank);
 
-  // The sub-request got an answer, a refusal, or an end without either.
-  void OnEnded(TimePoint now, Rank rank, const SubAnswer& answer);
+  // The sub-request that was sent at `sent` got an answer, a refusal, or an end
+  // without either.
+  void OnEnded(TimePoint now,
+               Rank rank,
+               TimePoint sent,
+               const SubAnswer& answer);
 
   // The sub-request was given up after `age`. It tells against the searcher
   // only when it was `overdue`, that is given up in favour of a hedge.
@@ -74,6 +94,12 @@
   // The searcher is known to have started anew: it is cold.
   void OnColdStart(TimePoint now);
 
+  // It has refused a range of `shard` as not held. It is passed over for that
+  // shard for a while, since a searcher that refuses at once looks idle.
+  void OnRangeNotHeld(TimePoint now, const std::string& shard);
+
+  bool LacksShard(TimePoint now, std::string_view shard) const;
+
   void OnHealthHint(bool healthy) { hinted_unhealthy_ = !healthy; }
 
   void set_slots(uint32_t slots) { slots_ = slots; }
@@ -81,7 +107,7 @@
   SearcherView View(TimePoint now, const Endpoint& endpoint) const;
 
   SearcherSigns signs(TimePoint now) const {
-    return {IsDraining(now), ejected_until_.has_value()};
+    return {IsDraining(now), ejection_ > Duration::zero()};
   }
 
   const LatencyWindow& latency() const { return latency_; }
@@ -91,7 +117,7 @@
   void OnFailure(TimePoint now);
   void EndOne(Rank rank);
   bool IsDraining(TimePoint now) const;
-  bool IsEjected(TimePoint now) const;
+  bool IsAvoided(TimePoint now) const;
   double Weight(TimePoint now) const;
 
   SearcherStateOptions options_;
@@ -100,13 +126,16 @@
   LatencyWindow latency_;
   SearcherLoad load_;
   TimePoint load_at_;
+  TimePoint last_answer_;
+  std::array<TimePoint, kRankCount> newest_answered_{};
   TimePoint warm_since_;
   bool cold_ = false;
   std::optional<TimePoint> drain_sign_;
   uint32_t failures_ = 0;  // Ends without an answer since the last answer.
-  std::optional<TimePoint> ejected_until_;
-  Duration ejection_{};
+  std::optional<TimePoint> avoided_until_;
+  Duration ejection_{};  // Zero while the searcher is only suspected.
   bool hinted_unhealthy_ = false;
+  std::map<std::string, TimePoint, std::less<>> lacking_until_;  // By shard.
 };
 
 }  // namespace greengage
--- a/src/entry_instance.cc
+++ b/src/entry_instance.cc
@@ -1,12 +1,13 @@
 #include "greengage/entry_instance.h"
 
 #include <boost/asio.hpp>
-#include <boost/json.hpp>
 
 #include <random>
 
 #include "greengage/coordination/owner_directory.h"
+#include "greengage/coordination/stop_sequence.h"
 #include "greengage/coordination/watcher_set.h"
+#include "greengage/protocol/status_codec.h"
 #include "greengage/transport/claim_service.h"
 #include "greengage/transport/claim_store.h"
 #include "greengage/transport/configuration_service.h"
@@ -23,7 +24,6 @@
 namespace {
 
 namespace asio = boost::asio;
-namespace json = boost::json;
 
 constexpr size_t kTimeLineEvents = 65536;
 
@@ -114,8 +114,7 @@
   void OnSearcherAnswer(const Endpoint& searcher, const SubAnswer& answer);
   bool IsDraining(const Endpoint& searcher) const;
   void OnConfiguration(const ConfigurationPtr& configuration);
-  void StopTakingRequests();
-  void WaitForWork();
+  void AdvanceStop();
   bool HasWork() const;
   void StopPeers();
 
@@ -146,7 +145,7 @@
   std::atomic<bool> refusing_{false};
   asio::steady_timer stop_timer_;
   asio::steady_timer seed_timer_;
-  TimePoint grace_end_;
+  std::optional<StopSequence> stop_sequence_;
   std::function<void()> stopped_;
 };
 
@@ -226,8 +225,9 @@
           },
           [this](const ConfigurationFetch& fetch,
                  ConfigurationService::TextCallback done) {
-            FetchConfiguration(*router_->LinkTo(fetch.source),
-                               fetch.have_version, clock_, std::move(done));
+            FetchConfiguration(router_->LinkTo(fetch.source),
+                               configuration_->current_text(), clock_,
+                               std::move(done));
           },
           [this](const ConfigurationPtr& configuration) {
             OnConfiguration(configuration);
@@ -252,8 +252,7 @@
       &events_, &metrics_);
   peer_service_ = std::make_shared<PeerService>(
       owner_service_.get(), &clock_, [this](const std::string& request) {
-        return ServeConfiguration(request, configuration_->current_text(),
-                                  clock_);
+        return ServeConfiguration(request, *configuration_, clock_);
       });
 }
 
@@ -343,21 +342,15 @@
 
 std::string EntryInstanceImpl::Status() const {
   const ConfigurationPtr configuration = configuration_->current();
-  json::object status;
-  status["instance"] = settings_.id;
-  status["data_centre"] = settings_.data_centre;
-  status["state"] = stopping_ ? "leaving" : "live";
-  status["configuration_version"] = configuration ? configuration->version : 0;
-  status["platform_down"] = configuration_->platform_down();
-  json::array& members = status["members"].emplace_array();
-  const MemberTablePtr table = gossip_->table();
-  for (const Instance& member : table->members) {
-    members.push_back({{"id", member.id},
-                       {"data_centre", member.data_centre},
-                       {"state", InstanceStateName(member.state)},
-                       {"http", ToString(member.http)}});
-  }
-  return json::serialize(status);
+  const auto table = gossip_->table();
+  InstanceStatus status;
+  status.id = settings_.id;
+  status.data_centre = settings_.data_centre;
+  status.state = stopping_ ? InstanceState::kLeaving : InstanceState::kLive;
+  status.configuration_version = configuration ? configuration->version : 0;
+  status.platform_down = configuration_->platform_down();
+  status.members.assign(table->members.begin(), table->members.end());
+  return SerializeStatus(status);
 }
 
 void EntryInstanceImpl::MakeFront() {
@@ -468,16 +461,24 @@
   configuration_->SetWatching(false);
   gossip_->Leave();
   http_server_->EndKeepAlive();
-  stop_timer_.expires_after(settings_.stop_notice);
-  stop_timer_.async_wait(
-      [self = shared_from_this()](auto) { self->StopTakingRequests(); });
+  stop_sequence_.emplace(std::chrono::steady_clock::now(),
+                         settings_.stop_notice, settings_.stop_grace);
+  AdvanceStop();
 }
 
-void EntryInstanceImpl::StopTakingRequests() {
-  refusing_ = true;
-  http_server_->StopAccepting();
-  grace_end_ = std::chrono::steady_clock::now() + settings_.stop_grace;
-  WaitForWork();
+void EntryInstanceImpl::AdvanceStop() {
+  const StopStep step = stop_sequence_->Next(std::chrono::steady_clock::now(),
+                                             front_->last_request(), HasWork());
+  if (step != StopStep::kServe && !refusing_.exchange(true)) {
+    http_server_->StopAccepting();
+  }
+  if (step == StopStep::kFinished) {
+    StopPeers();
+    return;
+  }
+  stop_timer_.expires_after(kStopPollPeriod);
+  stop_timer_.async_wait(
+      [self = shared_from_this()](auto) { self->AdvanceStop(); });
 }
 
 bool EntryInstanceImpl::HasWork() const {
@@ -486,16 +487,6 @@
          http_server_->connections() > 0;
 }
 
-void EntryInstanceImpl::WaitForWork() {
-  if (!HasWork() || std::chrono::steady_clock::now() >= grace_end_) {
-    StopPeers();
-    return;
-  }
-  stop_timer_.expires_after(kStopPollPeriod);
-  stop_timer_.async_wait(
-      [self = shared_from_this()](auto) { self->WaitForWork(); });
-}
-
 void EntryInstanceImpl::StopPeers() {
   peer_server_->Stop([self = shared_from_this()] {
     self->router_->Close();
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -11,7 +11,7 @@
 
 std::shared_ptr<HttpClient> HttpClient::Create(boost::asio::io_context& context,
                                                const Endpoint& server,
-                                               HttpClientLimits limits) {
+                                               const HttpClientLimits& limits) {
   return std::make_shared<HttpClientPool>(context, server, limits);
 }
 
@@ -27,6 +27,10 @@
     context.stop();
   });
   context.run();
+  // The pool and its connections refer to each other until it is closed.
+  client->Close();
+  context.restart();
+  context.poll();
   return std::move(result->response);
 }
 
--- a/src/transport/http_client_pool.cc
+++ b/src/transport/http_client_pool.cc
@@ -53,7 +53,7 @@
 }
 
 void HttpClientPool::Push(Command command) {
-  if (mailbox_.Push(std::move(command)) == PushResult::kSchedule) {
+  if (mailbox_.Push(command) == PushResult::kSchedule) {
     asio::post(strand_, [self = Self()] {
       self->Execute(self->mailbox_.TakeScheduled());
       self->Dispatch();
--- a/tests/harness/program.h
+++ b/tests/harness/program.h
@@ -10,12 +10,12 @@
 
 namespace greengage {
 
-// One running program. Its standard output goes to a pipe; standard error is
-// the test's own. Killed when destroyed, if it still runs.
+// One running program. Its standard output goes to a pipe; standard error goes
+// to a temporary file. Killed when destroyed, if it still runs.
 class Program {
  public:
   // `name` is that of a program in GREENGAGE_BIN_DIR.
-  Program(const std::string& name, std::vector<std::string> arguments);
+  Program(const std::string& name, const std::vector<std::string>& arguments);
   ~Program();
 
   Program(const Program&) = delete;
@@ -35,9 +35,6 @@
   int output_ = -1;
 };
 
-// A port of 127.0.0.1 that was free a moment ago, for TCP and UDP.
-uint16_t FreePort();
-
 // Writes `text` to a new file, whose name it gives back. Removed at the end of
 // the process.
 std::string TemporaryFile(const std::string& text);
--- a/tools/bench/experiments_membership.cc
+++ b/tools/bench/experiments_membership.cc
@@ -29,7 +29,7 @@
 constexpr size_t kPauses = 4;
 constexpr size_t kPausedAtOnce = 3;
 
-const size_t kSizes[] = {10, 100, 300, 940};
+constexpr size_t kSizes[] = {10, 100, 300, 940};
 
 // Changes a day at the largest deployment: of the configuration, and arrivals
 // and departures.
@@ -267,7 +267,7 @@
   return measurements;
 }
 
-const Registration kMembership(
+const Registration registration(
     {.name = "membership",
      .summary = "Failure detection at 10 to 940 instances, against random "
                 "probing, a short timeout and probing of all by all",
--- a/tools/bench/experiments_membership_cost.cc
+++ b/tools/bench/experiments_membership_cost.cc
@@ -24,7 +24,7 @@
 constexpr size_t kTicksPerDigest = 50;
 constexpr size_t kDataCentres = 3;
 
-const size_t kSizes[] = {10, 100, 300, 940};
+constexpr size_t kSizes[] = {10, 100, 300, 940};
 
 double SecondsOf(const std::function<void()>& work) {
   const auto start = std::chrono::steady_clock::now();
@@ -183,7 +183,7 @@
   return measurements;
 }
 
-const Registration kMembershipCost(
+const Registration registration(
     {.name = "membership-cost",
      .summary = "Processor time and memory of membership without the socket, "
                 "at 10 to 940 instances",
