--- a/src/entry_instance.cc
+++ b/src/entry_instance.cc
@@ -1,14 +1,16 @@
 #include "greengage/entry_instance.h"
 
 #include <boost/asio.hpp>
-#include <boost/json.hpp>
 
 #include <random>
 
 #include "greengage/coordination/owner_directory.h"
+#include "greengage/coordination/stop_sequence.h"
 #include "greengage/coordination/watcher_set.h"
+#include "greengage/protocol/status_codec.h"
 #include "greengage/transport/claim_service.h"
 #include "greengage/transport/claim_store.h"
+#include "greengage/transport/claim_sweeper.h"
 #include "greengage/transport/configuration_service.h"
 #include "greengage/transport/front_service.h"
 #include "greengage/transport/gossip_service.h"
@@ -16,6 +18,7 @@
 #include "greengage/transport/peer_service.h"
 #include "greengage/transport/platform_client.h"
 #include "greengage/transport/query_service.h"
+#include "greengage/transport/upstream_watch.h"
 #include "state/gauge_names.h"
 #include "transport/configuration_fetch.h"
 
@@ -23,7 +26,6 @@
 namespace {
 
 namespace asio = boost::asio;
-namespace json = boost::json;
 
 constexpr size_t kTimeLineEvents = 65536;
 
@@ -97,7 +99,9 @@
   static constexpr double kRetryBurst = 20;
 
   void MakeServices();
+  void MakeBackgroundWork();
   void MakeFront();
+  void OnLeaving(const Endpoint& searcher);
   std::vector<Gauge> Gauges();
   Result<Done> ListenToPeers();
   Result<Done> ListenToCallers();
@@ -114,8 +118,7 @@
   void OnSearcherAnswer(const Endpoint& searcher, const SubAnswer& answer);
   bool IsDraining(const Endpoint& searcher) const;
   void OnConfiguration(const ConfigurationPtr& configuration);
-  void StopTakingRequests();
-  void WaitForWork();
+  void AdvanceStop();
   bool HasWork() const;
   void StopPeers();
 
@@ -137,6 +140,8 @@
   std::unique_ptr<QueryService> queries_;
   std::unique_ptr<ClaimService> claims_;
   std::shared_ptr<PeerService> peer_service_;
+  std::shared_ptr<UpstreamWatch> upstream_watch_;
+  std::shared_ptr<ClaimSweeper> claim_sweeper_;
   std::shared_ptr<FrontService> front_;
   std::shared_ptr<PeerServer> peer_server_;
   std::shared_ptr<HttpServer> http_server_;
@@ -146,7 +151,7 @@
   std::atomic<bool> refusing_{false};
   asio::steady_timer stop_timer_;
   asio::steady_timer seed_timer_;
-  TimePoint grace_end_;
+  std::optional<StopSequence> stop_sequence_;
   std::function<void()> stopped_;
 };
 
@@ -226,8 +231,9 @@
           },
           [this](const ConfigurationFetch& fetch,
                  ConfigurationService::TextCallback done) {
-            FetchConfiguration(*router_->LinkTo(fetch.source),
-                               fetch.have_version, clock_, std::move(done));
+            FetchConfiguration(router_->LinkTo(fetch.source),
+                               configuration_->current_text(), clock_,
+                               std::move(done));
           },
           [this](const ConfigurationPtr& configuration) {
             OnConfiguration(configuration);
@@ -251,10 +257,12 @@
                      }),
       &events_, &metrics_);
   peer_service_ = std::make_shared<PeerService>(
-      owner_service_.get(), &clock_, [this](const std::string& request) {
-        return ServeConfiguration(request, configuration_->current_text(),
-                                  clock_);
-      });
+      owner_service_.get(), &clock_,
+      [this](const std::string& request) {
+        return ServeConfiguration(request, *configuration_, clock_);
+      },
+      [this](const Endpoint& searcher) { OnLeaving(searcher); });
+  MakeBackgroundWork();
 }
 
 void EntryInstanceImpl::WatchPlatform(uint64_t after,
@@ -335,7 +343,9 @@
         }
         std::vector<Endpoint> seeds = self->settings_.seeds;
         for (const Instance& instance : *listed) {
-          seeds.push_back(instance.gossip);
+          if (instance.gossip.port != 0) {
+            seeds.push_back(instance.gossip);
+          }
         }
         self->gossip_->SetSeeds(std::move(seeds));
       });
@@ -343,20 +353,42 @@
 
 std::string EntryInstanceImpl::Status() const {
   const ConfigurationPtr configuration = configuration_->current();
-  json::object status;
-  status["instance"] = settings_.id;
-  status["data_centre"] = settings_.data_centre;
-  status["state"] = stopping_ ? "leaving" : "live";
-  status["configuration_version"] = configuration ? configuration->version : 0;
-  status["platform_down"] = configuration_->platform_down();
-  json::array& members = status["members"].emplace_array();
-  for (const Instance& member : gossip_->table()->members) {
-    members.push_back({{"id", member.id},
-                       {"data_centre", member.data_centre},
-                       {"state", InstanceStateName(member.state)},
-                       {"http", ToString(member.http)}});
-  }
-  return json::serialize(status);
+  const auto table = gossip_->table();
+  InstanceStatus status;
+  status.id = settings_.id;
+  status.data_centre = settings_.data_centre;
+  status.state = stopping_ ? InstanceState::kLeaving : InstanceState::kLive;
+  status.configuration_version = configuration ? configuration->version : 0;
+  status.platform_down = configuration_->platform_down();
+  status.members.assign(table->members.begin(), table->members.end());
+  return SerializeStatus(status);
+}
+
+void EntryInstanceImpl::MakeBackgroundWork() {
+  upstream_watch_ = std::make_shared<UpstreamWatch>(
+      context_, settings_.id, platform_, settings_.platform_timeout, router_,
+      &clock_,
+      UpstreamWatch::Hooks{
+          [this] { return !stopping_ && ShouldWatch(*gossip_->table()); },
+          [this] { return owners_.owners(); },
+          [this](const Endpoint& searcher) { OnLeaving(searcher); }});
+  claim_sweeper_ = std::make_shared<ClaimSweeper>(
+      context_, platform_, settings_.platform_timeout,
+      ClaimSweeper::Hooks{
+          [this] {
+            return !stopping_ && configuration_->current() &&
+                   SweepsClaims(settings_.id, gossip_->table()->members);
+          },
+          [this] {
+            const ConfigurationPtr configuration = configuration_->current();
+            return ClaimLimits{configuration->limits.claim_retention,
+                               configuration->limits.clock_skew};
+          }});
+}
+
+void EntryInstanceImpl::OnLeaving(const Endpoint& searcher) {
+  searchers_.OnDrainSign(std::chrono::steady_clock::now(), searcher);
+  owner_service_->Drain(searcher);
 }
 
 void EntryInstanceImpl::MakeFront() {
@@ -454,6 +486,8 @@
                  "", GREENGAGE_VERSION);
   OnMembers(gossip_->table());
   SeedFromPlatform();
+  upstream_watch_->Start();
+  claim_sweeper_->Start();
   return Done{};
 }
 
@@ -467,16 +501,24 @@
   configuration_->SetWatching(false);
   gossip_->Leave();
   http_server_->EndKeepAlive();
-  stop_timer_.expires_after(settings_.stop_notice);
-  stop_timer_.async_wait(
-      [self = shared_from_this()](auto) { self->StopTakingRequests(); });
+  stop_sequence_.emplace(std::chrono::steady_clock::now(),
+                         settings_.stop_notice, settings_.stop_grace);
+  AdvanceStop();
 }
 
-void EntryInstanceImpl::StopTakingRequests() {
-  refusing_ = true;
-  http_server_->StopAccepting();
-  grace_end_ = std::chrono::steady_clock::now() + settings_.stop_grace;
-  WaitForWork();
+void EntryInstanceImpl::AdvanceStop() {
+  const StopStep step = stop_sequence_->Next(std::chrono::steady_clock::now(),
+                                             front_->last_request(), HasWork());
+  if (step != StopStep::kServe && !refusing_.exchange(true)) {
+    http_server_->StopAccepting();
+  }
+  if (step == StopStep::kFinished) {
+    StopPeers();
+    return;
+  }
+  stop_timer_.expires_after(kStopPollPeriod);
+  stop_timer_.async_wait(
+      [self = shared_from_this()](auto) { self->AdvanceStop(); });
 }
 
 bool EntryInstanceImpl::HasWork() const {
@@ -485,20 +527,12 @@
          http_server_->connections() > 0;
 }
 
-void EntryInstanceImpl::WaitForWork() {
-  if (!HasWork() || std::chrono::steady_clock::now() >= grace_end_) {
-    StopPeers();
-    return;
-  }
-  stop_timer_.expires_after(kStopPollPeriod);
-  stop_timer_.async_wait(
-      [self = shared_from_this()](auto) { self->WaitForWork(); });
-}
-
 void EntryInstanceImpl::StopPeers() {
   peer_server_->Stop([self = shared_from_this()] {
     self->router_->Close();
     self->configuration_->Stop();
+    self->upstream_watch_->Stop();
+    self->claim_sweeper_->Stop();
     self->seed_timer_.cancel();
     self->gossip_->Stop([self] {
       self->events_.Record(std::chrono::system_clock::now(),
--- a/src/transport/configuration_service.cc
+++ b/src/transport/configuration_service.cc
@@ -1,17 +1,22 @@
 #include "greengage/transport/configuration_service.h"
 
+#include <algorithm>
+
 #include "greengage/protocol/configuration_file.h"
 #include "greengage/transport/log.h"
 
 namespace greengage {
 namespace {
 
-// Between two watches after the platform did not answer.
+// Between two watches after one that failed.
 constexpr std::chrono::milliseconds kWatchRetryDelay{500};
 
 // Between two looks at whether a fetch from a peer should be given up.
 constexpr std::chrono::milliseconds kSpreadTick{100};
 
+// Versions that deltas can be made from.
+constexpr size_t kTextsKept = 4;
+
 TimePoint Now() {
   return std::chrono::steady_clock::now();
 }
@@ -40,7 +45,18 @@
   if (!current_) {
     return std::nullopt;
   }
-  return ConfigurationText{current_->version, text_};
+  return texts_.front();
+}
+
+std::optional<ConfigurationText> ConfigurationService::recent_text(
+    uint64_t version) const {
+  const std::lock_guard lock(mutex_);
+  for (const ConfigurationText& text : texts_) {
+    if (text.version == version) {
+      return text;
+    }
+  }
+  return std::nullopt;
 }
 
 uint64_t ConfigurationService::version() const {
@@ -70,7 +86,7 @@
       return;
     }
     watch_open_ = true;
-    after = current_ ? current_->version : 0;
+    after = std::max(current_ ? current_->version : 0, refused_);
   }
   hooks_.watch(after,
                [weak = weak_from_this()](Result<ConfigurationText> result) {
@@ -84,18 +100,19 @@
   const bool down =
       !result && result.last_reason().kind == FailureKind::kUnavailable;
   OnPlatformState(down);
-  bool again = true;
-  if (result) {
-    const Result<Done> offered = Offer(*result);
-    again = offered.ok();
-  }
+  const bool failed =
+      !result && result.last_reason().kind != FailureKind::kStaleVersion;
+  const bool refused = result && !Offer(*result).ok();
   const std::lock_guard lock(mutex_);
   watch_open_ = false;
+  if (refused) {
+    refused_ = std::max(refused_, result->version);
+  }
   if (stopped_) {
     return;
   }
-  retry_timer_.expires_after(down || !again ? kWatchRetryDelay
-                                            : std::chrono::milliseconds(0));
+  retry_timer_.expires_after(failed ? kWatchRetryDelay
+                                    : std::chrono::milliseconds(0));
   retry_timer_.async_wait([weak = weak_from_this()](auto error) {
     const auto self = weak.lock();
     if (!error && self) {
@@ -203,7 +220,10 @@
   {
     const std::lock_guard lock(mutex_);
     current_ = configuration;
-    text_ = offered.text;
+    texts_.push_front(offered);
+    if (texts_.size() > kTextsKept) {
+      texts_.pop_back();
+    }
     next = spread_.OnInForce(offered.version, Now());
   }
   hooks_.on_in_force(configuration);
--- a/tests/greengagectl_process_test.cc
+++ b/tests/greengagectl_process_test.cc
@@ -4,9 +4,10 @@
 #include <chrono>
 #include <csignal>
 #include <memory>
-#include <optional>
+#include <thread>
 
 #include "greengage/transport/http_client.h"
+#include "tests/harness/free_port.h"
 #include "tests/harness/program.h"
 
 #include <criterion/criterion.h>
