--- a/tools/bench/main.cc
+++ b/tools/bench/main.cc
@@ -5,6 +5,7 @@
 #include <iostream>
 #include <string>
 
+#include "tools/bench/capacity.h"
 #include "tools/bench/experiment.h"
 #include "tools/bench/report.h"
 
@@ -64,6 +65,31 @@
   return all_hold ? kBoundsHold : kBoundFails;
 }
 
+struct CapacityOptions {
+  std::string fleet = "docs/capacity/fleet.csv";
+  std::string measured = "docs/capacity/measured.csv";
+};
+
+int Capacity(const CapacityOptions& options) {
+  const Result<Figures> fleet = ReadFigures(options.fleet);
+  const Result<Figures> measured = ReadFigures(options.measured);
+  for (const Result<Figures>* figures : {&fleet, &measured}) {
+    if (!figures->ok()) {
+      std::cerr << "greengage-bench: " << Describe(figures->last_reason())
+                << '\n';
+      return kUsageError;
+    }
+  }
+  const Result<std::vector<CapacityRow>> rows =
+      ComputeCapacity(*fleet, *measured);
+  if (!rows) {
+    std::cerr << "greengage-bench: " << Describe(rows.last_reason()) << '\n';
+    return kUsageError;
+  }
+  PrintCapacity(std::cout, *rows);
+  return kBoundsHold;
+}
+
 int Main(int argc, char** argv) {
   CLI::App app(
       "Runs named experiments, each beside a naive baseline. Exit code 0: "
@@ -76,11 +102,21 @@
   run->add_option("--seed", options.seed, "Seed of all random numbers");
   run->add_option("--csv", options.csv, "File for the figures");
   run->add_option("--plot", options.plot, "File for a gnuplot script");
+  CLI::App* capacity =
+      app.add_subcommand("capacity", "Works out the table of docs/CAPACITY.md");
+  CapacityOptions capacity_options;
+  capacity->add_option("--fleet", capacity_options.fleet,
+                       "CSV file with the sizes of the fleet");
+  capacity->add_option("--measured", capacity_options.measured,
+                       "CSV file with the measured figures");
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& error) {
     return app.exit(error) == 0 ? kBoundsHold : kUsageError;
   }
+  if (capacity->parsed()) {
+    return Capacity(capacity_options);
+  }
   return list->parsed() ? List() : Run(options);
 }
 
