--- a/tests/harness/process.cc
+++ b/tests/harness/process.cc
@@ -59,10 +59,12 @@
     }
   }
   const size_t end = text.find('\n');
-  cr_assert(text.starts_with(kListening) && end != std::string::npos,
-            "no address, but '%s'", text.c_str());
-  const Result<Endpoint> endpoint = ParseEndpoint(std::string_view(text).substr(
-      kListening.size(), end - kListening.size()));
+  const bool announced =
+      text.starts_with(kListening) && end != std::string::npos;
+  cr_assert(announced, "no address in the first line of process %d", id_);
+  const std::string address =
+      text.substr(kListening.size(), end - kListening.size());
+  const Result<Endpoint> endpoint = ParseEndpoint(address);
   cr_assert(endpoint.ok());
   endpoint_ = *endpoint;
 }
