--- a/tools/bench/experiments_spreading.cc
+++ b/tools/bench/experiments_spreading.cc
@@ -29,7 +29,7 @@
 constexpr milliseconds kFetchTime{60};
 constexpr milliseconds kRetransmissionTime{200};
 
-const size_t kSizes[] = {10, 100, 300, 940};
+constexpr size_t kSizes[] = {10, 100, 300, 940};
 
 // How a version goes from instance to instance.
 enum class Way : uint8_t {
@@ -239,7 +239,7 @@
   return measurements;
 }
 
-const Registration kSpreading(
+const Registration registration(
     {.name = "spreading",
      .summary = "A configuration version among 10 to 940 instances with 30 % "
                 "of datagrams lost, against push and primaries first",
