--- a/benchmarks/control_cost.py
+++ b/benchmarks/control_cost.py
@@ -5,7 +5,7 @@
 /proc over a time window. Prints one CSV line a size and the slope over sizes.
 
 Usage: python3 benchmarks/control_cost.py [--bin build/bin] [--sizes 10,30,100]
-           [--settle 8] [--window 20] [--csv FILE]
+           [--searchers 2] [--settle 8] [--window 20] [--csv FILE]
 """
 
 import argparse
@@ -21,36 +21,26 @@
 DATA_CENTRES = 3
 UDP_IP_HEADER_BYTES = 28
 
-CONFIGURATION = """[deployment]
-name = control-cost
-log_level = error
+RANKS = "".join(
+    f"[rank {rank}]\nname = {rank}\nfloor_percent = 5\ntarget_ms = 250\n\n"
+    for rank in ("urgent", "normal", "background"))
 
-[rank urgent]
-name = urgent
-floor_percent = 0
-target_ms = 250
 
-[rank normal]
-name = normal
-floor_percent = 10
-target_ms = 500
+def searcher(index):
+    return f"127.{index // 60000}.{index // 250 % 250}.{index % 250 + 1}:19999"
 
-[rank background]
-name = background
-floor_percent = 5
-target_ms = 5000
 
-[service finder]
-key_space = 100
-deadline_ms = 1000
-
-[shard finder/0]
-range = 0-99
-replicas = 127.0.0.1:19999
-
-[searcher 127.0.0.1:19999]
-data_centre = dc0
-"""
+def configuration(searchers):
+    """One service whose shards have two replicas each, in all data centres."""
+    shards = searchers // 2
+    text = [f"[deployment]\nname = control-cost\nlog_level = error\n\n{RANKS}"
+            f"[service finder]\nkey_space = {shards * 100}\ndeadline_ms = 1000\n\n"]
+    for i in range(shards):
+        text.append(f"[shard finder/{i}]\nrange = {i * 100}-{i * 100 + 99}\n"
+                    f"replicas = {searcher(2 * i)} {searcher(2 * i + 1)}\n\n")
+    for i in range(2 * shards):
+        text.append(f"[searcher {searcher(i)}]\ndata_centre = dc{i % DATA_CENTRES}\n\n")
+    return "".join(text)
 
 
 def settings(index):
@@ -80,10 +70,10 @@
     return int(re.search(r"VmRSS:\s+(\d+) kB", status).group(1)) / 1024
 
 
-def apply_configuration():
+def apply_configuration(searchers):
     request = urllib.request.Request(
         f"http://127.0.0.1:{BASE_PORT - 1}/objects/configuration/current?expected=0",
-        data=CONFIGURATION.encode(), method="PUT")
+        data=configuration(searchers).encode(), method="PUT")
     urllib.request.urlopen(request, timeout=5).read()
 
 
@@ -107,7 +97,7 @@
     processes = []
     try:
         time.sleep(0.3)
-        apply_configuration()
+        apply_configuration(arguments.searchers)
         for index in range(size):
             path = folder / f"i{index}.ini"
             path.write_text(settings(index))
@@ -148,6 +138,7 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("--bin", default="build/bin")
     parser.add_argument("--sizes", default="10,30,100")
+    parser.add_argument("--searchers", type=int, default=2)
     parser.add_argument("--settle", type=float, default=8)
     parser.add_argument("--window", type=float, default=20)
     parser.add_argument("--csv")
