--- a/tools/bench/simulation.cc
+++ b/tools/bench/simulation.cc
@@ -253,8 +253,8 @@
   const SubCall* call = calls_.Find(first.mapped().call);
   if (call != nullptr && call->swallowed) {
     ++result_.swallowed;
-    result_.hedge_lateness_ms =
-        std::max(result_.hedge_lateness_ms, Milliseconds(now - first.mapped().due));
+    result_.hedge_lateness_ms = std::max(
+        result_.hedge_lateness_ms, Milliseconds(now - first.mapped().due));
   }
 }
 
@@ -323,6 +323,10 @@
   if (!scenario_.naive) {
     admission_.OnEnded(events_.now(), live.query, answer);
   }
+  const bool in_time =
+      IsMeasured() && events_.now() <= MeasuredFrom() + scenario_.measured;
+  result_.ranks[IndexOf(live.query.rank)].completed +=
+      in_time && answer.whole() ? 1 : 0;
   if (live.measured) {
     Count(live, answer);
   }
