--- a/include/greengage/state/key_range.h
+++ b/include/greengage/state/key_range.h
@@ -13,6 +13,8 @@
   uint64_t begin = 0;
   uint64_t end = 0;
 
+  // clang-tidy 14 takes the defaulted comparison for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const KeyRange&) const = default;
 
   bool empty() const { return begin >= end; }
--- a/include/greengage/state/metrics.h
+++ b/include/greengage/state/metrics.h
@@ -2,6 +2,8 @@
 #ifndef GREENGAGE_STATE_METRICS_H_
 #define GREENGAGE_STATE_METRICS_H_
 
+#include <sstream>
+
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
 #include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
--- a/include/greengage/transport/claim_store.h
+++ b/include/greengage/transport/claim_store.h
@@ -14,7 +14,7 @@
 // Hooks that write and read claims through `platform`, each call bounded by
 // `timeout`, and send requests by `send`.
 ClaimHooks MakeClaimHooks(
-    std::shared_ptr<PlatformClient> platform,
+    const std::shared_ptr<PlatformClient>& platform,
     std::chrono::milliseconds timeout,
     std::function<void(Query, ConfigurationPtr, std::function<void(Answer)>)>
         send);
--- a/src/entry_instance.cc
+++ b/src/entry_instance.cc
@@ -477,7 +477,7 @@
   for (const auto& step :
        {&EntryInstanceImpl::ListenToPeers, &EntryInstanceImpl::ListenToCallers,
         &EntryInstanceImpl::StartGossip}) {
-    const Result<Done> result = (this->*step)();
+    Result<Done> result = (this->*step)();
     if (!result) {
       return result;
     }
--- a/src/protocol/json_reader.cc
+++ b/src/protocol/json_reader.cc
@@ -49,7 +49,8 @@
   if (!value || !value->is_string()) {
     return std::nullopt;
   }
-  return std::string_view(value->get_string());
+  const json::string& text = value->get_string();
+  return std::string_view{text.data(), text.size()};
 }
 
 std::optional<KeyRange> ReadRange(const json::object& object,
--- a/src/transport/claim_store.cc
+++ b/src/transport/claim_store.cc
@@ -40,7 +40,7 @@
 }  // namespace
 
 ClaimHooks MakeClaimHooks(
-    std::shared_ptr<PlatformClient> platform,
+    const std::shared_ptr<PlatformClient>& platform,
     std::chrono::milliseconds timeout,
     std::function<void(Query, ConfigurationPtr, std::function<void(Answer)>)>
         send) {
--- a/src/transport/peer_link_server.cc
+++ b/src/transport/peer_link_server.cc
@@ -37,7 +37,7 @@
         accept_timer_(strand_) {}
 
   Result<Done> Open(const Endpoint& endpoint) {
-    const Result<Done> opened = OpenListener(acceptor_, endpoint);
+    Result<Done> opened = OpenListener(acceptor_, endpoint);
     if (opened) {
       boost::system::error_code ignored;
       endpoint_ = FromSocket(acceptor_.local_endpoint(ignored));
--- a/tools/bench/capacity.cc
+++ b/tools/bench/capacity.cc
@@ -212,13 +212,14 @@
     const auto [end, status] =
         std::from_chars(line.data() + std::min(first + 1, line.size()),
                         line.data() + std::min(second, line.size()), value);
+    std::string subject = path;
+    subject.append(", ").append(name);
     if (first == std::string::npos || status != std::errc()) {
-      return Failure{FailureKind::kInvalidSyntax, path + " " + name,
+      return Failure{FailureKind::kInvalidSyntax, subject,
                      "want NAME,NUMBER,…"};
     }
     if (!figures.emplace(name, value).second) {
-      return Failure{FailureKind::kDuplicate, path + " " + name,
-                     "is given twice"};
+      return Failure{FailureKind::kDuplicate, subject, "is given twice"};
     }
   }
   return figures;
--- a/tools/bench/experiments_membership.cc
+++ b/tools/bench/experiments_membership.cc
@@ -267,7 +267,7 @@
   return measurements;
 }
 
-const Registration registration(
+const Registration kRegistration(
     {.name = "membership",
      .summary = "Failure detection at 10 to 940 instances, against random "
                 "probing, a short timeout and probing of all by all",
--- a/tools/bench/experiments_membership_cost.cc
+++ b/tools/bench/experiments_membership_cost.cc
@@ -183,7 +183,7 @@
   return measurements;
 }
 
-const Registration registration(
+const Registration kRegistration(
     {.name = "membership-cost",
      .summary = "Processor time and memory of membership without the socket, "
                 "at 10 to 940 instances",
--- a/tools/bench/experiments_spreading.cc
+++ b/tools/bench/experiments_spreading.cc
@@ -239,7 +239,7 @@
   return measurements;
 }
 
-const Registration registration(
+const Registration kRegistration(
     {.name = "spreading",
      .summary = "A configuration version among 10 to 940 instances with 30 % "
                 "of datagrams lost, against push and primaries first",
--- a/tools/bench/simulation.cc
+++ b/tools/bench/simulation.cc
@@ -194,7 +194,7 @@
 void Simulation::CarryOut(uint32_t index, QueryActions actions) {
   for (QueryAction& action : actions) {
     if (auto* send = std::get_if<SendAction>(&action)) {
-      Send(index, std::move(*send));
+      Send(index, *send);
     } else if (const auto* cancel = std::get_if<CancelAction>(&action)) {
       Cancel(*cancel);
     } else if (const auto* answer = std::get_if<AnswerAction>(&action)) {
@@ -204,7 +204,7 @@
   Arm(index);
 }
 
-void Simulation::Send(uint32_t index, SendAction action) {
+void Simulation::Send(uint32_t index, const SendAction& action) {
   ++result_.sent;
   switch (action.reason) {
     case SendReason::kFirst:
--- a/tools/bench/simulation.h
+++ b/tools/bench/simulation.h
@@ -87,7 +87,7 @@
   void StartQuery(Query query, bool measured);
   std::unique_ptr<QueryDriver> MakeDriver(const Query& query);
   void CarryOut(uint32_t index, QueryActions actions);
-  void Send(uint32_t index, SendAction action);
+  void Send(uint32_t index, const SendAction& action);
   void Cancel(const CancelAction& action);
   void TrackHedge(uint32_t index, CallId id, const SendAction& action);
   void Arm(uint32_t index);
