Drive the bench with the daemon's own judge of silent connections

Cause: two classes judged connections, ConnectionMonitor in the daemon and ConnectionLiveness in greengage-bench, so the bench measured another policy than the one that runs.

--- a/tests/searcher_state_test.cc
+++ b/tests/searcher_state_test.cc
@@ -1,6 +1,5 @@
 #include "greengage/coordination/searcher_state.h"
 
-#include "greengage/coordination/connection_liveness.h"
 #include "greengage/coordination/replica_chooser.h"
 
 #include <criterion/criterion.h>
@@ -138,21 +137,4 @@
   cr_assert(chooser.ChooseAgain({ViewOf(Searcher()), old}, need) == Searcher());
 }
 
-Test(ConnectionLiveness, TellsASilentConnectionFromASlowSearcher) {
-  const TimePoint now = TimePoint() + seconds(1);
-  ConnectionLiveness connection(now, {});
-  connection.OnRequest(now);
-  const TimePoint later = now + milliseconds(250);
-  cr_assert(connection.Judge(later, now + milliseconds(100)) ==
-            ConnectionVerdict::kSilent);
-  cr_assert(connection.Judge(later, now - milliseconds(1)) ==
-            ConnectionVerdict::kLive);
-  cr_assert(connection.Judge(now + milliseconds(900), std::nullopt) ==
-            ConnectionVerdict::kSilent);
-  connection.OnAnswer(later);
-  cr_assert(connection.Judge(later, later) == ConnectionVerdict::kLive);
-  cr_assert(connection.Judge(later + seconds(2), later) ==
-            ConnectionVerdict::kProbe);
-}
-
 }  // namespace greengage
--- a/tools/bench/fake_owner.cc
+++ b/tools/bench/fake_owner.cc
@@ -98,8 +98,7 @@
     return;
   }
   it->second.call.reset();
-  it->second.liveness.OnAnswer(events_->now());
-  last_answer_ = events_->now();
+  monitor_.OnAnswer(events_->now(), call->connection);
   answer.queue_time = call->queue_time;
   answer.service_time = events_->now() - call->sent;
   const bool answered = answer.outcome == Outcome::kAnswered;
@@ -113,6 +112,8 @@
   std::map<uint64_t, Connection> lost;
   lost.swap(connections_);
   for (const auto& [key, connection] : lost) {
+    monitor_.OnClosed(key);
+    EndFreshProbe(key);
     if (connection.call) {
       queue_.Finish(events_->now(), std::nullopt);
       Fail(*connection.call, Outcome::kUnknown);
@@ -134,27 +135,14 @@
   if (!options_.watches_connections) {
     return;
   }
-  std::vector<uint64_t> silent;
-  std::vector<uint64_t> idle;
-  for (const auto& [key, connection] : connections_) {
-    if (!connection.open) {
-      continue;
-    }
-    switch (connection.liveness.Judge(events_->now(), last_answer_)) {
-      case ConnectionVerdict::kSilent:
-        silent.push_back(key);
-        break;
-      case ConnectionVerdict::kProbe:
-        idle.push_back(key);
-        break;
-      case ConnectionVerdict::kLive:
-        break;
-    }
-  }
-  for (const uint64_t key : idle) {
+  const ConnectionDecision decision = monitor_.Decide(events_->now());
+  for (const uint64_t key : decision.probe) {
     Probe(key);
   }
-  for (const uint64_t key : silent) {
+  if (decision.probe_anew) {
+    ProbeAnew();
+  }
+  for (const uint64_t key : decision.replace) {
     const std::optional<CallId> call = connections_.at(key).call;
     Close(key);
     if (call) {
@@ -227,7 +215,7 @@
   call->connection = key;
   call->sent = now;
   connection.call = id;
-  connection.liveness.OnRequest(now);
+  monitor_.OnRequest(now, key, ConnectionMonitor::RequestKind::kCall);
   if (connection.silent) {
     connection.silent_use = connection.silent_use.value_or(now);
     call->swallowed = true;
@@ -237,22 +225,24 @@
                  [this, id] { searcher_->Arrive(id); });
 }
 
-void FakeOwner::Open(std::optional<CallId> waiting) {
+uint64_t FakeOwner::Open(std::optional<CallId> waiting) {
   const uint64_t key = next_connection_++;
   connections_.emplace(
-      key, Connection{false, false, std::nullopt, false,
-                      ConnectionLiveness(events_->now(), {}), std::nullopt});
+      key, Connection{false, false, std::nullopt, false, std::nullopt});
   std::uniform_int_distribution<int64_t> cost(kConnectLeastUs, kConnectMostUs);
   events_->After(std::chrono::microseconds(cost(random_)),
                  [this, key, waiting] { OnOpened(key, waiting); });
+  return key;
 }
 
 void FakeOwner::OnOpened(uint64_t key, std::optional<CallId> waiting) {
   const auto it = connections_.find(key);
   if (it != connections_.end() && !searcher_->faults().dead) {
     it->second.open = true;
-    it->second.liveness = ConnectionLiveness(events_->now(), {});
-    if (waiting && IsWanted(*waiting)) {
+    monitor_.OnOpened(events_->now(), key);
+    if (key == fresh_probe_) {
+      Probe(key);
+    } else if (waiting && IsWanted(*waiting)) {
       SendOn(key, *waiting);
     } else if (!unsent_.empty()) {
       const CallId id = unsent_.front();
@@ -262,6 +252,7 @@
     return;
   }
   connections_.erase(key);
+  EndFreshProbe(key);
   if (waiting && IsWanted(*waiting)) {
     queue_.Finish(events_->now(), std::nullopt);
     Fail(*waiting, Outcome::kNotRun);
@@ -279,6 +270,8 @@
         std::max(longest_silence_, events_->now() - *it->second.silent_use);
   }
   connections_.erase(it);
+  monitor_.OnClosed(key);
+  EndFreshProbe(key);
 }
 
 void FakeOwner::KeepSpare() {
@@ -294,7 +287,8 @@
 void FakeOwner::Probe(uint64_t key) {
   Connection& connection = connections_.at(key);
   connection.probing = true;
-  connection.liveness.OnRequest(events_->now());
+  monitor_.OnRequest(events_->now(), key,
+                     ConnectionMonitor::RequestKind::kProbe);
   if (connection.silent) {
     connection.silent_use = connection.silent_use.value_or(events_->now());
     return;
@@ -313,9 +307,22 @@
                 [this, key] { OnProbed(key); });
     return;
   }
-  last_answer_ = events_->now();
   it->second.probing = false;
-  it->second.liveness.OnAnswer(events_->now());
+  monitor_.OnAnswer(events_->now(), key);
+  EndFreshProbe(key);
+}
+
+// Asks the searcher on a connection that cannot have gone silent yet.
+void FakeOwner::ProbeAnew() {
+  monitor_.OnFreshProbeStarted();
+  fresh_probe_ = Open(std::nullopt);
+}
+
+void FakeOwner::EndFreshProbe(uint64_t key) {
+  if (key == fresh_probe_) {
+    fresh_probe_.reset();
+    monitor_.OnFreshProbeEnded();
+  }
 }
 
 void FakeOwner::End(CallId id, SubAnswer answer) {
--- a/tools/bench/fake_owner.h
+++ b/tools/bench/fake_owner.h
@@ -9,7 +9,7 @@
 #include <random>
 #include <vector>
 
-#include "greengage/coordination/connection_liveness.h"
+#include "greengage/coordination/connection_monitor.h"
 #include "greengage/coordination/rank_queue.h"
 #include "tools/bench/fake_searcher.h"
 
@@ -64,7 +64,6 @@
     bool silent = false;
     std::optional<CallId> call;
     bool probing = false;
-    ConnectionLiveness liveness;
     std::optional<TimePoint> silent_use;
   };
 
@@ -72,12 +71,14 @@
   void Drop(const QueuedSubRequest& dropped);
   void Send(CallId id);
   void SendOn(uint64_t key, CallId id);
-  void Open(std::optional<CallId> waiting);
+  uint64_t Open(std::optional<CallId> waiting);
   void OnOpened(uint64_t key, std::optional<CallId> waiting);
   void Close(uint64_t key);
   void KeepSpare();
   void Probe(uint64_t key);
   void OnProbed(uint64_t key);
+  void ProbeAnew();
+  void EndFreshProbe(uint64_t key);
   void End(CallId id, SubAnswer answer);
   bool IsWanted(CallId id) const;
   void Fail(CallId id, Outcome outcome);
@@ -95,7 +96,8 @@
   std::map<uint64_t, Connection> connections_;
   std::vector<CallId> unsent_;  // Taken from the queue, without a connection.
   uint64_t next_connection_ = 1;
-  std::optional<TimePoint> last_answer_;
+  ConnectionMonitor monitor_;
+  std::optional<uint64_t> fresh_probe_;  // Connection opened for a probe.
   Duration longest_silence_{};
 };
 
