--- a/include/greengage/coordination/extra_load_budget.h
+++ b/include/greengage/coordination/extra_load_budget.h
@@ -19,6 +19,9 @@
   // `percent` of the sub-requests sent, at most, are hedges.
   explicit ExtraLoadBudget(double percent);
 
+  // Follows a changed configuration.
+  void set_percent(double percent);
+
   // `count` sub-requests of `rank` were sent for the first time.
   void OnSent(Rank rank, size_t count);
 
@@ -34,7 +37,7 @@
     double waiting_share = 0;  // Recent share of time spent in queues, 0 to 1.
   };
 
-  const double share_;
+  double share_;
   std::mutex mutex_;
   std::array<Account, kRankCount> accounts_;
 };
--- a/include/greengage/coordination/retry_budget.h
+++ b/include/greengage/coordination/retry_budget.h
@@ -25,6 +25,9 @@
   // which is also what a service starts with.
   RetryBudget(double percent, double burst);
 
+  // Follows a changed configuration.
+  void set_percent(double percent);
+
   void OnSent(const std::string& service, Rank rank, size_t count);
 
   // Takes `count` retries; false, without effect, when there are fewer.
@@ -35,7 +38,7 @@
 
   Tokens& TokensOf(const std::string& service);
 
-  const double share_;
+  double share_;
   const double burst_;
   std::mutex mutex_;
   std::map<std::string, Tokens, std::less<>> services_;
--- a/src/coordination/extra_load_budget.cc
+++ b/src/coordination/extra_load_budget.cc
@@ -17,6 +17,11 @@
 
 ExtraLoadBudget::ExtraLoadBudget(double percent) : share_(percent / kPercent) {}
 
+void ExtraLoadBudget::set_percent(double percent) {
+  const std::lock_guard lock(mutex_);
+  share_ = percent / kPercent;
+}
+
 void ExtraLoadBudget::OnSent(Rank rank, size_t count) {
   const std::lock_guard lock(mutex_);
   Account& account = accounts_[IndexOf(rank)];
--- a/src/coordination/retry_budget.cc
+++ b/src/coordination/retry_budget.cc
@@ -25,6 +25,11 @@
 RetryBudget::RetryBudget(double percent, double burst)
     : share_(percent / kPercent), burst_(burst) {}
 
+void RetryBudget::set_percent(double percent) {
+  const std::lock_guard lock(mutex_);
+  share_ = percent / kPercent;
+}
+
 void RetryBudget::OnSent(const std::string& service, Rank rank, size_t count) {
   const std::lock_guard lock(mutex_);
   double& tokens = TokensOf(service)[IndexOf(rank)];
--- /dev/null
+++ b/src/entry_instance_impl.h
@@ -0,0 +1,130 @@
+// The parts of one entry instance, and how they call each other.
+#ifndef GREENGAGE_SRC_ENTRY_INSTANCE_IMPL_H_
+#define GREENGAGE_SRC_ENTRY_INSTANCE_IMPL_H_
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "greengage/coordination/owner_directory.h"
+#include "greengage/coordination/stop_sequence.h"
+#include "greengage/entry_instance.h"
+#include "greengage/transport/claim_service.h"
+#include "greengage/transport/claim_sweeper.h"
+#include "greengage/transport/configuration_service.h"
+#include "greengage/transport/front_service.h"
+#include "greengage/transport/gossip_service.h"
+#include "greengage/transport/log.h"
+#include "greengage/transport/peer_service.h"
+#include "greengage/transport/platform_client.h"
+#include "greengage/transport/query_service.h"
+#include "greengage/transport/upstream_watch.h"
+
+namespace greengage {
+
+// Its members are in three files: entry_instance.cc makes the parts and starts
+// them, entry_instance_members.cc follows the other instances and the
+// configuration, entry_instance_stop.cc stops it.
+class EntryInstanceImpl
+    : public EntryInstance,
+      public std::enable_shared_from_this<EntryInstanceImpl> {
+ public:
+  EntryInstanceImpl(boost::asio::io_context& context,
+                    const InstanceSettings& settings)
+      : context_(context),
+        settings_(settings),
+        events_(settings.id, kTimeLineEvents, &clock_, LogEvent),
+        searchers_(SearcherStateOptions{},
+                   [this](TimePoint,
+                          const Endpoint& searcher,
+                          SearcherTracker::Change change) {
+                     OnSearcherChange(searcher, change);
+                   }),
+        hedges_(HedgeOptions{}),
+        extra_load_(kDefaultHedgePercent),
+        retries_(kDefaultRetryPercent, kRetryBurst),
+        admission_(AdmissionOptions{}),
+        stop_timer_(context),
+        seed_timer_(context) {}
+
+  Result<Done> Listen();
+
+  Endpoint http_endpoint() const override { return http_server_->endpoint(); }
+
+  void Stop(std::function<void()> stopped) override;
+
+ private:
+  // Events that the time line of an instance keeps.
+  static constexpr size_t kTimeLineEvents = 65536;
+
+  static constexpr double kDefaultHedgePercent = 2;
+  static constexpr double kDefaultRetryPercent = 8;
+  static constexpr double kRetryBurst = 20;
+
+  void MakeServices();
+  void MakeBackgroundWork();
+  void MakeFront();
+  void OnLeaving(const Endpoint& searcher);
+  std::vector<Gauge> Gauges();
+  Result<Done> ListenToPeers();
+  Result<Done> ListenToCallers();
+  void WatchPlatform(uint64_t after, ConfigurationService::TextCallback done);
+  Result<Done> StartGossip();
+  void OnMembers(const MemberTablePtr& table);
+  void OnMemberChange(const MembershipChange& change);
+  void DecideWatching();
+  void SeedFromPlatform();
+  std::string Status() const;
+  void OnSearcherChange(const Endpoint& searcher,
+                        SearcherTracker::Change change);
+  void Count(SendReason reason);
+  void OnSearcherAnswer(const Endpoint& searcher, const SubAnswer& answer);
+  bool IsDraining(const Endpoint& searcher) const;
+  void OnConfiguration(const ConfigurationPtr& configuration);
+  void AdvanceStop();
+  bool HasWork() const;
+  void StopPeers();
+  void FinishStop();
+
+  boost::asio::io_context& context_;
+  const InstanceSettings settings_;
+  HybridClock clock_;
+  EventLog events_;
+  Metrics metrics_;
+  SearcherTracker searchers_;
+  HedgePolicy hedges_;
+  ExtraLoadBudget extra_load_;
+  RetryBudget retries_;
+  Admission admission_;
+  QueryContext plans_;
+  std::shared_ptr<PlatformClient> platform_;
+  std::shared_ptr<OwnerService> owner_service_;
+  std::shared_ptr<SubRequestRouter> router_;
+  std::shared_ptr<ConfigurationService> configuration_;
+  std::unique_ptr<QueryService> queries_;
+  std::unique_ptr<ClaimService> claims_;
+  std::shared_ptr<PeerService> peer_service_;
+  std::shared_ptr<UpstreamWatch> upstream_watch_;
+  std::shared_ptr<ClaimSweeper> claim_sweeper_;
+  std::shared_ptr<FrontService> front_;
+  std::shared_ptr<PeerServer> peer_server_;
+  std::shared_ptr<HttpServer> http_server_;
+  std::shared_ptr<GossipService> gossip_;
+  OwnerDirectory owners_;
+  std::atomic<bool> stopping_{false};
+  std::atomic<bool> refusing_{false};
+  boost::asio::steady_timer stop_timer_;
+  boost::asio::steady_timer seed_timer_;
+  std::optional<StopSequence> stop_sequence_;
+  std::function<void()> stopped_;
+  std::atomic<bool> finished_{false};
+};
+
+}  // namespace greengage
+
+#endif  // GREENGAGE_SRC_ENTRY_INSTANCE_IMPL_H_
--- /dev/null
+++ b/src/entry_instance_members.cc
@@ -0,0 +1,156 @@
+// How an instance follows the other instances and the configuration.
+#include <boost/asio.hpp>
+
+#include <algorithm>
+
+#include "entry_instance_impl.h"
+#include "greengage/coordination/watcher_set.h"
+#include "greengage/protocol/status_codec.h"
+#include "random_base.h"
+
+namespace greengage {
+namespace {
+
+// How often an instance that knows no other asks the platform for some.
+constexpr std::chrono::seconds kSeedPeriod{2};
+
+// How long a watch waits at the platform for a change.
+constexpr std::chrono::milliseconds kWatchWait{10000};
+
+ConfigurationText ToText(PlatformObject object) {
+  return ConfigurationText{object.version, std::move(object.value)};
+}
+
+// For the configuration, "no change" and "no object yet" are the same.
+Result<ConfigurationText> ToWatchResult(Result<PlatformObject> result) {
+  if (result) {
+    return ToText(std::move(result).value());
+  }
+  if (result.last_reason().kind == FailureKind::kNotFound) {
+    return Failure{FailureKind::kStaleVersion, "configuration", "none yet"};
+  }
+  return result.last_reason();
+}
+
+}  // namespace
+
+Result<Done> EntryInstanceImpl::StartGossip() {
+  GossipOptions options;
+  options.self.id = settings_.id;
+  options.self.data_centre = settings_.data_centre;
+  options.self.gossip = settings_.gossip;
+  options.self.peer = peer_server_->endpoint();
+  options.self.http = http_server_->endpoint();
+  options.seeds = settings_.seeds;
+  options.random_seed = RandomBase();
+  GossipService::Hooks hooks;
+  hooks.on_change = [this](const MembershipChange& change) {
+    OnMemberChange(change);
+  };
+  hooks.on_table = [this](const MemberTablePtr& table) { OnMembers(table); };
+  hooks.on_version = [this](const VersionHeard& heard) {
+    configuration_->OnHeard(heard.version, heard.source);
+  };
+  Result<std::shared_ptr<GossipService>> gossip = GossipService::Start(
+      context_, std::move(options), &clock_, &events_, std::move(hooks));
+  if (!gossip) {
+    return gossip.last_reason();
+  }
+  gossip_ = *gossip;
+  return Done{};
+}
+
+void EntryInstanceImpl::OnMembers(const MemberTablePtr& table) {
+  owners_.SetTable(table);
+  DecideWatching();
+}
+
+void EntryInstanceImpl::OnMemberChange(const MembershipChange& change) {
+  if (change.kind == MembershipChangeKind::kGone) {
+    router_->Forget(change.instance.id);
+  }
+}
+
+// The watchers of a data centre watch for all; an instance without any
+// configuration asks the platform itself, since it may know no other instance.
+void EntryInstanceImpl::DecideWatching() {
+  if (stopping_ || !gossip_) {
+    return;
+  }
+  configuration_->SetWatching(!configuration_->current() ||
+                              ShouldWatch(*gossip_->table()));
+}
+
+// The platform's list lags, so it only tells whom to try.
+void EntryInstanceImpl::SeedFromPlatform() {
+  seed_timer_.expires_after(kSeedPeriod);
+  seed_timer_.async_wait([weak = weak_from_this()](auto error) {
+    const auto self = weak.lock();
+    if (!error && self) {
+      self->SeedFromPlatform();
+    }
+  });
+  if (gossip_->table()->members.size() > 1) {
+    return;
+  }
+  platform_->Instances(
+      std::chrono::steady_clock::now() + settings_.platform_timeout,
+      [weak = weak_from_this()](const Result<std::vector<Instance>>& listed) {
+        const auto self = weak.lock();
+        if (!self || !listed) {
+          return;
+        }
+        std::vector<Endpoint> seeds = self->settings_.seeds;
+        for (const Instance& instance : *listed) {
+          if (instance.gossip.port != 0) {
+            seeds.push_back(instance.gossip);
+          }
+        }
+        self->gossip_->SetSeeds(std::move(seeds));
+      });
+}
+
+void EntryInstanceImpl::WatchPlatform(uint64_t after,
+                                      ConfigurationService::TextCallback done) {
+  const TimePoint deadline = std::chrono::steady_clock::now() + kWatchWait +
+                             settings_.platform_timeout;
+  platform_->Watch(ConfigurationObject(), after, kWatchWait, deadline,
+                   [done = std::move(done)](Result<PlatformObject> result) {
+                     done(ToWatchResult(std::move(result)));
+                   });
+}
+
+void EntryInstanceImpl::OnConfiguration(const ConfigurationPtr& configuration) {
+  searchers_.Apply(std::chrono::steady_clock::now(), *configuration);
+  owner_service_->Apply(configuration);
+  owners_.SetConfiguration(configuration);
+  gossip_->SetConfigurationVersion(configuration->version);
+  DecideWatching();
+  const LimitsConfiguration& limits = configuration->limits;
+  extra_load_.set_percent(limits.hedge_percent);
+  retries_.set_percent(limits.retry_percent -
+                       std::min(limits.retry_percent, limits.hedge_percent));
+  if (const auto level = ParseLogLevel(configuration->log_level)) {
+    SetLogLevel(*level);
+  }
+}
+
+std::string EntryInstanceImpl::Status() const {
+  const ConfigurationPtr configuration = configuration_->current();
+  const auto table = gossip_->table();
+  InstanceStatus status;
+  status.id = settings_.id;
+  status.data_centre = settings_.data_centre;
+  status.state = stopping_ ? InstanceState::kLeaving : InstanceState::kLive;
+  status.configuration_version = configuration ? configuration->version : 0;
+  status.platform_down = configuration_->platform_down();
+  status.members.assign(table->members.begin(), table->members.end());
+  return SerializeStatus(status);
+}
+
+void EntryInstanceImpl::OnLeaving(const Endpoint& searcher) {
+  searchers_.OnDrainSign(std::chrono::steady_clock::now(), searcher);
+  owner_service_->Drain(searcher);
+}
+
+}  // namespace greengage
