--- /dev/null
+++ b/src/transport/http_session.cc
@@ -0,0 +1,300 @@
+#include "transport/http_session.h"
+
+#include <atomic>
+#include <chrono>
+#include <utility>
+
+#include "transport/http_target.h"
+
+namespace greengage {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+// How long input is still read after the last answer of a connection.
+constexpr std::chrono::milliseconds kLingerTimeout{500};
+
+// How long a new connection may still bring a request during a stop.
+constexpr std::chrono::milliseconds kFirstRequestTimeout{500};
+constexpr size_t kDiscardBytes = size_t{16} * 1024;
+
+class Exchange : public HttpExchange {
+ public:
+  Exchange(std::shared_ptr<HttpSession> session,
+           asio::any_io_executor executor,
+           uint64_t number)
+      : session_(std::move(session)),
+        executor_(std::move(executor)),
+        number_(number) {}
+
+  void Reply(HttpResponse response) override {
+    if (answered_.exchange(true)) {
+      return;
+    }
+    asio::post(executor_, [session = session_, number = number_,
+                           response = std::move(response)]() mutable {
+      session->Reply(number, std::move(response));
+    });
+  }
+
+  uint64_t connection() const override { return session_->number(); }
+
+  void Abort() override {
+    if (!answered_.exchange(true)) {
+      asio::post(executor_, [session = session_] { session->Abort(); });
+    }
+  }
+
+  void OnAbandoned(std::function<void()> hook) override {
+    session_->SetAbandonedHook(std::move(hook));
+  }
+
+ private:
+  const std::shared_ptr<HttpSession> session_;
+  const asio::any_io_executor executor_;
+  const uint64_t number_;
+  std::atomic<bool> answered_{false};
+};
+
+}  // namespace
+
+HttpSession::HttpSession(tcp::socket socket,
+                         std::shared_ptr<HttpSessionHost> host,
+                         uint64_t number)
+    : socket_(std::move(socket)),
+      timer_(socket_.get_executor()),
+      host_(std::move(host)),
+      number_(number) {}
+
+HttpSession::~HttpSession() {
+  host_->Remove(this);
+}
+
+void HttpSession::Start() {
+  asio::post(socket_.get_executor(),
+             [self = shared_from_this()] { self->WaitForRequest(); });
+}
+
+void HttpSession::SetTimeout(std::chrono::milliseconds timeout) {
+  timer_.expires_after(timeout);
+  timer_.async_wait([weak = weak_from_this()](boost::system::error_code error) {
+    const std::shared_ptr<HttpSession> self = weak.lock();
+    // A timer that was set again fires with an error.
+    if (!error && self) {
+      self->Close();
+    }
+  });
+}
+
+void HttpSession::Close() {
+  boost::system::error_code ignored;
+  socket_.close(ignored);
+  timer_.cancel();
+}
+
+void HttpSession::CloseWhenIdle() {
+  asio::post(socket_.get_executor(), [self = shared_from_this()] {
+    self->close_when_idle_ = true;
+    if (!self->handling_ && !self->HasInput()) {
+      self->CloseUnusedConnection();
+    }
+  });
+}
+
+bool HttpSession::HasInput() const {
+  boost::system::error_code error;
+  return parser_ || buffer_.size() > 0 || socket_.available(error) > 0;
+}
+
+// A new connection's first request may be on its way.
+void HttpSession::CloseUnusedConnection() {
+  if (exchange_ == 0) {
+    SetTimeout(kFirstRequestTimeout);
+  } else {
+    Close();
+  }
+}
+
+// Closing a socket that has unread input resets the connection, and the client
+// may lose the answer. So what still comes in is read and dropped for a while.
+void HttpSession::Linger() {
+  boost::system::error_code ignored;
+  socket_.shutdown(tcp::socket::shutdown_send, ignored);
+  SetTimeout(kLingerTimeout);
+  DiscardInput();
+}
+
+void HttpSession::DiscardInput() {
+  buffer_.clear();
+  socket_.async_read_some(buffer_.prepare(kDiscardBytes),
+                          [self = shared_from_this()](auto error, size_t) {
+                            if (error) {
+                              self->Close();
+                            } else {
+                              self->DiscardInput();
+                            }
+                          });
+}
+
+// The idle timeout counts until the first byte, the read timeout from there.
+void HttpSession::WaitForRequest() {
+  if (buffer_.size() > 0) {
+    ReadRequest();
+    return;
+  }
+  if (close_when_idle_) {
+    Close();
+    return;
+  }
+  SetTimeout(host_->limits().idle_timeout);
+  socket_.async_wait(tcp::socket::wait_read,
+                     [self = shared_from_this()](auto error) {
+                       if (!error) {
+                         self->ReadRequest();
+                       }
+                     });
+}
+
+void HttpSession::ReadRequest() {
+  SetTimeout(host_->limits().read_timeout);
+  parser_.emplace();
+  parser_->header_limit(
+      static_cast<std::uint32_t>(host_->limits().header_bytes));
+  parser_->body_limit(host_->limits().body_bytes);
+  http::async_read(socket_, buffer_, *parser_,
+                   [self = shared_from_this()](auto error, size_t) {
+                     self->OnRequest(error);
+                   });
+}
+
+void HttpSession::OnRequest(boost::system::error_code error) {
+  if (error) {
+    RejectRequest(error);
+    return;
+  }
+  timer_.cancel();
+  HttpRequest request;
+  request.method = std::string(parser_->get().method_string());
+  ParseTarget(parser_->get().target(), request);
+  keep_alive_ = parser_->get().keep_alive();
+  request.body = std::move(parser_->get().body());
+  parser_.reset();
+  handling_ = true;
+  abandoned_hook_ = nullptr;
+  const uint64_t number = ++exchange_;
+  const auto exchange = std::make_shared<Exchange>(
+      shared_from_this(), socket_.get_executor(), number);
+  WatchForAbandon();
+  host_->handler()(std::move(request), exchange);
+}
+
+void HttpSession::RejectRequest(boost::system::error_code error) {
+  const bool closed =
+      error == http::error::end_of_stream ||
+      error.category() !=
+          http::make_error_code(http::error::bad_method).category();
+  if (closed) {
+    Close();
+    return;
+  }
+  HttpResponse response;
+  response.status = 400;
+  std::string_view kind = "malformed_message";
+  if (error == http::error::body_limit) {
+    response.status = 413;
+    kind = "too_large";
+  } else if (error == http::error::header_limit) {
+    response.status = 431;
+    kind = "too_large";
+  }
+  response.body = "{\"error\": {\"kind\": \"" + std::string(kind) +
+                  "\", \"subject\": \"request\", \"detail\": \"" +
+                  error.message() + "\"}}";
+  handling_ = true;
+  Write(std::move(response), false);
+}
+
+// Readiness may have been reported for bytes that were read meanwhile, so that
+// only a look at the socket tells whether the client has gone.
+HttpSession::Input HttpSession::LookAtInput() {
+  boost::system::error_code error;
+  socket_.non_blocking(true, error);
+  char byte = 0;
+  socket_.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+  if (error == asio::error::would_block || error == asio::error::try_again) {
+    return Input::kNone;
+  }
+  return error ? Input::kEnded : Input::kBytes;
+}
+
+void HttpSession::WatchForAbandon() {
+  socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this(),
+                                              number = exchange_](auto error) {
+    if (error || !self->handling_ || self->exchange_ != number) {
+      return;
+    }
+    switch (self->LookAtInput()) {
+      case Input::kNone:
+        self->WatchForAbandon();
+        return;
+      case Input::kBytes:
+        return;
+      case Input::kEnded:
+        break;
+    }
+    const std::function<void()> hook =
+        std::exchange(self->abandoned_hook_, nullptr);
+    self->Close();
+    if (hook) {
+      hook();
+    }
+  });
+}
+
+void HttpSession::Reply(uint64_t exchange, HttpResponse response) {
+  if (!handling_ || exchange != exchange_ || !socket_.is_open()) {
+    return;
+  }
+  Write(std::move(response),
+        keep_alive_ && !close_when_idle_ && !host_->keep_alive_ended());
+}
+
+// The hook may keep this session alive through its exchange.
+void HttpSession::Abort() {
+  abandoned_hook_ = nullptr;
+  Close();
+}
+
+void HttpSession::Write(HttpResponse response, bool keep_alive) {
+  abandoned_hook_ = nullptr;
+  response_ = {};
+  response_.version(11);
+  response_.result(response.status);
+  response_.keep_alive(keep_alive);
+  if (!response.body.empty()) {
+    response_.set(http::field::content_type, response.content_type);
+  }
+  for (const auto& [name, value] : response.headers) {
+    response_.set(name, value);
+  }
+  response_.body() = std::move(response.body);
+  response_.prepare_payload();
+  SetTimeout(host_->limits().write_timeout);
+  http::async_write(
+      socket_, response_,
+      [self = shared_from_this(), keep_alive](auto error, size_t) {
+        self->handling_ = false;
+        self->timer_.cancel();
+        if (error) {
+          self->Close();
+        } else if (!keep_alive) {
+          self->Linger();
+        } else {
+          self->WaitForRequest();
+        }
+      });
+}
+
+}  // namespace greengage
