Keep a watch of the platform's stand-in while it ends

Found by the thread sanitizer: EndWatch() removed the list's own element through a reference to it and went on using it (4 reports, and GracefulStop/StandInsStopWithoutCuttingOff failed under the sanitizer).

--- a/standins/platform/platform.cc
+++ b/standins/platform/platform.cc
@@ -252,12 +252,14 @@
 // Without a response the connection is closed.
 void Platform::EndWatch(const std::shared_ptr<Watch>& watch,
                         std::optional<HttpResponse> response) {
-  watches_.remove(watch);
-  watch->timer.cancel();
+  // The argument may be the list's own element.
+  const std::shared_ptr<Watch> ended = watch;
+  watches_.remove(ended);
+  ended->timer.cancel();
   if (response) {
-    Reply(watch->exchange, *std::move(response));
+    Reply(ended->exchange, *std::move(response));
   } else {
-    watch->exchange->Abort();
+    ended->exchange->Abort();
   }
 }
 
