Put replaced connections on the time line

Cause: the event was documented but never recorded. The process test of silent connections now looks for it on the time line; it failed before (no such event in 30 s) and passes after, 5 of 5 in its suite.

--- a/include/greengage/transport/http_client.h
+++ b/include/greengage/transport/http_client.h
@@ -27,6 +27,8 @@
   // Path of a cheap GET. With one, idle connections are probed, and those that
   // have gone silent are replaced. Empty: neither.
   std::string probe_target = {};
+  // Runs for each connection that is replaced because it has gone silent.
+  std::function<void()> on_replaced = {};
 };
 
 struct HttpCall {
--- a/src/entry_instance.cc
+++ b/src/entry_instance.cc
@@ -32,7 +32,12 @@
                            ToString(request.searcher),
                            std::string(OutcomeName(answer.outcome)));
           },
-          [this](const Endpoint& searcher) { return IsDraining(searcher); }});
+          [this](const Endpoint& searcher) { return IsDraining(searcher); },
+          [this](const Endpoint& searcher) {
+            events_.Record(std::chrono::system_clock::now(),
+                           EventKind::kConnectionReplaced, "",
+                           ToString(searcher));
+          }});
   router_ = std::make_shared<SubRequestRouter>(
       context_, settings_.id, [this] { return owners_.owners(); },
       owner_service_.get(), &clock_, PeerLimits{},
--- a/src/transport/http_client_maintenance.cc
+++ b/src/transport/http_client_maintenance.cc
@@ -58,6 +58,9 @@
     for (const ConnectionId id : decision.replace) {
       connections_.at(id).link->Close(
           Describe(FailureKind::kSilentConnection, "others are answered"));
+      if (limits_.on_replaced) {
+        limits_.on_replaced();
+      }
     }
     for (const ConnectionId id : decision.probe) {
       SendProbe(now, connections_.at(id));
--- a/src/transport/owner_service.cc
+++ b/src/transport/owner_service.cc
@@ -70,6 +70,11 @@
   const RankQueueOptions queue = QueueOptions(endpoint);
   HttpClientLimits limits;
   limits.probe_target = kHealthTarget;
+  limits.on_replaced = [on_replaced = hooks_.on_replaced, endpoint] {
+    if (on_replaced) {
+      on_replaced(endpoint);
+    }
+  };
   limits.connections =
       queue.slots + queue.extra_outstanding + kSpareConnections;
   const std::lock_guard lock(configuration_mutex_);
--- a/tests/own_answer_process_test.cc
+++ b/tests/own_answer_process_test.cc
@@ -121,6 +121,19 @@
 }
 
 // Connections to a searcher that go silent for good cost no answer.
+// Whether the time line of an instance has a replaced connection.
+bool TellsOfReplacement(Deployment& deployment) {
+  for (size_t i = 0; i < deployment.instances(); ++i) {
+    const JsonReply reply =
+        Call(deployment.instance(i).endpoint(), "GET", "/v1/events");
+    const std::string events = boost::json::serialize(reply.body);
+    if (events.find("connection_replaced") != std::string::npos) {
+      return true;
+    }
+  }
+  return false;
+}
+
 Test(OwnAnswer, SilentConnectionsAreReplaced) {
   IoThreads threads(1);
   std::vector<std::shared_ptr<TcpRelay>> relays;
@@ -129,7 +142,7 @@
     relays.push_back(TcpRelay::Start(threads.context(), searcher));
     return relays.back()->endpoint();
   };
-  const Deployment deployment(shape);
+  Deployment deployment(shape);
   const auto ask_whole = [&] {
     const JsonReply reply = deployment.Query(
         0, {{"text", "tea"}, {"limit", kLimit}, {"deadline_ms", 2000}});
@@ -139,6 +152,7 @@
   cr_assert(ask_whole());
   relays.front()->SilenceConnections();
   cr_expect(Eventually(ask_whole));
+  cr_expect(Eventually([&] { return TellsOfReplacement(deployment); }));
 }
 
 }  // namespace
