--- a/src/protocol/instance_settings.cc
+++ b/src/protocol/instance_settings.cc
@@ -81,11 +81,11 @@
              "Form of a log line.");
   table.Section("stop")
       .Time("notice_ms", &S::stop_notice, {.maximum = 300000, .initial = 3000},
-            "How long listeners stay open after readiness turned false, so "
-            "that the balancer notices.")
+            "How long no request must have come, after readiness turned "
+            "false, before listeners close; the balancer notices meanwhile.")
       .Time("grace_ms", &S::stop_grace,
             {.minimum = 1, .maximum = 3600000, .initial = 30000},
-            "How long requests under way may take after the notice.");
+            "With the notice, the longest time that a stop takes.");
   return table;
 }
 
