--- a/standins/platform/platform.cc
+++ b/standins/platform/platform.cc
@@ -253,6 +253,7 @@
 void Platform::EndWatch(const std::shared_ptr<Watch>& watch,
                         std::optional<HttpResponse> response) {
   // The argument may be the list's own element.
+  // NOLINTNEXTLINE(performance-unnecessary-copy-initialization)
   const std::shared_ptr<Watch> ended = watch;
   watches_.remove(ended);
   ended->timer.cancel();
--- a/tests/claim_model_test.cc
+++ b/tests/claim_model_test.cc
@@ -466,12 +466,12 @@
 constexpr std::chrono::milliseconds kSkew = kLimits.clock_skew;
 
 // Fresh, expired for every right clock, and old enough to be deleted.
-const std::vector<std::chrono::milliseconds> right_clock_ages = {
+const std::vector<std::chrono::milliseconds> kRightClockAges = {
     kNone, kLimits.retention, kLimits.retention + kSkew * 2};
 
 // The last age that the slowest clock accepts, and the first that the fastest
 // one deletes.
-const std::vector<std::chrono::milliseconds> skewed_ages = {
+const std::vector<std::chrono::milliseconds> kSkewedAges = {
     kNone, kLimits.retention, kLimits.retention + std::chrono::milliseconds(1)};
 
 template <typename Machine>
@@ -493,15 +493,14 @@
 
 Test(ClaimModel, TwoAttemptsWithTwoFaultsRunAtMostOnce) {
   ExpectSafe(Explore<ClaimMachine>({.clock_offsets = {kNone, kNone},
-                                    .ages = right_clock_ages,
+                                    .ages = kRightClockAges,
                                     .faults = 2,
                                     .deadlines = false}));
 }
 
 Test(ClaimModel, TwoAttemptsWithOneFaultAndDeadlinesRunAtMostOnce) {
-  ExpectSafe(Explore<ClaimMachine>({.clock_offsets = {kNone, kNone},
-                                    .ages = right_clock_ages,
-                                    .faults = 1}));
+  ExpectSafe(Explore<ClaimMachine>(
+      {.clock_offsets = {kNone, kNone}, .ages = kRightClockAges, .faults = 1}));
 }
 
 Test(ClaimModel, ThreeAttemptsWithOneFaultRunAtMostOnce) {
@@ -516,7 +515,7 @@
     for (const auto sweeper : {-kSkew, kSkew}) {
       ExpectSafe(Explore<ClaimMachine>({.clock_offsets = {first, -kSkew},
                                         .sweeper_offset = sweeper,
-                                        .ages = skewed_ages,
+                                        .ages = kSkewedAges,
                                         .faults = 1,
                                         .deadlines = false}));
     }
@@ -529,7 +528,7 @@
   const Findings findings =
       Explore<ClaimMachine>({.clock_offsets = {kNone, -3 * kSkew},
                              .sweeper_offset = kSkew,
-                             .ages = skewed_ages});
+                             .ages = kSkewedAges});
   cr_expect(findings.doubled > 0);
 }
 
@@ -541,7 +540,7 @@
 
 Test(ClaimModel, FindsTheDoubleRunOfALeaseThatLapsesDuringAPause) {
   const Findings findings = Explore<LeaseMachine>(
-      {.clock_offsets = {kNone, kNone}, .ages = right_clock_ages});
+      {.clock_offsets = {kNone, kNone}, .ages = kRightClockAges});
   cr_expect(findings.doubled > 0);
 }
 
--- a/tests/claim_test.cc
+++ b/tests/claim_test.cc
@@ -11,10 +11,10 @@
 
 constexpr ClaimLimits kLimits{};
 constexpr std::chrono::milliseconds kRequestTime{1764814254000};
-const WallTime request_time = FromEpoch(kRequestTime);
+const WallTime kRequestWallTime = FromEpoch(kRequestTime);
 
 ClaimMachine MakeMachine() {
-  return ClaimMachine(request_time, kLimits, "token", "entry-1");
+  return ClaimMachine(kRequestWallTime, kLimits, "token", "entry-1");
 }
 
 const GiveVerdict* VerdictIn(const std::vector<ClaimAction>& actions) {
@@ -38,7 +38,7 @@
   const std::string name = ClaimName("order.desk", "1764814254000-a.b-c");
   const Result<WallTime> time = ClaimNameTime(name);
   cr_assert(time.ok());
-  cr_assert(*time == request_time);
+  cr_assert(*time == kRequestWallTime);
 }
 
 Test(Claim, SurvivesItsJson) {
@@ -62,14 +62,14 @@
 
 Test(ClaimMachine, RepeatGetsTheRecordedAnswer) {
   ClaimMachine machine = MakeMachine();
-  machine.Start(request_time);
-  machine.OnWrite({ClaimWriteResult::Kind::kConflict, 7}, request_time);
+  machine.Start(kRequestWallTime);
+  machine.OnWrite({ClaimWriteResult::Kind::kConflict, 7}, kRequestWallTime);
   const ClaimRecord record{.token = "other",
                            .holder = "entry-2",
                            .state = ClaimState::kAnswered,
                            .answer = RecordedAnswer{12, {0, 100}, {}}};
-  const auto actions =
-      machine.OnRead({ClaimReadResult::Kind::kFound, 7, record}, request_time);
+  const auto actions = machine.OnRead(
+      {ClaimReadResult::Kind::kFound, 7, record}, kRequestWallTime);
   const GiveVerdict* verdict = VerdictIn(actions);
   cr_assert(verdict != nullptr);
   cr_assert(verdict->outcome == Outcome::kAnswered);
@@ -79,9 +79,9 @@
 
 Test(ClaimMachine, RefusesAsNotRunWhileThePlatformIsOut) {
   ClaimMachine machine = MakeMachine();
-  machine.Start(request_time);
+  machine.Start(kRequestWallTime);
   const auto actions =
-      machine.OnWrite({ClaimWriteResult::Kind::kNotSent, 0}, request_time);
+      machine.OnWrite({ClaimWriteResult::Kind::kNotSent, 0}, kRequestWallTime);
   const GiveVerdict* verdict = VerdictIn(actions);
   cr_assert(verdict != nullptr);
   cr_assert(verdict->outcome == Outcome::kNotRun);
@@ -92,11 +92,11 @@
 
 Test(ClaimMachine, OldRequestIsUnknownAndFutureOneNotRun) {
   ClaimMachine old = MakeMachine();
-  const auto old_actions = old.Start(request_time + kLimits.retention);
+  const auto old_actions = old.Start(kRequestWallTime + kLimits.retention);
   cr_assert(VerdictIn(old_actions)->outcome == Outcome::kUnknown);
   ClaimMachine future = MakeMachine();
   const auto future_actions =
-      future.Start(request_time - 2 * kLimits.clock_skew);
+      future.Start(kRequestWallTime - 2 * kLimits.clock_skew);
   cr_assert(VerdictIn(future_actions)->outcome == Outcome::kNotRun);
 }
 
@@ -110,11 +110,13 @@
       {id(limit + std::chrono::milliseconds(1)), 1},
       {id(limit), 2},
       {"no-claim", 3}};
-  const ClaimSweepStep step = PlanClaimSweep(page, 3, kLimits, request_time);
+  const ClaimSweepStep step =
+      PlanClaimSweep(page, 3, kLimits, kRequestWallTime);
   cr_assert(step.expired.size() == 1);
   cr_assert(step.expired[0].version == 1);
   cr_assert(step.next_after == "no-claim");
-  cr_assert(PlanClaimSweep(page, 4, kLimits, request_time).next_after.empty());
+  cr_assert(
+      PlanClaimSweep(page, 4, kLimits, kRequestWallTime).next_after.empty());
 }
 
 Test(ClaimSweep, LowestLiveInstanceSweeps) {
--- a/tests/configuration_rollout_test.cc
+++ b/tests/configuration_rollout_test.cc
@@ -7,9 +7,9 @@
 namespace greengage {
 namespace {
 
-const Endpoint http_a{"127.0.0.1", 1};
-const Endpoint http_b{"127.0.0.1", 2};
-const Endpoint http_c{"127.0.0.1", 3};
+const Endpoint kHttpA{"127.0.0.1", 1};
+const Endpoint kHttpB{"127.0.0.1", 2};
+const Endpoint kHttpC{"127.0.0.1", 3};
 
 Instance Member(const char* id, const Endpoint& http, InstanceState state) {
   Instance member;
@@ -29,54 +29,54 @@
 }  // namespace
 
 Test(ConfigurationRollout, WaitsForMembersThatItHearsOf) {
-  ConfigurationRollout rollout(7, {http_a});
+  ConfigurationRollout rollout(7, {kHttpA});
   cr_assert(!rollout.complete());
   InstanceStatus status = Status("a", 7);
-  status.members = {Member("a", http_a, InstanceState::kLive),
-                    Member("b", http_b, InstanceState::kLive)};
-  rollout.OnStatus(http_a, status);
+  status.members = {Member("a", kHttpA, InstanceState::kLive),
+                    Member("b", kHttpB, InstanceState::kLive)};
+  rollout.OnStatus(kHttpA, status);
   rollout.EndRound();
   cr_assert(!rollout.complete());
   cr_assert(rollout.Lacking().front().id == "b");
-  cr_assert((rollout.ToAsk() == std::vector<Endpoint>{http_a, http_b}));
-  rollout.OnStatus(http_b, Status("b", 6));
+  cr_assert((rollout.ToAsk() == std::vector<Endpoint>{kHttpA, kHttpB}));
+  rollout.OnStatus(kHttpB, Status("b", 6));
   rollout.EndRound();
   cr_assert(!rollout.complete());
-  rollout.OnStatus(http_b, Status("b", 8));
+  rollout.OnStatus(kHttpB, Status("b", 8));
   rollout.EndRound();
   cr_assert(rollout.complete());
   cr_assert(rollout.ToAsk().size() == 1);
 }
 
 Test(ConfigurationRollout, NamesUnreachableInstancesUntilTheyAreGone) {
-  ConfigurationRollout rollout(7, {http_a, http_c});
+  ConfigurationRollout rollout(7, {kHttpA, kHttpC});
   for (const InstanceState state :
        {InstanceState::kSuspect, InstanceState::kGone}) {
     InstanceStatus status = Status("a", 7);
-    status.members = {Member("c", http_c, state)};
-    rollout.OnStatus(http_a, status);
-    rollout.OnUnreachable(http_c);
+    status.members = {Member("c", kHttpC, state)};
+    rollout.OnStatus(kHttpA, status);
+    rollout.OnUnreachable(kHttpC);
     rollout.EndRound();
     cr_assert(rollout.complete() == (state == InstanceState::kGone));
   }
   cr_assert(rollout.Departed().front().id == "c");
   // A member that others hold gone, but that answers, is waited for.
-  rollout.OnStatus(http_c, Status("c", 6));
+  rollout.OnStatus(kHttpC, Status("c", 6));
   rollout.EndRound();
   cr_assert(!rollout.complete());
 }
 
 Test(ConfigurationRollout, DoesNotWaitForWhatOnlyTheLaggingListNames) {
   ConfigurationRollout rollout(7, {});
-  rollout.AddListed({http_a, http_b});
-  rollout.OnUnreachable(http_b);
-  rollout.OnStatus(http_a, Status("a", 7));
+  rollout.AddListed({kHttpA, kHttpB});
+  rollout.OnUnreachable(kHttpB);
+  rollout.OnStatus(kHttpA, Status("a", 7));
   rollout.EndRound();
   cr_assert(rollout.complete());
-  cr_assert((rollout.Present() == std::vector<Endpoint>{http_a}));
+  cr_assert((rollout.Present() == std::vector<Endpoint>{kHttpA}));
   InstanceStatus status = Status("a", 7);
-  status.members = {Member("b", http_b, InstanceState::kSuspect)};
-  rollout.OnStatus(http_a, status);
+  status.members = {Member("b", kHttpB, InstanceState::kSuspect)};
+  rollout.OnStatus(kHttpA, status);
   rollout.EndRound();
   cr_assert(!rollout.complete());
 }
@@ -91,7 +91,7 @@
   InstanceStatus status = Status("a", 7);
   status.data_centre = "x";
   status.state = InstanceState::kLeaving;
-  status.members = {Member("b", http_b, InstanceState::kSuspect)};
+  status.members = {Member("b", kHttpB, InstanceState::kSuspect)};
   const std::string text = SerializeStatus(status);
   const Result<InstanceStatus> read = ParseStatus(text);
   cr_assert(read.ok());
--- a/tests/differential_process_test.cc
+++ b/tests/differential_process_test.cc
@@ -16,7 +16,7 @@
 constexpr size_t kShards = 4;
 constexpr size_t kSteps = 400;
 constexpr char kRankNames[][8] = {"guest", "suggest", "publish"};
-const KeyRange whole_key_space{0, kShards* kKeysPerShard};
+const KeyRange kWholeKeySpace{0, kShards* kKeysPerShard};
 
 class Differential {
  public:
@@ -89,7 +89,7 @@
     const bool naive_whole =
         naive.answered == kShards && naive.index_versions.size() == 1 &&
         SameHits(naive.hits, ExpectedHits(*naive.index_versions.begin(),
-                                          {whole_key_space}, text, limit));
+                                          {kWholeKeySpace}, text, limit));
     naive_whole_ += naive_whole ? 1 : 0;
     if (reply.Text("outcome") != "answered") {
       return;
