Read the clocks, draw random bases and open listeners in one place each

Eleven sources had their own Now() and seven their own NowWall(); they share transport/clock.h. The claim service had a second source of random bits, and the HTTP server opened its listener by a copy of OpenListener(), which the peers' server uses.

--- a/src/entry_instance.cc
+++ b/src/entry_instance.cc
@@ -5,9 +5,9 @@
 #include "entry_instance_impl.h"
 #include "greengage/coordination/watcher_set.h"
 #include "greengage/transport/claim_store.h"
-#include "random_base.h"
 #include "state/gauge_names.h"
 #include "transport/configuration_fetch.h"
+#include "transport/random_base.h"
 
 namespace greengage {
 namespace {
--- a/src/entry_instance_members.cc
+++ b/src/entry_instance_members.cc
@@ -6,7 +6,7 @@
 #include "entry_instance_impl.h"
 #include "greengage/coordination/watcher_set.h"
 #include "greengage/protocol/status_codec.h"
-#include "random_base.h"
+#include "transport/random_base.h"
 
 namespace greengage {
 namespace {
--- a/src/transport/claim_service.cc
+++ b/src/transport/claim_service.cc
@@ -1,9 +1,10 @@
 #include "greengage/transport/claim_service.h"
+#include "transport/clock.h"
+#include "transport/random_base.h"
 
 #include <boost/asio.hpp>
 
 #include <mutex>
-#include <random>
 #include <utility>
 
 namespace greengage {
@@ -12,15 +13,6 @@
 // When to come back after a refusal for too many claims in flight.
 constexpr std::chrono::milliseconds kOverloadRetryAfter{500};
 
-WallTime NowWall() {
-  return std::chrono::system_clock::now();
-}
-
-uint64_t RandomBits() {
-  std::random_device device;
-  return (uint64_t{device()} << 32) | device();
-}
-
 ClaimLimits LimitsOf(const Configuration& configuration) {
   return ClaimLimits{configuration.limits.claim_retention,
                      configuration.limits.clock_skew};
@@ -209,7 +201,7 @@
       hooks_(std::move(hooks)),
       events_(events),
       metrics_(metrics),
-      token_base_(RandomBits()) {}
+      token_base_(RandomBase()) {}
 
 std::string ClaimService::MakeToken() {
   return instance_ + "." + std::to_string(token_base_) + "." +
--- a/src/transport/claim_sweeper.cc
+++ b/src/transport/claim_sweeper.cc
@@ -1,12 +1,9 @@
 #include "greengage/transport/claim_sweeper.h"
+#include "transport/clock.h"
 
 namespace greengage {
 namespace {
 
-TimePoint Now() {
-  return std::chrono::steady_clock::now();
-}
-
 std::vector<ListedClaim> ToClaims(const std::vector<PlatformListing>& page) {
   std::vector<ListedClaim> claims;
   claims.reserve(page.size());
--- a/src/transport/configuration_fetch.cc
+++ b/src/transport/configuration_fetch.cc
@@ -6,16 +6,13 @@
 #include "greengage/protocol/configuration_delta.h"
 #include "greengage/transport/sub_request_router.h"
 #include "protocol/peer.pb.h"
+#include "transport/clock.h"
 
 namespace greengage {
 namespace {
 
 constexpr std::chrono::milliseconds kFetchTimeout{2000};
 
-WallTime NowWall() {
-  return std::chrono::system_clock::now();
-}
-
 void WriteStamp(HybridTime time, wire::Stamp* stamp) {
   stamp->set_milliseconds(time.milliseconds);
   stamp->set_counter(time.counter);
--- a/src/transport/configuration_service.cc
+++ b/src/transport/configuration_service.cc
@@ -4,6 +4,7 @@
 
 #include "greengage/protocol/configuration_file.h"
 #include "greengage/transport/log.h"
+#include "transport/clock.h"
 
 namespace greengage {
 namespace {
@@ -17,14 +18,6 @@
 // Versions that deltas can be made from.
 constexpr size_t kTextsKept = 4;
 
-TimePoint Now() {
-  return std::chrono::steady_clock::now();
-}
-
-WallTime NowWall() {
-  return std::chrono::system_clock::now();
-}
-
 }  // namespace
 
 ConfigurationService::ConfigurationService(boost::asio::io_context& context,
--- a/src/transport/front_service.cc
+++ b/src/transport/front_service.cc
@@ -4,6 +4,7 @@
 
 #include "greengage/protocol/caller_codec.h"
 #include "greengage/protocol/event_codec.h"
+#include "transport/clock.h"
 
 namespace greengage {
 namespace {
@@ -13,10 +14,6 @@
 // When to come back if the instance cannot tell better.
 constexpr std::chrono::milliseconds kDefaultRetryAfter{1000};
 
-TimePoint Now() {
-  return std::chrono::steady_clock::now();
-}
-
 unsigned StatusOf(const Answer& answer) {
   switch (answer.outcome) {
     case Outcome::kAnswered:
--- a/src/transport/gossip_service.cc
+++ b/src/transport/gossip_service.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "greengage/protocol/datagram_codec.h"
+#include "transport/clock.h"
 
 namespace greengage {
 
@@ -13,14 +14,6 @@
 
 constexpr std::chrono::milliseconds kTickPeriod{100};
 
-TimePoint Now() {
-  return std::chrono::steady_clock::now();
-}
-
-WallTime NowWall() {
-  return std::chrono::system_clock::now();
-}
-
 EventKind EventOf(MembershipChangeKind kind) {
   switch (kind) {
     case MembershipChangeKind::kJoined:
--- a/src/transport/http_client_pool.cc
+++ b/src/transport/http_client_pool.cc
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <utility>
 
+#include "transport/clock.h"
 #include "transport/socket_address.h"
 
 namespace greengage {
@@ -17,10 +18,6 @@
 // others exist.
 constexpr std::chrono::milliseconds kConnectPause{100};
 
-TimePoint Now() {
-  return std::chrono::steady_clock::now();
-}
-
 }  // namespace
 
 HttpClientPool::HttpClientPool(asio::io_context& context,
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "transport/http_session.h"
+#include "transport/socket_address.h"
 
 namespace greengage {
 namespace {
@@ -161,25 +162,10 @@
     const Endpoint& endpoint,
     HttpServerLimits limits,
     HttpHandler handler) {
-  boost::system::error_code error;
-  const auto address = asio::ip::make_address(endpoint.host, error);
-  if (error) {
-    return Failure{FailureKind::kInvalidArgument, ToString(endpoint),
-                   "not an IP number"};
-  }
   tcp::acceptor acceptor(asio::make_strand(context));
-  const tcp::endpoint local(address, endpoint.port);
-  acceptor.open(local.protocol(), error);
-  if (!error) {
-    acceptor.set_option(asio::socket_base::reuse_address(true), error);
-    acceptor.bind(local, error);
-  }
-  if (!error) {
-    acceptor.listen(asio::socket_base::max_listen_connections, error);
-  }
-  if (error) {
-    return Failure{FailureKind::kAddressInUse, ToString(endpoint),
-                   error.message()};
+  const Result<Done> opened = OpenListener(acceptor, endpoint);
+  if (!opened) {
+    return opened.last_reason();
   }
   const auto listener = std::make_shared<Listener>(context, std::move(acceptor),
                                                    limits, std::move(handler));
--- a/src/transport/owner_service.cc
+++ b/src/transport/owner_service.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "greengage/protocol/searcher_codec.h"
+#include "transport/clock.h"
 
 namespace greengage {
 namespace {
@@ -15,10 +16,6 @@
 // Where a searcher's connections are probed.
 constexpr const char* kHealthTarget = "/health";
 
-TimePoint Now() {
-  return std::chrono::steady_clock::now();
-}
-
 // What a failed call proves. Without a byte sent the request did not run.
 SubAnswer ToFailedSubAnswer(const SubRequest& sent,
                             bool anything_sent,
--- a/src/transport/peer_client_connection.cc
+++ b/src/transport/peer_client_connection.cc
@@ -10,6 +10,7 @@
 #include <cstring>
 #include <functional>
 
+#include "transport/clock.h"
 #include "transport/socket_address.h"
 
 namespace greengage {
@@ -17,10 +18,6 @@
 
 namespace asio = boost::asio;
 
-TimePoint Now() {
-  return std::chrono::steady_clock::now();
-}
-
 nghttp2_nv Header(std::string_view name, std::string_view value) {
   nghttp2_nv header{};
   // nghttp2 takes mutable pointers but only reads through them.
--- a/src/transport/peer_service.cc
+++ b/src/transport/peer_service.cc
@@ -4,20 +4,9 @@
 
 #include "greengage/protocol/peer_codec.h"
 #include "greengage/transport/sub_request_router.h"
+#include "transport/clock.h"
 
 namespace greengage {
-namespace {
-
-TimePoint Now() {
-  return std::chrono::steady_clock::now();
-}
-
-WallTime NowWall() {
-  return std::chrono::system_clock::now();
-}
-
-}  // namespace
-
 // The sub-requests of one stream, from their arrival to the last answer.
 class PeerService::Batch : public std::enable_shared_from_this<Batch> {
  public:
--- a/src/transport/query_service.cc
+++ b/src/transport/query_service.cc
@@ -1,4 +1,5 @@
 #include "greengage/transport/query_service.h"
+#include "transport/clock.h"
 
 #include <boost/asio.hpp>
 
@@ -8,14 +9,6 @@
 namespace greengage {
 namespace {
 
-TimePoint Now() {
-  return std::chrono::steady_clock::now();
-}
-
-WallTime NowWall() {
-  return std::chrono::system_clock::now();
-}
-
 EventKind EventOf(SendReason reason) {
   switch (reason) {
     case SendReason::kHedge:
--- a/src/random_base.h
+++ b/src/transport/random_base.h
@@ -1,6 +1,6 @@
 // Numbers that differ from instance to instance and from start to start.
-#ifndef GREENGAGE_SRC_RANDOM_BASE_H_
-#define GREENGAGE_SRC_RANDOM_BASE_H_
+#ifndef GREENGAGE_SRC_TRANSPORT_RANDOM_BASE_H_
+#define GREENGAGE_SRC_TRANSPORT_RANDOM_BASE_H_
 
 #include <cstdint>
 #include <random>
@@ -16,4 +16,4 @@
 
 }  // namespace greengage
 
-#endif  // GREENGAGE_SRC_RANDOM_BASE_H_
+#endif  // GREENGAGE_SRC_TRANSPORT_RANDOM_BASE_H_
--- a/src/transport/sub_request_router.cc
+++ b/src/transport/sub_request_router.cc
@@ -4,20 +4,13 @@
 
 #include "greengage/protocol/peer_codec.h"
 #include "greengage/protocol/searcher_codec.h"
+#include "transport/clock.h"
 
 namespace greengage {
 namespace {
 
 constexpr std::chrono::milliseconds kCancelTimeout{1000};
 
-TimePoint Now() {
-  return std::chrono::steady_clock::now();
-}
-
-WallTime NowWall() {
-  return std::chrono::system_clock::now();
-}
-
 }  // namespace
 
 // The sub-requests that went to one owner in one message.
--- a/src/transport/upstream_watch.cc
+++ b/src/transport/upstream_watch.cc
@@ -3,6 +3,7 @@
 #include <map>
 
 #include "greengage/protocol/peer_codec.h"
+#include "transport/clock.h"
 
 namespace greengage {
 namespace {
@@ -11,10 +12,6 @@
 constexpr std::chrono::milliseconds kReadPeriod{2000};
 constexpr std::chrono::milliseconds kTellTimeout{1000};
 
-TimePoint Now() {
-  return std::chrono::steady_clock::now();
-}
-
 // Searchers that are leaving, by the instance that has to know.
 using LeavingByOwner =
     std::map<std::string, std::pair<Instance, std::vector<Endpoint>>>;
