--- a/include/greengage/coordination/hedge_policy.h
+++ b/include/greengage/coordination/hedge_policy.h
@@ -4,6 +4,8 @@
 
 #include <array>
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -23,7 +25,8 @@
   Duration shortest = std::chrono::milliseconds(1);
   // Used until enough latencies are known.
   Duration initial = std::chrono::milliseconds(50);
-  uint32_t attempts = 4;  // Most for one sub-request, the first included.
+  size_t least_latencies = 50;  // Recent ones needed for a quantile.
+  uint32_t attempts = 4;        // Most for one sub-request, the first included.
 };
 
 // Thread-safe. Latencies are kept for each searcher group, which is all
@@ -41,16 +44,21 @@
   // How long to wait for an answer before hedging.
   Duration Delay(TimePoint now, const std::string& service, Rank rank);
 
+  // The recent median; half of the initial delay until it is known.
+  Duration Typical(TimePoint now, const std::string& service, Rank rank);
+
   uint32_t attempts() const { return options_.attempts; }
 
  private:
   struct Group {
     LatencyWindow latency;
     Duration delay{};
+    Duration typical{};
     std::optional<TimePoint> computed;
   };
 
-  Duration Compute(TimePoint now, const Group& group) const;
+  Group& Current(TimePoint now, const std::string& service, Rank rank);
+  void Compute(TimePoint now, Group& group) const;
 
   const HedgeOptions options_;
   std::mutex mutex_;
--- /dev/null
+++ b/include/greengage/coordination/request_plan.h
@@ -0,0 +1,178 @@
+// The decisions on one opaque request: whom to ask, when to ask another
+// searcher, and when to answer with what.
+#ifndef GREENGAGE_COORDINATION_REQUEST_PLAN_H_
+#define GREENGAGE_COORDINATION_REQUEST_PLAN_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "greengage/coordination/data_centre_distance.h"
+#include "greengage/coordination/hedge_policy.h"
+#include "greengage/coordination/retry_budget.h"
+#include "greengage/coordination/searcher_directory.h"
+#include "greengage/coordination/service_split.h"
+#include "greengage/state/route.h"
+#include "greengage/state/route_table.h"
+#include "greengage/state/searcher_answer.h"
+#include "greengage/state/time.h"
+
+namespace greengage {
+
+enum class AttemptReason : uint8_t {
+  kFirst,
+  kHedge,  // The attempt before is slower than usual.
+  kRetry,  // The attempt before has ended without a result.
+};
+
+// Name in snake_case, for logs and metrics.
+std::string_view AttemptReasonName(AttemptReason reason);
+
+// What the plans of one instance share. Not thread-safe.
+struct RequestPlanContext {
+  SearcherDirectory* searchers = nullptr;
+  HedgePolicy* hedges = nullptr;
+  RetryBudget* extra_arrivals = nullptr;
+  DataCentreDistance* distances = nullptr;
+  ServiceSplit* split = nullptr;
+  std::minstd_rand random;
+};
+
+enum class RequestEnd : uint8_t {
+  kPassedOn,  // `answer` is one searcher's.
+  kMerged,    // `parts` are to be merged.
+  kNotRun,    // Proved for every attempt.
+  kUnknown,   // Some attempt may have run, and none has an answer.
+  kTimedOut,  // As kUnknown, at the end of the caller's or the route's time.
+  kLeft,      // The caller has gone.
+};
+
+// Name in snake_case, for logs and metrics.
+std::string_view RequestEndName(RequestEnd end);
+
+struct RequestResult {
+  RequestEnd end = RequestEnd::kUnknown;
+  SearcherAnswer answer;
+  std::vector<SearcherAnswer> parts;
+  size_t missing_parts = 0;
+  Duration retry_after{};  // With kNotRun: when to come back.
+  std::string_view cause;  // Why it is not a whole answer; for logs.
+};
+
+// Send attempt `id` to `searcher`; it must end by `deadline`.
+struct AttemptToSend {
+  uint64_t id = 0;
+  RoutedSearcherPtr searcher;
+  AttemptReason reason = AttemptReason::kFirst;
+  TimePoint deadline;
+};
+
+struct RequestActions {
+  std::vector<AttemptToSend> sends;
+  std::vector<uint64_t> cancels;  // Attempts to end, whatever became of them.
+  std::vector<uint64_t> drops;    // Attempts to end if still unsent.
+  std::optional<RequestResult> result;  // Given once.
+};
+
+// Each function that decides gives what to do next. Not thread-safe.
+class RequestPlan {
+ public:
+  // `deadline` is the caller's. `table` and `route` stay as they are for the
+  // whole request; attempts are numbered from `first_attempt`.
+  RequestPlan(TimePoint now,
+              RouteTablePtr table,
+              const Route* route,
+              TimePoint deadline,
+              RequestPlanContext* context,
+              std::function<uint64_t()> next_attempt);
+
+  RequestActions Start(TimePoint now);
+
+  RequestActions OnAttemptEnded(TimePoint now,
+                                uint64_t attempt,
+                                AttemptOutcome outcome);
+
+  RequestActions OnTimer(TimePoint now);
+
+  // The caller has closed its connection.
+  RequestActions OnCallerLeft(TimePoint now);
+
+  // When OnTimer() can next do anything; empty once there is a result and no
+  // attempt is left to be given up.
+  std::optional<TimePoint> next_timer() const;
+
+  bool has_result() const { return finished_; }
+  size_t open_attempts() const { return attempts_.size(); }
+  const Route& route() const { return *route_; }
+  const RouteTable& table() const { return *table_; }
+  TimePoint finish_by() const { return finish_by_; }
+
+ private:
+  struct Attempt {
+    size_t part = 0;
+    RoutedSearcherPtr searcher;
+    AttemptReason reason = AttemptReason::kFirst;
+    TimePoint sent;
+  };
+
+  // One service that has to give an answer.
+  struct Part {
+    std::string service;
+    std::vector<RoutedSearcherPtr> tried;
+    uint32_t open = 0;     // Attempts under way.
+    uint32_t counted = 0;  // Attempts that are not proved not to have run.
+    uint32_t sent = 0;
+    bool may_have_run = false;
+    std::optional<TimePoint> hedge_at;
+    std::optional<TimePoint> retry_at;
+    std::optional<SearcherAnswer> answer;
+    std::optional<SearcherAnswer> failure;  // The last one of a searcher.
+    bool closed = false;                    // Nothing more will come.
+  };
+
+  void AddParts();
+  bool Send(TimePoint now,
+            size_t index,
+            AttemptReason reason,
+            RequestActions& actions);
+  RoutedSearcherPtr Choose(TimePoint now,
+                           const Part& part,
+                           AttemptReason reason);
+  bool MaySendAgain(const Part& part) const;
+  void OnPartFailed(TimePoint now, size_t index, RequestActions& actions);
+  void CloseIfIdle(Part& part);
+  void Conclude(TimePoint now, RequestActions& actions);
+  void ConcludeSingle(TimePoint now, RequestActions& actions);
+  void ConcludeGather(TimePoint now, RequestActions& actions);
+  void Finish(TimePoint now, RequestResult result, RequestActions& actions);
+  void FinishWithout(TimePoint now, RequestActions& actions);
+  RequestResult Merge();
+  size_t LeastParts() const;
+  bool AnyMayHaveRun() const;
+  Duration Typical(TimePoint now) const;
+  Duration HedgeDelay(TimePoint now) const;
+
+  const RouteTablePtr table_;
+  const Route* const route_;
+  RequestPlanContext* const context_;
+  const std::function<uint64_t()> next_attempt_;
+  const bool idempotent_;
+  TimePoint finish_by_;  // An answer is due then, whatever it is.
+  TimePoint answer_by_;  // Missing parts are not waited for any longer.
+  std::vector<Part> parts_;
+  std::unordered_map<uint64_t, Attempt> attempts_;
+  bool finished_ = false;
+  std::optional<TimePoint> abandon_at_;
+};
+
+}  // namespace greengage
+
+#endif  // GREENGAGE_COORDINATION_REQUEST_PLAN_H_
--- /dev/null
+++ b/include/greengage/coordination/routed_searcher.h
@@ -0,0 +1,98 @@
+// What one instance knows of one searcher that gets opaque requests.
+#ifndef GREENGAGE_COORDINATION_ROUTED_SEARCHER_H_
+#define GREENGAGE_COORDINATION_ROUTED_SEARCHER_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "greengage/state/searcher_answer.h"
+#include "greengage/state/searcher_entry.h"
+#include "greengage/state/time.h"
+
+namespace greengage {
+
+// How far a searcher may be used now, from best to not at all.
+enum class Usability : uint8_t {
+  kGood,
+  kAvoided,  // Recent attempts failed, or it has stopped answering.
+  kMissing,  // Its entry has gone, perhaps only for a moment.
+  kNone,     // It leaves, or is not there any more.
+};
+
+// Its load, speed and failures, learned from its answers. Not thread-safe.
+class RoutedSearcher {
+ public:
+  using AttemptId = uint64_t;
+
+  RoutedSearcher(TimePoint now, SearcherEntry entry);
+
+  const SearcherEntry& entry() const { return entry_; }
+
+  // Takes in a newer entry of the same process.
+  void Refresh(TimePoint now, SearcherEntry entry);
+
+  // Its entry has gone from the registry.
+  void OnMissing(TimePoint now);
+
+  // It is certain that the process is not there any more, or takes no work.
+  void OnGone() { gone_ = true; }
+
+  void OnSent(TimePoint now, AttemptId attempt);
+
+  // `typical` is the time that such requests take at other searchers;
+  // `distance` the part of an answer's time that the way to its data centre
+  // costs.
+  void OnEnded(TimePoint now,
+               AttemptId attempt,
+               const AttemptOutcome& outcome,
+               Duration typical,
+               Duration distance);
+
+  Usability UsabilityAt(TimePoint now, Duration typical) const;
+
+  // The time that a request would take here if it were sent now.
+  Duration ExpectedTime(TimePoint now,
+                        Duration typical,
+                        Duration distance) const;
+
+  size_t outstanding() const { return sent_.size(); }
+
+  // Whether a searcher that went missing is to be forgotten.
+  bool Forgotten(TimePoint now) const;
+
+ private:
+  bool HasStalled(TimePoint now, Duration typical) const;
+  void OnFailure(TimePoint now, bool certain);
+  void OnSuccess(TimePoint now);
+  void LearnSpeed(TimePoint now, Duration latency, Duration typical);
+  void LearnErrors(TimePoint now, bool error);
+  double Decayed(double value,
+                 double rest,
+                 TimePoint since,
+                 TimePoint now) const;
+
+  SearcherEntry entry_;
+  TimePoint warm_at_;
+  std::optional<TimePoint> missing_since_;
+  bool gone_ = false;
+  std::vector<std::pair<AttemptId, TimePoint>> sent_;  // The oldest first.
+  TimePoint last_answer_;
+  uint32_t failures_ = 0;  // Without an answer, in a row.
+  std::optional<TimePoint> avoided_until_;
+  Duration avoidance_{};
+  double slowness_ = 1;  // Its time over the usual one.
+  TimePoint slowness_at_;
+  double error_share_ = 0;
+  TimePoint error_share_at_;
+  ToldLoad load_;
+  TimePoint load_at_;
+};
+
+using RoutedSearcherPtr = std::shared_ptr<RoutedSearcher>;
+
+}  // namespace greengage
+
+#endif  // GREENGAGE_COORDINATION_ROUTED_SEARCHER_H_
--- a/include/greengage/coordination/stop_sequence.h
+++ b/include/greengage/coordination/stop_sequence.h
@@ -15,8 +15,9 @@
 };
 
 // Decides how far a stop has come. Callers may go on sending requests here
-// until the balancer has noticed, however long that takes, so the instance
-// serves until no request has come for the notice time. Not thread-safe.
+// until the balancer has noticed, so the instance serves until no request has
+// come for the notice time, but no longer than the notice and half of the grace
+// time: what is under way then still needs the other half. Not thread-safe.
 class StopSequence {
  public:
   // The whole stop takes at most `notice` and `grace` together.
@@ -29,6 +30,7 @@
  private:
   const TimePoint started_;
   const Duration notice_;
+  const TimePoint serve_end_;
   const TimePoint end_;
   StopStep step_ = StopStep::kServe;
 };
--- a/include/greengage/greengage.h
+++ b/include/greengage/greengage.h
@@ -4,6 +4,7 @@
 
 #include "greengage/entry_instance.h"
 #include "greengage/protocol/instance_settings.h"
+#include "greengage/routed_instance.h"
 #include "greengage/state/result.h"
 #include "greengage/transport/log.h"
 
--- a/include/greengage/protocol/instance_settings.h
+++ b/include/greengage/protocol/instance_settings.h
@@ -17,16 +17,25 @@
 
 namespace greengage {
 
+// What the store, the searchers and the callers speak.
+enum class PlatformDialect : uint8_t {
+  kQueries,  // The project's own: queries over key ranges.
+  kObjects,  // The users' platform: routes of opaque requests.
+};
+
 // Initial values are in InstanceSettingTable(). Sizes are in bytes.
 struct InstanceSettings {
   std::string id;
   std::string data_centre;
   uint32_t threads = 0;
 
-  Endpoint http;    // Callers and operators.
-  Endpoint peer;    // Streams from other instances.
-  Endpoint gossip;  // Datagrams of membership.
+  Endpoint http;     // Callers and operators.
+  Endpoint peer;     // Streams from other instances.
+  Endpoint gossip;   // Datagrams of membership.
+  Endpoint ready;    // The balancer, in the dialect "objects".
+  Endpoint metrics;  // Metrics, in the dialect "objects".
 
+  PlatformDialect dialect = PlatformDialect::kQueries;
   Endpoint platform;
   std::chrono::milliseconds platform_timeout{};
 
@@ -39,6 +48,10 @@
   std::chrono::milliseconds http_idle_timeout{};
   size_t http_in_flight = 0;  // Queries at once.
 
+  std::chrono::milliseconds registry_period{};
+  uint32_t extra_arrivals_percent = 0;
+  uint32_t extra_arrivals_allowance = 0;
+
   LogLevel log_level = LogLevel::kInfo;
   LogFormat log_format = LogFormat::kText;
 
--- /dev/null
+++ b/include/greengage/protocol/routed_call_codec.h
@@ -0,0 +1,60 @@
+// Opaque requests and answers, between HTTP messages and typed values.
+#ifndef GREENGAGE_PROTOCOL_ROUTED_CALL_CODEC_H_
+#define GREENGAGE_PROTOCOL_ROUTED_CALL_CODEC_H_
+
+#include <chrono>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "greengage/protocol/call_dialect.h"
+#include "greengage/state/result.h"
+#include "greengage/state/searcher_answer.h"
+
+namespace greengage {
+
+using HeaderList = std::vector<std::pair<std::string, std::string>>;
+
+// What a caller's request says beside its bytes.
+struct CallerRequest {
+  std::string id;
+  std::string host;
+  std::chrono::milliseconds time_left{};  // Zero: not told.
+};
+
+// Fails with kMissingKey without an id or a host, and with kInvalidSyntax for
+// a time that is no whole number.
+Result<CallerRequest> ReadCallerRequest(const CallDialect& dialect,
+                                        const HeaderList& headers);
+
+// The caller's headers as they are passed on: without those that concern one
+// connection, and without those that WithAttempt() sets.
+HeaderList PassedOnHeaders(const CallDialect& dialect,
+                           const HeaderList& headers);
+
+// The headers of one attempt at `searcher_id`.
+HeaderList WithAttempt(const CallDialect& dialect,
+                       const HeaderList& passed_on,
+                       std::chrono::milliseconds time_left,
+                       const std::string& searcher_id);
+
+// Whether an answer belongs to another request than `request_id`.
+bool IsForeignAnswer(const CallDialect& dialect,
+                     const HeaderList& headers,
+                     std::string_view request_id);
+
+// What the whole answer of a searcher means.
+AttemptOutcome ReadSearcherAnswer(const CallDialect& dialect,
+                                  unsigned status,
+                                  HeaderList headers,
+                                  std::string body);
+
+// The headers that tell of which parts an answer is made.
+HeaderList PartHeaders(const CallDialect& dialect,
+                       const std::vector<SearcherAnswer>& parts,
+                       size_t missing_parts);
+
+}  // namespace greengage
+
+#endif  // GREENGAGE_PROTOCOL_ROUTED_CALL_CODEC_H_
--- /dev/null
+++ b/include/greengage/state/route.h
@@ -0,0 +1,51 @@
+// Routes: what becomes of an opaque request.
+#ifndef GREENGAGE_STATE_ROUTE_H_
+#define GREENGAGE_STATE_ROUTE_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace greengage {
+
+enum class RequestKind : uint8_t {
+  kIdempotent,     // May run more than once.
+  kNonIdempotent,  // Runs at most once.
+};
+
+struct WeightedService {
+  std::string service;
+  uint32_t weight = 1;
+};
+
+// A request that goes to one searcher of every shard.
+struct GatherRule {
+  std::vector<std::string> shards;  // Names of services.
+  size_t top_records = 0;           // Greatest records that the answer holds.
+  double least_coverage = 1;        // Least share of the shards, 0 to 1.
+};
+
+struct Route {
+  std::string name;
+  std::string host;
+  std::string path_prefix;  // Begins and ends with a slash.
+  RequestKind kind = RequestKind::kNonIdempotent;
+  std::chrono::milliseconds timeout{};         // Longest wait for an answer.
+  std::chrono::milliseconds target_latency{};  // Within which it counts whole.
+  uint32_t priority = 0;                       // 0 is the most urgent.
+  uint32_t max_attempts = 1;  // Searchers asked for one service, at most.
+  std::vector<WeightedService> services;  // One, or a split; empty: a gather.
+  std::optional<GatherRule> gather;
+};
+
+struct RoutedService {
+  std::string name;
+  uint32_t max_connections = 1;  // That a searcher takes from all instances.
+};
+
+}  // namespace greengage
+
+#endif  // GREENGAGE_STATE_ROUTE_H_
--- /dev/null
+++ b/include/greengage/state/route_table.h
@@ -0,0 +1,61 @@
+// All routes of one version of the configuration.
+#ifndef GREENGAGE_STATE_ROUTE_TABLE_H_
+#define GREENGAGE_STATE_ROUTE_TABLE_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "greengage/state/result.h"
+#include "greengage/state/route.h"
+
+namespace greengage {
+
+// Immutable. Requests keep the table that they began with.
+class RouteTable {
+ public:
+  class Builder;
+
+  uint64_t version() const { return version_; }
+
+  // The route of `host` with the longest prefix of `path`; null if none
+  // matches. The host's case and port do not matter.
+  const Route* Find(std::string_view host, std::string_view path) const;
+
+  const RoutedService* FindService(const std::string& name) const;
+
+  const std::vector<Route>& routes() const { return routes_; }
+
+ private:
+  RouteTable() = default;
+
+  uint64_t version_ = 0;
+  std::vector<Route> routes_;
+  // Indices of the routes of a host, the longest prefix first.
+  std::unordered_map<std::string, std::vector<size_t>> by_host_;
+  std::unordered_map<std::string, RoutedService> services_;
+};
+
+using RouteTablePtr = std::shared_ptr<const RouteTable>;
+
+// Collects routes and services and checks them as a whole.
+class RouteTable::Builder {
+ public:
+  Builder& Version(uint64_t version);
+  Builder& Add(Route route);
+  Builder& Add(RoutedService service);
+
+  // Fails with kIncomplete if a route leads nowhere, kOutOfRange for a bound
+  // without sense, and kInvalidSyntax for a prefix without its slashes.
+  Result<RouteTablePtr> Build();
+
+ private:
+  std::shared_ptr<RouteTable> table_{new RouteTable};
+};
+
+}  // namespace greengage
+
+#endif  // GREENGAGE_STATE_ROUTE_TABLE_H_
--- a/include/greengage/transport/http_client.h
+++ b/include/greengage/transport/http_client.h
@@ -23,6 +23,7 @@
   size_t connecting = 4;                    // Being opened at once.
   size_t body_bytes = size_t{1024} * 1024;  // Largest answer.
   std::chrono::milliseconds connect_timeout{1000};
+  // A shorter timeout that the server announces goes first.
   std::chrono::milliseconds idle_timeout{30000};
   // Path of a cheap GET. With one, idle connections are probed, and those that
   // have gone silent are replaced. Empty: neither.
@@ -31,11 +32,22 @@
   std::function<void()> on_replaced = {};
 };
 
+// What to do with an answer that stands where that of a call is expected.
+enum class HttpAnswerCheck : uint8_t {
+  kOwn,      // It is the call's.
+  kForeign,  // It belongs to an earlier call: the call's own may follow.
+};
+
 struct HttpCall {
   std::string method = "GET";
   std::string target;
   std::string body;
   TimePoint deadline;
+  // Sent as they are; without a Host among them, the server's end point is
+  // sent. The content type of a body is JSON unless they name one.
+  HttpHeaders headers = {};
+  // Whether an answer belongs to this call. Empty: all do.
+  std::function<HttpAnswerCheck(const HttpResponse&)> check = {};
 };
 
 // What became of a call. `sent` is false only if no byte of the request was
@@ -64,6 +76,9 @@
   // Ends a call early; its callback gets kCancelled. No effect if ended.
   virtual void Cancel(CallId id) = 0;
 
+  // Ends a call of which nothing has been sent; others go on.
+  virtual void CancelUnsent(CallId id) = 0;
+
   // Closes idle connections and lets calls under way finish.
   virtual void Close() = 0;
 
--- a/include/greengage/transport/log.h
+++ b/include/greengage/transport/log.h
@@ -2,6 +2,7 @@
 #ifndef GREENGAGE_TRANSPORT_LOG_H_
 #define GREENGAGE_TRANSPORT_LOG_H_
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -15,8 +16,26 @@
 // Reads "debug", "info", "warning" or "error".
 std::optional<LogLevel> ParseLogLevel(std::string_view name);
 
-// Starts logging to standard error. Call once, before other threads run.
-void StartLog(std::string process, LogFormat format, LogLevel level);
+enum class LogOutput : uint8_t {
+  kStandardError,
+  // JSON lines, gathered, bounded and never waited for; see FlushLog().
+  kStandardOutput,
+};
+
+// Starts logging. Call once, before other threads run.
+void StartLog(std::string process,
+              LogFormat format,
+              LogLevel level,
+              LogOutput output = LogOutput::kStandardError);
+
+// Writes lines that were gathered for standard output. Call now and then.
+void FlushLog();
+
+// Whether lines of `level` are logged now. Thread-safe.
+bool IsLogged(LogLevel level);
+
+// Logs JSON members, or text, as they are. Thread-safe.
+void LogMessage(LogLevel level, const std::string& message);
 
 // Changes the level at run time. Thread-safe.
 void SetLogLevel(LogLevel level);
--- a/src/coordination/hedge_policy.cc
+++ b/src/coordination/hedge_policy.cc
@@ -6,7 +6,6 @@
 
 namespace {
 
-constexpr size_t kLeastLatencies = 50;
 constexpr Duration kRecomputePeriod = std::chrono::milliseconds(20);
 constexpr double kMedian = 0.5;
 
@@ -26,25 +25,41 @@
                             const std::string& service,
                             Rank rank) {
   const std::lock_guard lock(mutex_);
+  return Current(now, service, rank).delay;
+}
+
+Duration HedgePolicy::Typical(TimePoint now,
+                              const std::string& service,
+                              Rank rank) {
+  const std::lock_guard lock(mutex_);
+  return Current(now, service, rank).typical;
+}
+
+HedgePolicy::Group& HedgePolicy::Current(TimePoint now,
+                                         const std::string& service,
+                                         Rank rank) {
   Group& group = groups_[service][IndexOf(rank)];
   if (!group.computed || now - *group.computed >= kRecomputePeriod) {
-    group.delay = Compute(now, group);
+    Compute(now, group);
     group.computed = now;
   }
-  return group.delay;
+  return group;
 }
 
-Duration HedgePolicy::Compute(TimePoint now, const Group& group) const {
+void HedgePolicy::Compute(TimePoint now, Group& group) const {
   const std::optional<Duration> slow =
-      group.latency.Quantile(now, options_.quantile, kLeastLatencies);
+      group.latency.Quantile(now, options_.quantile, options_.least_latencies);
   const std::optional<Duration> median =
-      group.latency.Quantile(now, kMedian, kLeastLatencies);
+      group.latency.Quantile(now, kMedian, options_.least_latencies);
   if (!slow || !median) {
-    return options_.initial;
+    group.delay = options_.initial;
+    group.typical = options_.initial / 2;
+    return;
   }
   const auto longest = std::chrono::duration_cast<Duration>(
       *median * options_.longest_in_medians);
-  return std::max(options_.shortest, std::min(*slow, longest));
+  group.delay = std::max(options_.shortest, std::min(*slow, longest));
+  group.typical = *median;
 }
 
 }  // namespace greengage
--- /dev/null
+++ b/src/coordination/request_plan.cc
@@ -0,0 +1,441 @@
+#include "greengage/coordination/request_plan.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace greengage {
+namespace {
+
+using std::chrono::milliseconds;
+
+// The answer has to be under way before the caller stops waiting: the way to
+// the caller and the work that is queued before its bytes.
+constexpr Duration kFinishMargin = milliseconds(30);
+
+// The same before the target latency: what is answered later counts little.
+constexpr Duration kTargetMargin = milliseconds(20);
+
+// Searchers that turned a request away are asked again after this time.
+constexpr Duration kAskAgainPause = milliseconds(40);
+
+// Attempts for one service, those that did not run included. Beyond it a
+// request only adds to the load that turned it away.
+constexpr uint32_t kAttemptsBeyondRoute = 2;
+
+// How long attempts that are of no use may still end by themselves. Closing
+// their connections costs the searcher a new one; a pause lasts 300 ms.
+constexpr Duration kAbandonPause = milliseconds(350);
+
+// When to come back after a refusal: the time in which a searcher that was
+// lost is noticed, or a queue that was full has emptied.
+constexpr Duration kLeastRetryAfter = milliseconds(100);
+constexpr Duration kLongestRetryAfter = std::chrono::seconds(1);
+
+// Extra arrivals are counted for a service, whatever their rank.
+constexpr Rank kBudgetRank = Rank::kUrgent;
+
+Rank RankOf(const Route& route) {
+  return static_cast<Rank>(std::min<uint32_t>(route.priority, kRankCount - 1));
+}
+
+}  // namespace
+
+std::string_view AttemptReasonName(AttemptReason reason) {
+  switch (reason) {
+    case AttemptReason::kFirst:
+      return "first";
+    case AttemptReason::kHedge:
+      return "hedge";
+    case AttemptReason::kRetry:
+      return "retry";
+  }
+  return "unknown";
+}
+
+std::string_view RequestEndName(RequestEnd end) {
+  switch (end) {
+    case RequestEnd::kPassedOn:
+      return "passed_on";
+    case RequestEnd::kMerged:
+      return "merged";
+    case RequestEnd::kNotRun:
+      return "not_run";
+    case RequestEnd::kUnknown:
+      return "unknown";
+    case RequestEnd::kTimedOut:
+      return "timed_out";
+    case RequestEnd::kLeft:
+      return "caller_left";
+  }
+  return "unknown";
+}
+
+RequestPlan::RequestPlan(TimePoint now,
+                         RouteTablePtr table,
+                         const Route* route,
+                         TimePoint deadline,
+                         RequestPlanContext* context,
+                         std::function<uint64_t()> next_attempt)
+    : table_(std::move(table)),
+      route_(route),
+      context_(context),
+      next_attempt_(std::move(next_attempt)),
+      idempotent_(route->kind == RequestKind::kIdempotent),
+      finish_by_(
+          std::min<TimePoint>(deadline - kFinishMargin, now + route->timeout)),
+      answer_by_(std::min<TimePoint>(
+          finish_by_,
+          now + std::max<Duration>(route->target_latency - kTargetMargin,
+                                   route->target_latency / 2))) {
+  AddParts();
+}
+
+void RequestPlan::AddParts() {
+  if (route_->gather) {
+    parts_.resize(route_->gather->shards.size());
+    for (size_t i = 0; i < parts_.size(); ++i) {
+      parts_[i].service = route_->gather->shards[i];
+    }
+    return;
+  }
+  parts_.resize(1);
+  parts_[0].service = context_->split->Next(*route_);
+}
+
+RequestActions RequestPlan::Start(TimePoint now) {
+  RequestActions actions;
+  for (size_t i = 0; i < parts_.size(); ++i) {
+    context_->extra_arrivals->OnSent(parts_[i].service, kBudgetRank, 1);
+    if (!Send(now, i, AttemptReason::kFirst, actions)) {
+      parts_[i].closed = true;
+    }
+  }
+  Conclude(now, actions);
+  return actions;
+}
+
+Duration RequestPlan::Typical(TimePoint now) const {
+  return context_->hedges->Typical(now, route_->name, RankOf(*route_));
+}
+
+Duration RequestPlan::HedgeDelay(TimePoint now) const {
+  return context_->hedges->Delay(now, route_->name, RankOf(*route_));
+}
+
+RoutedSearcherPtr RequestPlan::Choose(TimePoint now,
+                                      const Part& part,
+                                      AttemptReason reason) {
+  const Duration typical = Typical(now);
+  std::uniform_real_distribution<double> jitter(1.0, 1.1);
+  RoutedSearcherPtr best;
+  Usability best_usability = Usability::kNone;
+  double best_time = 0;
+  for (const RoutedSearcherPtr& searcher :
+       context_->searchers->Of(part.service)) {
+    const Usability usability = searcher->UsabilityAt(now, typical);
+    const bool tried = std::find(part.tried.begin(), part.tried.end(),
+                                 searcher) != part.tried.end();
+    // A hedge helps only at a searcher that is likely to be faster.
+    if (usability == Usability::kNone || tried ||
+        (reason == AttemptReason::kHedge && usability != Usability::kGood)) {
+      continue;
+    }
+    const Duration distance =
+        context_->distances->Of(searcher->entry().data_centre);
+    const double time = jitter(context_->random) *
+                        std::chrono::duration<double>(
+                            searcher->ExpectedTime(now, typical, distance))
+                            .count();
+    if (!best || usability < best_usability ||
+        (usability == best_usability && time < best_time)) {
+      best = searcher;
+      best_usability = usability;
+      best_time = time;
+    }
+  }
+  return best;
+}
+
+bool RequestPlan::Send(TimePoint now,
+                       size_t index,
+                       AttemptReason reason,
+                       RequestActions& actions) {
+  Part& part = parts_[index];
+  const RoutedSearcherPtr searcher = Choose(now, part, reason);
+  if (!searcher) {
+    return false;
+  }
+  if (reason != AttemptReason::kFirst &&
+      !context_->extra_arrivals->TrySpend(part.service, kBudgetRank, 1)) {
+    return false;
+  }
+  const uint64_t id = next_attempt_();
+  attempts_[id] = Attempt{index, searcher, reason, now};
+  part.tried.push_back(searcher);
+  ++part.open;
+  ++part.counted;
+  ++part.sent;
+  const Duration distance =
+      context_->distances->Of(searcher->entry().data_centre);
+  part.hedge_at = now + HedgeDelay(now) + distance;
+  part.retry_at.reset();
+  searcher->OnSent(now, id);
+  actions.sends.push_back({id, searcher, reason, finish_by_ + kFinishMargin});
+  return true;
+}
+
+// A non-idempotent request is sent again only if no attempt may have run.
+bool RequestPlan::MaySendAgain(const Part& part) const {
+  if (!idempotent_ && (part.may_have_run || part.open > 0)) {
+    return false;
+  }
+  return part.counted < route_->max_attempts &&
+         part.sent < route_->max_attempts + kAttemptsBeyondRoute;
+}
+
+RequestActions RequestPlan::OnAttemptEnded(TimePoint now,
+                                           uint64_t id,
+                                           AttemptOutcome outcome) {
+  RequestActions actions;
+  const auto found = attempts_.find(id);
+  if (found == attempts_.end()) {
+    return actions;
+  }
+  const Attempt attempt = std::move(found->second);
+  attempts_.erase(found);
+  const std::string& data_centre = attempt.searcher->entry().data_centre;
+  const Duration distance = context_->distances->Of(data_centre);
+  attempt.searcher->OnEnded(now, id, outcome, Typical(now), distance);
+  Part& part = parts_[attempt.part];
+  --part.open;
+  if (outcome.end == AttemptEnd::kAnswered) {
+    context_->distances->Record(now, data_centre, now - attempt.sent);
+    context_->hedges->Record(now, route_->name, RankOf(*route_),
+                             now - attempt.sent - distance);
+  }
+  if (finished_) {
+    return actions;
+  }
+  if (ProvesNotRun(outcome.end)) {
+    --part.counted;
+  } else {
+    part.may_have_run = true;
+  }
+  if (outcome.end == AttemptEnd::kAnswered) {
+    if (!part.answer) {
+      part.answer = std::move(outcome.answer);
+      part.closed = true;
+    }
+  } else {
+    if (outcome.end == AttemptEnd::kFailed) {
+      part.failure = std::move(outcome.answer);
+    }
+    OnPartFailed(now, attempt.part, actions);
+  }
+  Conclude(now, actions);
+  return actions;
+}
+
+void RequestPlan::OnPartFailed(TimePoint now,
+                               size_t index,
+                               RequestActions& actions) {
+  Part& part = parts_[index];
+  if (part.closed || part.open > 0) {
+    return;
+  }
+  if (MaySendAgain(part) && now < finish_by_) {
+    if (Send(now, index, AttemptReason::kRetry, actions)) {
+      return;
+    }
+    // All have been asked: those that turned it away may have room soon.
+    if (part.counted < part.sent && now + kAskAgainPause < finish_by_) {
+      part.tried.clear();
+      part.retry_at = now + kAskAgainPause;
+      part.hedge_at.reset();
+      return;
+    }
+  }
+  CloseIfIdle(part);
+}
+
+void RequestPlan::CloseIfIdle(Part& part) {
+  if (part.open == 0 && !part.retry_at) {
+    part.closed = true;
+  }
+}
+
+RequestActions RequestPlan::OnTimer(TimePoint now) {
+  RequestActions actions;
+  if (finished_) {
+    if (abandon_at_ && now >= *abandon_at_) {
+      abandon_at_.reset();
+      for (const auto& [id, attempt] : attempts_) {
+        actions.cancels.push_back(id);
+      }
+    }
+    return actions;
+  }
+  for (size_t i = 0; i < parts_.size(); ++i) {
+    Part& part = parts_[i];
+    if (part.closed) {
+      continue;
+    }
+    if (part.retry_at && now >= *part.retry_at) {
+      part.retry_at.reset();
+      if (!MaySendAgain(part) ||
+          !Send(now, i, AttemptReason::kRetry, actions)) {
+        CloseIfIdle(part);
+      }
+    } else if (part.hedge_at && now >= *part.hedge_at) {
+      part.hedge_at.reset();
+      if (idempotent_ && MaySendAgain(part) &&
+          !Send(now, i, AttemptReason::kHedge, actions)) {
+        part.hedge_at = now + kAskAgainPause;
+      }
+    }
+  }
+  Conclude(now, actions);
+  return actions;
+}
+
+RequestActions RequestPlan::OnCallerLeft(TimePoint now) {
+  RequestActions actions;
+  if (!finished_) {
+    RequestResult result;
+    result.end = RequestEnd::kLeft;
+    result.cause = "the caller closed its connection";
+    Finish(now, std::move(result), actions);
+    actions.result.reset();
+  }
+  return actions;
+}
+
+std::optional<TimePoint> RequestPlan::next_timer() const {
+  if (finished_) {
+    return attempts_.empty() ? std::nullopt : abandon_at_;
+  }
+  TimePoint next = finish_by_;
+  if (route_->gather) {
+    next = std::min(next, answer_by_);
+  }
+  for (const Part& part : parts_) {
+    if (part.closed) {
+      continue;
+    }
+    if (part.hedge_at) {
+      next = std::min(next, *part.hedge_at);
+    }
+    if (part.retry_at) {
+      next = std::min(next, *part.retry_at);
+    }
+  }
+  return next;
+}
+
+void RequestPlan::Conclude(TimePoint now, RequestActions& actions) {
+  if (finished_) {
+    return;
+  }
+  if (route_->gather) {
+    ConcludeGather(now, actions);
+  } else {
+    ConcludeSingle(now, actions);
+  }
+}
+
+void RequestPlan::ConcludeSingle(TimePoint now, RequestActions& actions) {
+  Part& part = parts_.front();
+  if (part.answer || (part.closed && part.failure)) {
+    RequestResult result;
+    result.end = RequestEnd::kPassedOn;
+    result.cause = part.answer ? "" : "the searcher answered with a failure";
+    result.answer = std::move(part.answer ? *part.answer : *part.failure);
+    Finish(now, std::move(result), actions);
+  } else if (part.closed || now >= finish_by_) {
+    FinishWithout(now, actions);
+  }
+}
+
+void RequestPlan::ConcludeGather(TimePoint now, RequestActions& actions) {
+  size_t answered = 0;
+  size_t open = 0;
+  for (const Part& part : parts_) {
+    answered += part.answer ? 1 : 0;
+    open += part.closed ? 0 : 1;
+  }
+  const size_t least = LeastParts();
+  const bool enough = answered >= least;
+  if (enough && (open == 0 || now >= answer_by_)) {
+    Finish(now, Merge(), actions);
+  } else if (answered + open < least || now >= finish_by_) {
+    FinishWithout(now, actions);
+  }
+}
+
+size_t RequestPlan::LeastParts() const {
+  // The bound is a decimal fraction: 0.9 of 20 must not become 19.
+  constexpr double kRounding = 1e-9;
+  const double least =
+      route_->gather->least_coverage * static_cast<double>(parts_.size());
+  return std::max<size_t>(1, static_cast<size_t>(std::ceil(least - kRounding)));
+}
+
+bool RequestPlan::AnyMayHaveRun() const {
+  return std::any_of(parts_.begin(), parts_.end(), [](const Part& part) {
+    return part.may_have_run || part.open > 0;
+  });
+}
+
+RequestResult RequestPlan::Merge() {
+  RequestResult result;
+  result.end = RequestEnd::kMerged;
+  for (Part& part : parts_) {
+    if (part.answer) {
+      result.parts.push_back(std::move(*part.answer));
+    } else {
+      ++result.missing_parts;
+    }
+  }
+  result.cause = result.missing_parts > 0 ? "parts are missing" : "";
+  return result;
+}
+
+void RequestPlan::FinishWithout(TimePoint now, RequestActions& actions) {
+  RequestResult result;
+  const bool due = now >= finish_by_;
+  if (!AnyMayHaveRun()) {
+    result.end = RequestEnd::kNotRun;
+    result.cause = "no searcher could take it";
+    result.retry_after = std::clamp<Duration>(
+        Typical(now) * 2, kLeastRetryAfter, kLongestRetryAfter);
+  } else {
+    result.end = due ? RequestEnd::kTimedOut : RequestEnd::kUnknown;
+    result.cause = due ? "its time was over" : "attempts were lost";
+  }
+  Finish(now, std::move(result), actions);
+}
+
+void RequestPlan::Finish(TimePoint now,
+                         RequestResult result,
+                         RequestActions& actions) {
+  finished_ = true;
+  abandon_at_ = now + kAbandonPause;
+  actions.result = std::move(result);
+  // What was to be sent in the same step is of no use any more.
+  for (const AttemptToSend& send : actions.sends) {
+    const auto found = attempts_.find(send.id);
+    AttemptOutcome unsent;
+    unsent.end = AttemptEnd::kAbandoned;
+    found->second.searcher->OnEnded(now, send.id, unsent, Duration::zero(),
+                                    Duration::zero());
+    --parts_[found->second.part].open;
+    attempts_.erase(found);
+  }
+  actions.sends.clear();
+  for (const auto& [id, attempt] : attempts_) {
+    actions.drops.push_back(id);
+  }
+}
+
+}  // namespace greengage
--- /dev/null
+++ b/src/coordination/routed_searcher.cc
@@ -0,0 +1,214 @@
+#include "greengage/coordination/routed_searcher.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace greengage {
+namespace {
+
+using std::chrono::duration;
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+// An entry that lapsed while the store was away is back within 2 s.
+constexpr Duration kMissingGrace = std::chrono::seconds(2);
+
+// Failures in a row before a searcher is avoided, and for how long. A first
+// short pause sends the trial soon after a reset; the longest bounds what a
+// searcher that is back loses.
+constexpr uint32_t kFailuresToAvoid = 2;
+constexpr Duration kFirstAvoidance = milliseconds(250);
+constexpr Duration kLongestAvoidance = std::chrono::seconds(4);
+
+// A searcher is taken to have stopped answering when a request is this many
+// usual times old and nothing sent later or earlier has been answered since.
+constexpr int kStallFactor = 3;
+constexpr Duration kLeastStall = milliseconds(40);
+
+// Half-lives of what was learned once nothing new comes in: a searcher that
+// was slow or failed is tried again after a few of them.
+constexpr Duration kHalfLife = std::chrono::seconds(2);
+
+// Weight of one new sample.
+constexpr double kSampleWeight = 0.25;
+constexpr double kMostSlowness = 20;
+
+// Time of a request at a searcher that warms up, over the usual one.
+constexpr double kColdFactor = 1.6;
+
+// Load that a searcher told longer ago than this says nothing any more.
+constexpr Duration kLoadLifetime = milliseconds(100);
+
+// What a failure costs its request, in usual times: an attempt elsewhere.
+constexpr double kErrorCost = 4;
+
+}  // namespace
+
+RoutedSearcher::RoutedSearcher(TimePoint now, SearcherEntry entry)
+    : entry_(std::move(entry)),
+      warm_at_(now + entry_.warm_up_left),
+      slowness_at_(now),
+      error_share_at_(now) {}
+
+void RoutedSearcher::Refresh(TimePoint now, SearcherEntry entry) {
+  // Once it leaves, it does not come back as the same process.
+  entry.draining = entry.draining || entry_.draining;
+  entry_ = std::move(entry);
+  warm_at_ = now + entry_.warm_up_left;
+  missing_since_.reset();
+}
+
+void RoutedSearcher::OnMissing(TimePoint now) {
+  if (!missing_since_) {
+    missing_since_ = now;
+  }
+}
+
+bool RoutedSearcher::Forgotten(TimePoint now) const {
+  return gone_ || (missing_since_ && now - *missing_since_ >= kMissingGrace);
+}
+
+void RoutedSearcher::OnSent(TimePoint now, AttemptId attempt) {
+  sent_.emplace_back(attempt, now);
+}
+
+void RoutedSearcher::OnEnded(TimePoint now,
+                             AttemptId attempt,
+                             const AttemptOutcome& outcome,
+                             Duration typical,
+                             Duration distance) {
+  const auto found = std::find_if(
+      sent_.begin(), sent_.end(),
+      [attempt](const auto& entry) { return entry.first == attempt; });
+  if (found == sent_.end()) {
+    return;
+  }
+  const Duration latency = now - found->second;
+  sent_.erase(found);
+  if (outcome.load) {
+    load_ = *outcome.load;
+    load_at_ = now;
+  }
+  switch (outcome.end) {
+    case AttemptEnd::kAnswered:
+      OnSuccess(now);
+      LearnErrors(now, false);
+      LearnSpeed(now, latency - distance, typical);
+      break;
+    case AttemptEnd::kFailed:
+    case AttemptEnd::kTurnedAway:
+      OnSuccess(now);
+      LearnErrors(now, true);
+      break;
+    case AttemptEnd::kMisdirected:
+      OnGone();
+      break;
+    case AttemptEnd::kLost:
+      OnFailure(now, false);
+      LearnErrors(now, true);
+      break;
+    case AttemptEnd::kNotSent:
+      OnFailure(now, true);
+      break;
+    case AttemptEnd::kAbandoned:
+      // It had its time; what is slow shows in the answers of others.
+      LearnSpeed(now, latency, typical);
+      break;
+  }
+}
+
+void RoutedSearcher::OnSuccess(TimePoint now) {
+  last_answer_ = now;
+  failures_ = 0;
+  avoided_until_.reset();
+  avoidance_ = Duration::zero();
+}
+
+void RoutedSearcher::OnFailure(TimePoint now, bool certain) {
+  ++failures_;
+  if (failures_ < kFailuresToAvoid && !certain) {
+    return;
+  }
+  if (avoided_until_ && now < *avoided_until_) {
+    return;
+  }
+  avoidance_ = std::clamp(avoidance_ * 2, kFirstAvoidance, kLongestAvoidance);
+  avoided_until_ = now + avoidance_;
+}
+
+double RoutedSearcher::Decayed(double value,
+                               double rest,
+                               TimePoint since,
+                               TimePoint now) const {
+  const double lives =
+      duration<double>(now - since) / duration<double>(kHalfLife);
+  return rest + (value - rest) * std::exp2(-lives);
+}
+
+void RoutedSearcher::LearnSpeed(TimePoint now,
+                                Duration latency,
+                                Duration typical) {
+  if (typical <= Duration::zero()) {
+    return;
+  }
+  const double sample =
+      std::clamp(duration<double>(latency) / duration<double>(typical), 0.25,
+                 kMostSlowness);
+  const double before = Decayed(slowness_, 1, slowness_at_, now);
+  slowness_ = before + kSampleWeight * (sample - before);
+  slowness_at_ = now;
+}
+
+void RoutedSearcher::LearnErrors(TimePoint now, bool error) {
+  const double before = Decayed(error_share_, 0, error_share_at_, now);
+  error_share_ = before + kSampleWeight * ((error ? 1 : 0) - before);
+  error_share_at_ = now;
+}
+
+bool RoutedSearcher::HasStalled(TimePoint now, Duration typical) const {
+  if (sent_.empty()) {
+    return false;
+  }
+  const TimePoint oldest = sent_.front().second;
+  const Duration patience = std::max(
+      kLeastStall, kStallFactor * duration_cast<Duration>(
+                                      typical * std::max(slowness_, 1.0)));
+  return now - oldest > patience && last_answer_ < oldest;
+}
+
+Usability RoutedSearcher::UsabilityAt(TimePoint now, Duration typical) const {
+  if (gone_ || entry_.draining) {
+    return Usability::kNone;
+  }
+  if (missing_since_) {
+    return Forgotten(now) ? Usability::kNone : Usability::kMissing;
+  }
+  // After its time, an avoided searcher gets one attempt at a time.
+  const bool avoided =
+      avoided_until_ && (now < *avoided_until_ || !sent_.empty());
+  return avoided || HasStalled(now, typical) ? Usability::kAvoided
+                                             : Usability::kGood;
+}
+
+Duration RoutedSearcher::ExpectedTime(TimePoint now,
+                                      Duration typical,
+                                      Duration distance) const {
+  const double slots = std::max(1U, entry_.slots);
+  double ahead = static_cast<double>(sent_.size());
+  if (now - load_at_ < kLoadLifetime) {
+    const double told = load_.running + load_.waiting;
+    ahead = std::max(ahead, told);
+  }
+  double factor = Decayed(slowness_, 1, slowness_at_, now);
+  if (now < warm_at_) {
+    factor = std::max(factor, kColdFactor);
+  }
+  factor *= 1 + std::max(0.0, ahead + 1 - slots) / slots;
+  // Equal searchers share the work: a free slot counts a little.
+  factor *= 1 + 0.1 * ahead / slots;
+  factor += kErrorCost * Decayed(error_share_, 0, error_share_at_, now);
+  return distance + duration_cast<Duration>(typical * factor);
+}
+
+}  // namespace greengage
--- /dev/null
+++ b/src/coordination/searcher_directory.cc
@@ -0,0 +1,92 @@
+#include "greengage/coordination/searcher_directory.h"
+
+#include <algorithm>
+#include <unordered_set>
+#include <utility>
+
+namespace greengage {
+
+void SearcherDirectory::Replace(TimePoint now,
+                                const std::vector<SearcherEntry>& entries) {
+  std::unordered_set<std::string> named;
+  for (const SearcherEntry& entry : entries) {
+    named.insert(entry.id);
+    Upsert(now, entry);
+  }
+  for (const auto& [id, searcher] : by_id_) {
+    if (!named.contains(id)) {
+      searcher->OnMissing(now);
+    }
+  }
+}
+
+void SearcherDirectory::Upsert(TimePoint now, const SearcherEntry& entry) {
+  const auto found = by_id_.find(entry.id);
+  if (found != by_id_.end() && found->second->entry().SameProcess(entry)) {
+    const bool was_draining = found->second->entry().draining;
+    found->second->Refresh(now, entry);
+    if (!was_draining && entry.draining) {
+      hooks_.on_leaving(*found->second, "draining");
+    }
+    return;
+  }
+  if (found != by_id_.end()) {
+    Drop(found->second, "restarted");
+  }
+  const auto searcher = std::make_shared<RoutedSearcher>(now, entry);
+  by_id_[entry.id] = searcher;
+  by_service_[entry.service].push_back(searcher);
+  hooks_.on_added(*searcher);
+}
+
+void SearcherDirectory::Apply(TimePoint now,
+                              const std::vector<SearcherChange>& changes) {
+  for (const SearcherChange& change : changes) {
+    if (change.entry) {
+      Upsert(now, *change.entry);
+      continue;
+    }
+    const auto found = by_id_.find(change.id);
+    if (found != by_id_.end()) {
+      found->second->OnMissing(now);
+    }
+  }
+}
+
+void SearcherDirectory::Expire(TimePoint now) {
+  std::vector<RoutedSearcherPtr> forgotten;
+  for (const auto& [id, searcher] : by_id_) {
+    if (searcher->Forgotten(now)) {
+      forgotten.push_back(searcher);
+    }
+  }
+  for (const RoutedSearcherPtr& searcher : forgotten) {
+    Drop(searcher, "gone");
+  }
+}
+
+const std::vector<RoutedSearcherPtr>& SearcherDirectory::Of(
+    const std::string& service) const {
+  static const std::vector<RoutedSearcherPtr> kNone;
+  const auto found = by_service_.find(service);
+  return found == by_service_.end() ? kNone : found->second;
+}
+
+void SearcherDirectory::Drop(const RoutedSearcherPtr& searcher,
+                             std::string_view why) {
+  searcher->OnGone();
+  hooks_.on_leaving(*searcher, why);
+  const auto service = by_service_.find(searcher->entry().service);
+  if (service != by_service_.end()) {
+    std::erase(service->second, searcher);
+    if (service->second.empty()) {
+      by_service_.erase(service);
+    }
+  }
+  const auto found = by_id_.find(searcher->entry().id);
+  if (found != by_id_.end() && found->second == searcher) {
+    by_id_.erase(found);
+  }
+}
+
+}  // namespace greengage
--- a/src/coordination/stop_sequence.cc
+++ b/src/coordination/stop_sequence.cc
@@ -5,13 +5,17 @@
 namespace greengage {
 
 StopSequence::StopSequence(TimePoint started, Duration notice, Duration grace)
-    : started_(started), notice_(notice), end_(started + notice + grace) {}
+    : started_(started),
+      notice_(notice),
+      serve_end_(started + notice + grace / 2),
+      end_(started + notice + grace) {}
 
 StopStep StopSequence::Next(TimePoint now,
                             TimePoint last_request,
                             bool has_work) {
   const TimePoint quiet_since = std::max(started_, last_request);
-  if (step_ == StopStep::kServe && now - quiet_since >= notice_) {
+  const bool quiet = now - quiet_since >= notice_;
+  if (step_ == StopStep::kServe && (quiet || now >= serve_end_)) {
     step_ = StopStep::kDrain;
   } else if (step_ == StopStep::kDrain && !has_work) {
     step_ = StopStep::kFinished;
--- a/src/protocol/instance_settings.cc
+++ b/src/protocol/instance_settings.cc
@@ -31,8 +31,21 @@
       .Address("peer", &S::peer, std::nullopt,
                "Where other instances open streams to (TCP).")
       .Address("gossip", &S::gossip, std::nullopt,
-               "Where other instances send membership datagrams to (UDP).");
+               "Where other instances send membership datagrams to (UDP).")
+      .Address("ready", &S::ready, "127.0.0.1:0",
+               "Where the balancer asks whether callers may come (TCP); used "
+               "by the dialect \"objects\".")
+      .Address("metrics", &S::metrics, "127.0.0.1:0",
+               "Where metrics are served (TCP); used by the dialect "
+               "\"objects\".");
   table.Section("platform")
+      .OneOf("dialect", &S::dialect,
+             {{"queries", PlatformDialect::kQueries},
+              {"objects", PlatformDialect::kObjects}},
+             "queries",
+             "What the store, the searchers and the callers speak: the "
+             "project's queries over key ranges, or routes of opaque requests "
+             "on the users' platform.")
       .Address("endpoint", &S::platform, std::nullopt,
                "The platform's object API.")
       .Time("timeout_ms", &S::platform_timeout,
@@ -67,6 +80,19 @@
       .Integer("in_flight", &S::http_in_flight,
                {.minimum = 1, .maximum = 1000000, .initial = 4096},
                "Queries at once; more are refused as not run.");
+  table.Section("routing")
+      .Time("registry_period_ms", &S::registry_period,
+            {.minimum = 10, .maximum = 60000, .initial = 1000},
+            "Between two reads of what has changed among the searchers. "
+            "Longer means fewer calls to the store; it must stay well below "
+            "the time in which a leaving searcher may still get work.")
+      .Integer("extra_arrivals_percent", &S::extra_arrivals_percent,
+               {.minimum = 0, .maximum = 100, .initial = 15},
+               "Hedges and retries at a service, per hundred requests for it.")
+      .Integer("extra_arrivals_allowance", &S::extra_arrivals_allowance,
+               {.minimum = 1, .maximum = 1000, .initial = 4},
+               "Hedges and retries at a service that may be saved up; all "
+               "instances together must stay within the platform's bound.");
   table.Section("log")
       .OneOf("level", &S::log_level,
              {{"debug", LogLevel::kDebug},
--- /dev/null
+++ b/src/protocol/routed_call_codec.cc
@@ -0,0 +1,218 @@
+#include "greengage/protocol/routed_call_codec.h"
+
+#include <boost/beast/core/string.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <optional>
+
+namespace greengage {
+namespace {
+
+constexpr unsigned kMisdirectedStatus = 421;
+
+// Headers that concern one connection, and the length, which the transport
+// sets for the next one.
+constexpr std::array<std::string_view, 10> kConnectionHeaders{
+    "connection",         "content-length",   "expect", "keep-alive",
+    "proxy-authenticate", "proxy-connection", "te",     "trailer",
+    "transfer-encoding",  "upgrade"};
+
+bool SameName(std::string_view a, std::string_view b) {
+  return boost::beast::iequals({a.data(), a.size()}, {b.data(), b.size()});
+}
+
+std::optional<std::string_view> Find(const HeaderList& headers,
+                                     std::string_view name) {
+  for (const auto& [key, value] : headers) {
+    if (SameName(key, name)) {
+      return value;
+    }
+  }
+  return std::nullopt;
+}
+
+std::string_view Trim(std::string_view text) {
+  const size_t first = text.find_first_not_of(" \t");
+  if (first == std::string_view::npos) {
+    return {};
+  }
+  return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+// The parts of a list that is separated by commas.
+std::vector<std::string_view> Split(std::string_view list) {
+  std::vector<std::string_view> parts;
+  while (true) {
+    const size_t comma = list.find(',');
+    parts.push_back(Trim(list.substr(0, comma)));
+    if (comma == std::string_view::npos) {
+      return parts;
+    }
+    list.remove_prefix(comma + 1);
+  }
+}
+
+template <typename Number>
+std::optional<Number> ParseWhole(std::string_view text) {
+  Number number = 0;
+  const auto parsed =
+      std::from_chars(text.data(), text.data() + text.size(), number);
+  if (text.empty() || parsed.ec != std::errc() ||
+      parsed.ptr != text.data() + text.size()) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+// Names that the header "Connection" adds to those of one connection.
+std::vector<std::string> NamedByConnection(const HeaderList& headers) {
+  std::vector<std::string> names;
+  for (const auto& [key, value] : headers) {
+    if (SameName(key, "connection")) {
+      for (const std::string_view name : Split(value)) {
+        names.emplace_back(name);
+      }
+    }
+  }
+  return names;
+}
+
+HeaderList WithoutConnectionHeaders(const HeaderList& headers) {
+  const std::vector<std::string> named = NamedByConnection(headers);
+  HeaderList kept;
+  kept.reserve(headers.size());
+  for (const auto& header : headers) {
+    const auto is_same = [&header](std::string_view name) {
+      return SameName(name, header.first);
+    };
+    if (std::none_of(kConnectionHeaders.begin(), kConnectionHeaders.end(),
+                     is_same) &&
+        std::none_of(named.begin(), named.end(), is_same)) {
+      kept.push_back(header);
+    }
+  }
+  return kept;
+}
+
+std::optional<ToldLoad> ReadLoad(const CallDialect& dialect,
+                                 const HeaderList& headers) {
+  const auto header = Find(headers, dialect.load);
+  const auto parts = header ? Split(*header) : std::vector<std::string_view>();
+  if (parts.size() != 3) {
+    return std::nullopt;
+  }
+  const auto running = ParseWhole<uint32_t>(parts[0]);
+  const auto waiting = ParseWhole<uint32_t>(parts[1]);
+  const auto slots = ParseWhole<uint32_t>(parts[2]);
+  if (!running || !waiting || !slots) {
+    return std::nullopt;
+  }
+  return ToldLoad{*running, *waiting, *slots};
+}
+
+bool IsSuccess(unsigned status) {
+  return status >= 200 && status < 300;
+}
+
+}  // namespace
+
+Result<CallerRequest> ReadCallerRequest(const CallDialect& dialect,
+                                        const HeaderList& headers) {
+  const auto id = Find(headers, dialect.request_id);
+  const auto host = Find(headers, "host");
+  if (!id || id->empty() || !host) {
+    return Failure{FailureKind::kMissingKey,
+                   id && !id->empty() ? "Host" : dialect.request_id,
+                   "the header is required"};
+  }
+  CallerRequest request;
+  request.id = *id;
+  request.host = *host;
+  if (const auto told = Find(headers, dialect.time_left)) {
+    const auto milliseconds = ParseWhole<uint32_t>(Trim(*told));
+    if (!milliseconds) {
+      return Failure{FailureKind::kInvalidSyntax, dialect.time_left,
+                     "want a whole number of milliseconds"};
+    }
+    request.time_left = std::chrono::milliseconds(*milliseconds);
+  }
+  return request;
+}
+
+HeaderList PassedOnHeaders(const CallDialect& dialect,
+                           const HeaderList& headers) {
+  HeaderList kept = WithoutConnectionHeaders(headers);
+  std::erase_if(kept, [&dialect](const auto& header) {
+    return SameName(header.first, dialect.time_left) ||
+           SameName(header.first, dialect.expected_searcher);
+  });
+  return kept;
+}
+
+HeaderList WithAttempt(const CallDialect& dialect,
+                       const HeaderList& passed_on,
+                       std::chrono::milliseconds time_left,
+                       const std::string& searcher_id) {
+  HeaderList headers;
+  headers.reserve(passed_on.size() + 2);
+  headers = passed_on;
+  headers.emplace_back(dialect.time_left, std::to_string(time_left.count()));
+  headers.emplace_back(dialect.expected_searcher, searcher_id);
+  return headers;
+}
+
+bool IsForeignAnswer(const CallDialect& dialect,
+                     const HeaderList& headers,
+                     std::string_view request_id) {
+  const auto echoed = Find(headers, dialect.request_id);
+  return echoed && *echoed != request_id;
+}
+
+AttemptOutcome ReadSearcherAnswer(const CallDialect& dialect,
+                                  unsigned status,
+                                  HeaderList headers,
+                                  std::string body) {
+  AttemptOutcome outcome;
+  outcome.load = ReadLoad(dialect, headers);
+  if (status == kMisdirectedStatus) {
+    outcome.end = AttemptEnd::kMisdirected;
+    outcome.detail = "another searcher has the address";
+    return outcome;
+  }
+  if (Find(headers, dialect.not_run)) {
+    outcome.end = AttemptEnd::kTurnedAway;
+    outcome.detail = "turned away with " + std::to_string(status);
+    return outcome;
+  }
+  const auto signature = Find(headers, dialect.signature);
+  if (IsSuccess(status) &&
+      (!signature || Find(headers, "content-encoding").has_value())) {
+    outcome.detail = signature ? "the body is encoded" : "no signature";
+    return outcome;
+  }
+  outcome.end = IsSuccess(status) ? AttemptEnd::kAnswered : AttemptEnd::kFailed;
+  outcome.detail = std::to_string(status);
+  outcome.answer.status = status;
+  outcome.answer.signature = signature.value_or("");
+  outcome.answer.headers = WithoutConnectionHeaders(headers);
+  outcome.answer.body = std::move(body);
+  return outcome;
+}
+
+HeaderList PartHeaders(const CallDialect& dialect,
+                       const std::vector<SearcherAnswer>& parts,
+                       size_t missing_parts) {
+  std::string signatures;
+  for (const SearcherAnswer& part : parts) {
+    signatures += signatures.empty() ? "" : ", ";
+    signatures += part.signature;
+  }
+  HeaderList headers;
+  headers.emplace_back(dialect.part_signatures, std::move(signatures));
+  headers.emplace_back(dialect.missing_parts, std::to_string(missing_parts));
+  return headers;
+}
+
+}  // namespace greengage
--- /dev/null
+++ b/src/routed_instance.cc
@@ -0,0 +1,417 @@
+#include "greengage/routed_instance.h"
+
+#include <boost/asio.hpp>
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "greengage/coordination/stop_sequence.h"
+#include "greengage/state/routed_metrics.h"
+#include "greengage/transport/http_server.h"
+#include "greengage/transport/log.h"
+#include "greengage/transport/log_line.h"
+#include "greengage/transport/request_router.h"
+#include "transport/clock.h"
+#include "transport/random_base.h"
+
+namespace greengage {
+namespace {
+
+namespace asio = boost::asio;
+
+// Between two looks at a stop's progress.
+constexpr std::chrono::milliseconds kStopPollPeriod{50};
+
+// Between two rounds of forgetting searchers and writing logs.
+constexpr std::chrono::milliseconds kHousekeepingPeriod{250};
+
+// Instances that are assumed to share a searcher's connections: a few more
+// than the deployments of today have, since instances may be added.
+constexpr uint32_t kAssumedInstances = 12;
+
+// A searcher works on few requests at once; more connections than this to one
+// of them serve nobody.
+constexpr uint32_t kMostConnections = 8;
+
+HedgeOptions HedgesOfRoutes() {
+  HedgeOptions options;
+  options.quantile = 0.95;
+  options.longest_in_medians = 3;
+  options.shortest = std::chrono::milliseconds(5);
+  options.initial = std::chrono::milliseconds(80);
+  options.least_latencies = 20;
+  return options;
+}
+
+class RoutedInstanceImpl
+    : public RoutedInstance,
+      public std::enable_shared_from_this<RoutedInstanceImpl> {
+ public:
+  RoutedInstanceImpl(asio::io_context& context,
+                     const InstanceSettings& settings,
+                     RoutedPlatform platform)
+      : context_(context),
+        settings_(settings),
+        platform_(std::move(platform)),
+        directory_(
+            {[this](const RoutedSearcher& searcher) {
+               OnSearcherAdded(searcher);
+             },
+             [this](const RoutedSearcher& searcher, std::string_view why) {
+               OnSearcherLeaving(searcher, why);
+             }}),
+        hedges_(HedgesOfRoutes()),
+        extra_arrivals_(settings.extra_arrivals_percent,
+                        settings.extra_arrivals_allowance),
+        distances_(settings.data_centre),
+        clients_(std::make_shared<SearcherClients>(
+            context,
+            [this](const SearcherEntry& entry) { return Connections(entry); })),
+        stop_timer_(context),
+        housekeeping_timer_(context) {
+    plans_.searchers = &directory_;
+    plans_.hedges = &hedges_;
+    plans_.extra_arrivals = &extra_arrivals_;
+    plans_.distances = &distances_;
+    plans_.split = &split_;
+    plans_.random.seed(
+        static_cast<std::minstd_rand::result_type>(RandomBase()));
+  }
+
+  Result<Done> Listen() {
+    router_ = std::make_shared<RequestRouter>(
+        context_, platform_.dialect,
+        RequestRouter::Limits{settings_.http_in_flight}, &plans_, clients_,
+        &metrics_,
+        RequestRouter::Hooks{[this] { return table_; },
+                             [this] { return refusing_; },
+                             [this] { return RegistryAge(); }});
+    for (const auto& step : {&RoutedInstanceImpl::ListenToCallers,
+                             &RoutedInstanceImpl::ListenToBalancer,
+                             &RoutedInstanceImpl::ListenToMetrics}) {
+      const Result<Done> result = (this->*step)();
+      if (!result) {
+        return result;
+      }
+    }
+    LogLine(LogLevel::kInfo, "instance_started")
+        .Add("version", GREENGAGE_VERSION)
+        .Add("data_centre", settings_.data_centre)
+        .Write();
+    Follow();
+    KeepHouse();
+    return Done{};
+  }
+
+  Endpoint http_endpoint() const override { return callers_->endpoint(); }
+
+  void Stop(std::function<void()> stopped) override;
+
+ private:
+  Result<Done> ListenToCallers();
+  Result<Done> ListenToBalancer();
+  Result<Done> ListenToMetrics();
+  HttpResponse Readiness() const;
+  void Follow();
+  void OnConfigurations(const std::vector<FeedItem<RouteTablePtr>>& items);
+  void OnSearchers(std::vector<FeedItem<SearcherEntry>> items, bool whole);
+  void OnSearcherAdded(const RoutedSearcher& searcher);
+  void OnSearcherLeaving(const RoutedSearcher& searcher, std::string_view why);
+  size_t Connections(const SearcherEntry& entry) const;
+  Duration RegistryAge() const { return Now() - registry_read_; }
+  void KeepHouse();
+  void AdvanceStop();
+  void FinishStop();
+
+  template <typename Item>
+  typename FeedFollower<Item>::Hooks FeedHooks(const std::string& feed,
+                                               FeedSource<Item> source);
+
+  asio::io_context& context_;
+  const InstanceSettings settings_;
+  const RoutedPlatform platform_;
+  RoutedMetrics metrics_;
+  SearcherDirectory directory_;
+  HedgePolicy hedges_;
+  RetryBudget extra_arrivals_;
+  DataCentreDistance distances_;
+  ServiceSplit split_;
+  RequestPlanContext plans_;
+  std::shared_ptr<SearcherClients> clients_;
+  std::shared_ptr<RequestRouter> router_;
+  std::shared_ptr<HttpServer> callers_;
+  std::shared_ptr<HttpServer> balancer_;
+  std::shared_ptr<HttpServer> metrics_server_;
+  std::shared_ptr<FeedFollower<RouteTablePtr>> configuration_feed_;
+  std::shared_ptr<FeedFollower<SearcherEntry>> searcher_feed_;
+  RouteTablePtr table_;
+  uint64_t table_revision_ = 0;
+  bool searchers_known_ = false;
+  TimePoint registry_read_;
+  bool stopping_ = false;
+  bool refusing_ = false;
+  std::optional<StopSequence> stop_sequence_;
+  std::function<void()> stopped_;
+  asio::steady_timer stop_timer_;
+  asio::steady_timer housekeeping_timer_;
+};
+
+Result<Done> RoutedInstanceImpl::ListenToCallers() {
+  HttpServerLimits limits;
+  limits.body_bytes = settings_.http_body_bytes;
+  limits.header_bytes = settings_.http_header_bytes;
+  limits.connections = settings_.http_connections;
+  limits.read_timeout = settings_.http_read_timeout;
+  limits.idle_timeout = settings_.http_idle_timeout;
+  Result<std::shared_ptr<HttpServer>> server = HttpServer::Listen(
+      context_, settings_.http, limits,
+      [router = router_](HttpRequest request,
+                         const std::shared_ptr<HttpExchange>& exchange) {
+        router->Handle(std::move(request), exchange);
+      });
+  if (!server) {
+    return server.last_reason();
+  }
+  callers_ = *server;
+  return Done{};
+}
+
+Result<Done> RoutedInstanceImpl::ListenToBalancer() {
+  Result<std::shared_ptr<HttpServer>> server = HttpServer::Listen(
+      context_, settings_.ready, HttpServerLimits{},
+      [this](const HttpRequest& request,
+             const std::shared_ptr<HttpExchange>& exchange) {
+        exchange->Reply(request.path == platform_.dialect.ready_path
+                            ? Readiness()
+                            : HttpResponse{.status = 404});
+      });
+  if (!server) {
+    return server.last_reason();
+  }
+  balancer_ = *server;
+  return Done{};
+}
+
+Result<Done> RoutedInstanceImpl::ListenToMetrics() {
+  Result<std::shared_ptr<HttpServer>> server =
+      HttpServer::Listen(context_, settings_.metrics, HttpServerLimits{},
+                         [this](const HttpRequest& request,
+                                const std::shared_ptr<HttpExchange>& exchange) {
+                           if (request.path != "/metrics") {
+                             exchange->Reply(HttpResponse{.status = 404});
+                             return;
+                           }
+                           exchange->Reply(HttpResponse{
+                               .content_type = "text/plain; version=0.0.4",
+                               .body = SerializeMetrics(metrics_, {})});
+                         });
+  if (!server) {
+    return server.last_reason();
+  }
+  metrics_server_ = *server;
+  return Done{};
+}
+
+HttpResponse RoutedInstanceImpl::Readiness() const {
+  std::string_view reason;
+  if (stopping_) {
+    reason = "stopping";
+  } else if (!table_) {
+    reason = "no_configuration";
+  } else if (!searchers_known_) {
+    reason = "no_searchers";
+  }
+  const bool ready = reason.empty();
+  return HttpResponse{.status = ready ? 200U : 503U,
+                      .body = ready ? "{\"ready\": true}"
+                                    : "{\"ready\": false, \"reason\": \"" +
+                                          std::string(reason) + "\"}"};
+}
+
+template <typename Item>
+typename FeedFollower<Item>::Hooks RoutedInstanceImpl::FeedHooks(
+    const std::string& feed,
+    FeedSource<Item> source) {
+  typename FeedFollower<Item>::Hooks hooks;
+  hooks.list = std::move(source.list);
+  hooks.watch = std::move(source.watch);
+  hooks.on_lost = [this, feed](const Failure& reason) {
+    LogLine(LogLevel::kWarning, "store_lost")
+        .Add("feed", feed)
+        .Add("cause", FailureKindName(reason.kind))
+        .Add("detail", reason.detail)
+        .Write();
+    metrics_.store_calls[{feed, "lost"}].Add();
+  };
+  hooks.on_regained = [this, feed] {
+    LogLine(LogLevel::kInfo, "store_regained").Add("feed", feed).Write();
+    metrics_.store_calls[{feed, "regained"}].Add();
+  };
+  return hooks;
+}
+
+void RoutedInstanceImpl::Follow() {
+  FeedOptions options;
+  options.seed = RandomBase();
+  auto configuration_hooks =
+      FeedHooks<RouteTablePtr>("configuration", platform_.configuration);
+  configuration_hooks.on_snapshot = [this](auto items) {
+    OnConfigurations(items);
+  };
+  configuration_hooks.on_changes = configuration_hooks.on_snapshot;
+  configuration_feed_ = std::make_shared<FeedFollower<RouteTablePtr>>(
+      context_, options, std::move(configuration_hooks));
+  configuration_feed_->Start();
+
+  options.pause = settings_.registry_period;
+  options.seed = RandomBase();
+  auto searcher_hooks =
+      FeedHooks<SearcherEntry>("searchers", platform_.searchers);
+  searcher_hooks.on_snapshot = [this](auto items) {
+    OnSearchers(std::move(items), true);
+  };
+  searcher_hooks.on_changes = [this](auto items) {
+    OnSearchers(std::move(items), false);
+  };
+  searcher_feed_ = std::make_shared<FeedFollower<SearcherEntry>>(
+      context_, options, std::move(searcher_hooks));
+  searcher_feed_->Start();
+}
+
+void RoutedInstanceImpl::OnConfigurations(
+    const std::vector<FeedItem<RouteTablePtr>>& items) {
+  for (const FeedItem<RouteTablePtr>& item : items) {
+    if (!item.value || item.revision <= table_revision_) {
+      continue;
+    }
+    table_ = *item.value;
+    table_revision_ = item.revision;
+    LogLine(LogLevel::kInfo, "configuration_in_force")
+        .Add("configuration", table_->version())
+        .Add("revision", table_revision_)
+        .Add("routes", table_->routes().size())
+        .Write();
+  }
+}
+
+void RoutedInstanceImpl::OnSearchers(std::vector<FeedItem<SearcherEntry>> items,
+                                     bool whole) {
+  const TimePoint now = Now();
+  registry_read_ = now;
+  searchers_known_ = true;
+  std::vector<SearcherEntry> entries;
+  std::vector<SearcherChange> changes;
+  for (FeedItem<SearcherEntry>& item : items) {
+    // An entry that cannot be read names no searcher to use.
+    if (whole && item.value) {
+      entries.push_back(*std::move(item.value));
+    } else if (!whole) {
+      changes.push_back({std::move(item.name), std::move(item.value)});
+    }
+  }
+  if (whole) {
+    directory_.Replace(now, entries);
+  } else {
+    directory_.Apply(now, changes);
+  }
+}
+
+void RoutedInstanceImpl::OnSearcherAdded(const RoutedSearcher& searcher) {
+  metrics_.searchers_added.Add();
+  LogLine(LogLevel::kInfo, "searcher_added")
+      .Add("searcher", searcher.entry().id)
+      .Add("service", searcher.entry().service)
+      .Add("endpoint", ToString(searcher.entry().endpoint))
+      .Write();
+}
+
+void RoutedInstanceImpl::OnSearcherLeaving(const RoutedSearcher& searcher,
+                                           std::string_view why) {
+  metrics_.searchers_left.Add();
+  LogLine(LogLevel::kInfo, "searcher_leaving")
+      .Add("searcher", searcher.entry().id)
+      .Add("service", searcher.entry().service)
+      .Add("cause", why)
+      .Write();
+  clients_->Close(searcher);
+}
+
+size_t RoutedInstanceImpl::Connections(const SearcherEntry& entry) const {
+  const RoutedService* const service =
+      table_ ? table_->FindService(entry.service) : nullptr;
+  const uint32_t share =
+      service == nullptr ? 1 : service->max_connections / kAssumedInstances;
+  return std::clamp(share, 1U, kMostConnections);
+}
+
+void RoutedInstanceImpl::KeepHouse() {
+  directory_.Expire(Now());
+  FlushLog();
+  housekeeping_timer_.expires_after(kHousekeepingPeriod);
+  housekeeping_timer_.async_wait([weak = weak_from_this()](auto error) {
+    const auto self = weak.lock();
+    if (!error && self) {
+      self->KeepHouse();
+    }
+  });
+}
+
+void RoutedInstanceImpl::Stop(std::function<void()> stopped) {
+  if (std::exchange(stopping_, true)) {
+    return;
+  }
+  stopped_ = std::move(stopped);
+  LogLine(LogLevel::kInfo, "instance_stopping")
+      .Add("in_flight", router_->in_flight())
+      .Write();
+  callers_->EndKeepAlive();
+  stop_sequence_.emplace(Now(), settings_.stop_notice, settings_.stop_grace);
+  AdvanceStop();
+}
+
+void RoutedInstanceImpl::AdvanceStop() {
+  const bool has_work = router_->in_flight() > 0 || callers_->connections() > 0;
+  const StopStep step =
+      stop_sequence_->Next(Now(), router_->last_request(), has_work);
+  if (step != StopStep::kServe && !std::exchange(refusing_, true)) {
+    callers_->StopAccepting();
+  }
+  if (step == StopStep::kFinished) {
+    FinishStop();
+    return;
+  }
+  stop_timer_.expires_after(kStopPollPeriod);
+  stop_timer_.async_wait(
+      [self = shared_from_this()](auto) { self->AdvanceStop(); });
+}
+
+void RoutedInstanceImpl::FinishStop() {
+  configuration_feed_->Stop();
+  searcher_feed_->Stop();
+  housekeeping_timer_.cancel();
+  clients_->CloseAll();
+  LogLine(LogLevel::kInfo, "instance_stopped")
+      .Add("in_flight", router_->in_flight())
+      .Write();
+  FlushLog();
+  stopped_();
+}
+
+}  // namespace
+
+Result<std::shared_ptr<RoutedInstance>> RoutedInstance::Start(
+    asio::io_context& context,
+    const InstanceSettings& settings,
+    RoutedPlatform platform) {
+  const auto instance = std::make_shared<RoutedInstanceImpl>(
+      context, settings, std::move(platform));
+  const Result<Done> listening = instance->Listen();
+  if (!listening) {
+    return listening.last_reason();
+  }
+  return std::shared_ptr<RoutedInstance>(instance);
+}
+
+}  // namespace greengage
--- a/src/state/metrics.cc
+++ b/src/state/metrics.cc
@@ -5,6 +5,7 @@
 #include <thread>
 
 #include "state/gauge_names.h"
+#include "state/metrics_text.h"
 
 namespace greengage {
 namespace {
@@ -46,35 +47,6 @@
     "greengage_platform_failures_total", "counter",
     "Calls to the platform without an answer."};
 
-void WriteHead(std::ostream& out, const MetricInfo& info) {
-  out << "# HELP " << info.name << ' ' << info.help << "\n# TYPE " << info.name
-      << ' ' << info.type << '\n';
-}
-
-void WriteCounter(std::ostream& out,
-                  const MetricInfo& info,
-                  const Counter& counter) {
-  WriteHead(out, info);
-  out << info.name << ' ' << counter.value() << '\n';
-}
-
-void WriteSummary(std::ostream& out,
-                  const MetricInfo& info,
-                  std::string_view label,
-                  const Distribution& distribution) {
-  const Distribution::Summary summary = distribution.Summarize();
-  const std::string separator = label.empty() ? "" : ",";
-  for (size_t i = 0; i < Distribution::kQuantiles.size(); ++i) {
-    out << info.name << '{' << label << separator << "quantile=\""
-        << Distribution::kQuantiles[i] << "\"} " << summary.quantile_seconds[i]
-        << '\n';
-  }
-  const std::string labels =
-      label.empty() ? "" : "{" + std::string(label) + "}";
-  out << info.name << "_sum" << labels << ' ' << summary.sum_seconds << '\n';
-  out << info.name << "_count" << labels << ' ' << summary.count << '\n';
-}
-
 void WriteByRank(std::ostream& out,
                  const MetricInfo& info,
                  const std::array<Distribution, kRankCount>& distributions) {
@@ -192,10 +164,7 @@
   WriteCounter(out, kClaims, metrics.claims_created);
   WriteCounter(out, kClaimsLost, metrics.claims_lost);
   WriteCounter(out, kPlatformFailures, metrics.platform_failures);
-  for (const Gauge& gauge : gauges) {
-    WriteHead(out, gauge.info);
-    out << gauge.info.name << ' ' << gauge.read() << '\n';
-  }
+  WriteGauges(out, gauges);
   return out.str();
 }
 
--- /dev/null
+++ b/src/state/routed_metrics.cc
@@ -0,0 +1,69 @@
+#include "greengage/state/routed_metrics.h"
+
+#include <ostream>
+#include <sstream>
+#include <string_view>
+
+#include "state/metrics_text.h"
+
+namespace greengage {
+namespace {
+
+constexpr MetricInfo kRequests{"greengage_routed_requests_total", "counter",
+                               "Requests of callers by route and end."};
+constexpr MetricInfo kRequestTime{
+    "greengage_routed_request_seconds", "summary",
+    "From the arrival of a request to its answer, by route."};
+constexpr MetricInfo kAttempts{
+    "greengage_attempts_total", "counter",
+    "Attempts at searchers by reason and end; beyond the first of a service "
+    "they are extra load."};
+constexpr MetricInfo kStoreCalls{"greengage_store_calls_total", "counter",
+                                 "Calls to the platform's store by result."};
+constexpr MetricInfo kAdded{"greengage_searchers_added_total", "counter",
+                            "Searchers that came into the registry."};
+constexpr MetricInfo kLeft{"greengage_searchers_left_total", "counter",
+                           "Searchers that drain or have gone."};
+constexpr MetricInfo kCallersLeft{
+    "greengage_callers_left_total", "counter",
+    "Requests whose caller closed its connection before the answer."};
+
+void WriteLabelled(std::ostream& out,
+                   const MetricInfo& info,
+                   std::string_view first,
+                   std::string_view second,
+                   const std::map<RoutedMetrics::Labels, Counter>& counters) {
+  WriteHead(out, info);
+  for (const auto& [labels, counter] : counters) {
+    out << info.name << '{' << first << "=\"" << labels.first << "\"," << second
+        << "=\"" << labels.second << "\"} " << counter.value() << '\n';
+  }
+}
+
+}  // namespace
+
+const std::vector<MetricInfo>& AllRoutedMetrics() {
+  static const std::vector<MetricInfo> metrics{
+      kRequests, kRequestTime, kAttempts,   kStoreCalls,
+      kAdded,    kLeft,        kCallersLeft};
+  return metrics;
+}
+
+std::string SerializeMetrics(const RoutedMetrics& metrics,
+                             const std::vector<Gauge>& gauges) {
+  std::ostringstream out;
+  WriteLabelled(out, kRequests, "route", "end", metrics.requests);
+  WriteHead(out, kRequestTime);
+  for (const auto& [route, distribution] : metrics.request_time) {
+    WriteSummary(out, kRequestTime, "route=\"" + route + "\"", distribution);
+  }
+  WriteLabelled(out, kAttempts, "reason", "end", metrics.attempts);
+  WriteLabelled(out, kStoreCalls, "call", "result", metrics.store_calls);
+  WriteCounter(out, kAdded, metrics.searchers_added);
+  WriteCounter(out, kLeft, metrics.searchers_left);
+  WriteCounter(out, kCallersLeft, metrics.callers_left);
+  WriteGauges(out, gauges);
+  return out.str();
+}
+
+}  // namespace greengage
--- /dev/null
+++ b/src/state/searcher_answer.cc
@@ -0,0 +1,25 @@
+#include "greengage/state/searcher_answer.h"
+
+namespace greengage {
+
+std::string_view AttemptEndName(AttemptEnd end) {
+  switch (end) {
+    case AttemptEnd::kAnswered:
+      return "answered";
+    case AttemptEnd::kFailed:
+      return "failed";
+    case AttemptEnd::kTurnedAway:
+      return "turned_away";
+    case AttemptEnd::kMisdirected:
+      return "misdirected";
+    case AttemptEnd::kLost:
+      return "lost";
+    case AttemptEnd::kNotSent:
+      return "not_sent";
+    case AttemptEnd::kAbandoned:
+      return "abandoned";
+  }
+  return "unknown";
+}
+
+}  // namespace greengage
--- a/src/transport/http_client_connection.cc
+++ b/src/transport/http_client_connection.cc
@@ -24,11 +24,40 @@
 // the connection, whatever the searcher does.
 constexpr std::chrono::milliseconds kAcknowledgeTimeout{800};
 
+// An idle connection, or one that waits long for its answer, is probed by the
+// kernel, so that one that has gone silent is noticed within about 3 s.
+constexpr int kKeepAliveSeconds = 1;
+constexpr int kKeepAliveProbes = 2;
+
+void SetKeepAlive(int socket) {
+  const int on = 1;
+  setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+  setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &kKeepAliveSeconds,
+             sizeof(kKeepAliveSeconds));
+  setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &kKeepAliveSeconds,
+             sizeof(kKeepAliveSeconds));
+  setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &kKeepAliveProbes,
+             sizeof(kKeepAliveProbes));
+}
+
 void SetAcknowledgeTimeout(int socket) {
   const auto timeout = static_cast<unsigned>(kAcknowledgeTimeout.count());
   setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
 }
 
+// Headers that may stand once replace what is set already.
+template <typename Request>
+void SetHeaders(const HttpHeaders& headers, Request& request) {
+  for (const auto& [name, value] : headers) {
+    const http::field field = http::string_to_field(name);
+    if (field == http::field::host || field == http::field::content_type) {
+      request.set(field, value);
+    } else {
+      request.insert(name, value);
+    }
+  }
+}
+
 Failure Describe(FailureKind kind, std::string detail) {
   return {kind, "server", std::move(detail)};
 }
@@ -76,6 +105,7 @@
   socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
   socket_.non_blocking(true, ignored);
   SetAcknowledgeTimeout(socket_.native_handle());
+  SetKeepAlive(socket_.native_handle());
   Read();
   hooks_->on_connected(id_);
 }
@@ -99,16 +129,23 @@
   if (!call.body.empty()) {
     request_.set(http::field::content_type, "application/json");
   }
+  SetHeaders(call.headers, request_);
   request_.body() = call.body;
   request_.prepare_payload();
   serializer_.emplace(request_);
+  check_ = call.check;
+  skip_body_ = call.method == "HEAD";
+  ExpectAnswer();
+  sent_ = false;
+  Write();
+}
+
+void HttpClientConnection::ExpectAnswer() {
   parser_.emplace();
   parser_->eager(true);
   parser_->header_limit(kMaxHeaderBytes);
   parser_->body_limit(limits_.body_bytes);
-  parser_->skip(call.method == "HEAD");
-  sent_ = false;
-  Write();
+  parser_->skip(skip_body_);
 }
 
 void HttpClientConnection::Write() {
@@ -193,8 +230,21 @@
 void HttpClientConnection::OnParsed() {
   const bool reusable = parser_->get().keep_alive() && !parser_->need_eof() &&
                         input_.size() == 0 && !serializer_;
+  const bool may_follow = parser_->get().keep_alive() && !parser_->need_eof();
   HttpCallResult result{TakeResponse(), true};
   parser_.reset();
+  if (check_ && check_(*result.response) == HttpAnswerCheck::kForeign) {
+    if (!may_follow) {
+      Close(Describe(FailureKind::kMalformedMessage,
+                     "the answer belongs to another request"));
+      return;
+    }
+    ExpectAnswer();
+    if (input_.size() > 0) {
+      Parse();
+    }
+    return;
+  }
   if (!reusable) {
     Close(Describe(FailureKind::kConnectionClosed, "not to be kept"));
   }
--- a/src/transport/http_client_connection.h
+++ b/src/transport/http_client_connection.h
@@ -73,6 +73,7 @@
   void OnRead(const boost::system::error_code& error, size_t size);
   void Parse();
   void OnParsed();
+  void ExpectAnswer();
   void OnEndOfStream(const boost::system::error_code& error);
   void OnParseError(const boost::system::error_code& error);
   HttpResponse TakeResponse();
@@ -85,6 +86,8 @@
   boost::asio::steady_timer connect_timer_;
   boost::beast::flat_buffer input_;
   Request request_;
+  std::function<HttpAnswerCheck(const HttpResponse&)> check_;
+  bool skip_body_ = false;  // The answer has no body, whatever it says.
   std::optional<Serializer> serializer_;
   std::optional<Parser> parser_;  // Present while an answer is owed.
   bool connected_ = false;
--- a/src/transport/http_client_maintenance.cc
+++ b/src/transport/http_client_maintenance.cc
@@ -8,18 +8,33 @@
 namespace greengage {
 namespace {
 
+// Share of the announced time for which an idle connection is used.
+constexpr int kIdleSharePercent = 70;
+
 // Least time between two looks at the same connections.
 constexpr std::chrono::milliseconds kLeastPause{20};
 
 }  // namespace
 
+// A connection is given up before the server closes it, so that no request
+// crosses the end of its connection.
+Duration HttpClientPool::IdleTimeout(const Connection& connection) const {
+  const Duration announced = connection.announced_idle.value_or(
+      std::chrono::duration_cast<Duration>(limits_.idle_timeout));
+  return std::min<Duration>(limits_.idle_timeout,
+                            announced * kIdleSharePercent / 100);
+}
+
 std::optional<TimePoint> HttpClientPool::NextMaintenance() const {
   std::optional<TimePoint> next;
   const auto consider = [&next](TimePoint time) {
     next = next ? std::min(*next, time) : time;
   };
   if (!idle_.empty()) {
-    consider(connections_.at(idle_.front()).idle_since + limits_.idle_timeout);
+    for (const ConnectionId id : idle_) {
+      const Connection& connection = connections_.at(id);
+      consider(connection.idle_since + IdleTimeout(connection));
+    }
   }
   if (connect_after_ && waiting_count_ > 0) {
     consider(*connect_after_);
@@ -96,7 +111,7 @@
 void HttpClientPool::ExpireIdle(TimePoint now) {
   for (const ConnectionId id : std::vector<ConnectionId>(idle_)) {
     Connection& connection = connections_.at(id);
-    if (now - connection.idle_since >= limits_.idle_timeout) {
+    if (now - connection.idle_since >= IdleTimeout(connection)) {
       std::erase(idle_, id);
       connection.link->Close(
           Describe(FailureKind::kConnectionClosed, "idle for long"));
--- a/src/transport/http_client_pool.cc
+++ b/src/transport/http_client_pool.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <charconv>
 #include <chrono>
 #include <utility>
 
@@ -18,6 +19,23 @@
 // others exist.
 constexpr std::chrono::milliseconds kConnectPause{100};
 
+// The timeout in a Keep-Alive header, in whole seconds.
+std::optional<Duration> AnnouncedIdle(const HttpResponse& response) {
+  constexpr std::string_view kTimeout = "timeout=";
+  const auto header = FindHeader(response.headers, "Keep-Alive");
+  const size_t at = header ? header->find(kTimeout) : std::string_view::npos;
+  if (at == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const std::string_view number = header->substr(at + kTimeout.size());
+  uint32_t seconds = 0;
+  const auto parsed =
+      std::from_chars(number.data(), number.data() + number.size(), seconds);
+  return parsed.ec == std::errc()
+             ? std::optional<Duration>(std::chrono::seconds(seconds))
+             : std::nullopt;
+}
+
 }  // namespace
 
 HttpClientPool::HttpClientPool(asio::io_context& context,
@@ -45,6 +63,10 @@
   Push({Operation::kCancel, id, {}});
 }
 
+void HttpClientPool::CancelUnsent(CallId id) {
+  Push({Operation::kCancelUnsent, id, {}});
+}
+
 void HttpClientPool::Close() {
   Push({Operation::kClose, 0, {}});
 }
@@ -67,6 +89,9 @@
       case Operation::kCancel:
         CancelCall(command.id);
         break;
+      case Operation::kCancelUnsent:
+        CancelUnsentCall(command.id);
+        break;
       case Operation::kClose:
         closed_ = true;
         break;
@@ -100,6 +125,13 @@
   EndCall(id, {Describe(FailureKind::kCancelled, "cancelled"), false});
 }
 
+void HttpClientPool::CancelUnsentCall(CallId id) {
+  const auto found = calls_.find(id);
+  if (found != calls_.end() && found->second.connection == 0) {
+    EndCall(id, {Describe(FailureKind::kCancelled, "cancelled"), false});
+  }
+}
+
 void HttpClientPool::ArmDeadlines() {
   deadlines_.Arm([self = Self()] {
     for (const CallId id : self->deadlines_.TakeExpired(Now())) {
@@ -253,6 +285,7 @@
   }
   connection.probing = false;
   connection.idle_since = now;
+  connection.announced_idle = AnnouncedIdle(*result.response);
   const CallId call = std::exchange(connection.call, 0);
   if (!connection.link->closed()) {
     idle_.push_back(id);
--- a/src/transport/http_client_pool.h
+++ b/src/transport/http_client_pool.h
@@ -31,6 +31,7 @@
 
   CallId Start(HttpCall call, Callback done) override;
   void Cancel(CallId id) override;
+  void CancelUnsent(CallId id) override;
   void Close() override;
   const Endpoint& server() const override { return server_; }
   size_t open_connections() const override { return open_; }
@@ -44,7 +45,7 @@
     ConnectionId connection = 0;  // 0 while it waits.
   };
 
-  enum class Operation : uint8_t { kStart, kCancel, kClose };
+  enum class Operation : uint8_t { kStart, kCancel, kCancelUnsent, kClose };
   struct Command {
     Operation operation = Operation::kStart;
     CallId id = 0;
@@ -58,6 +59,8 @@
     bool probing = false;
     bool opened_to_probe = false;
     TimePoint idle_since;
+    // How long the server keeps it, as its last answer told.
+    std::optional<Duration> announced_idle;
   };
 
   std::shared_ptr<HttpClientPool> Self();
@@ -65,6 +68,7 @@
   void Execute(std::vector<Command> commands);
   void Add(CallId id, Call call);
   void CancelCall(CallId id);
+  void CancelUnsentCall(CallId id);
   void CloseIdle();
 
   // Gives waiting calls to idle connections and opens more as needed.
@@ -84,6 +88,8 @@
   void OnAnswer(ConnectionId id, HttpCallResult result);
   void OnClosed(ConnectionId id, const Failure& reason, bool sent);
 
+  Duration IdleTimeout(const Connection& connection) const;
+
   // Probing and replacing silent connections, and closing long idle ones.
   void ArmMaintenance(TimePoint now);
   void Maintain(TimePoint now);
--- a/src/transport/http_session.cc
+++ b/src/transport/http_session.cc
@@ -177,7 +177,11 @@
   timer_.cancel();
   HttpRequest request;
   request.method = std::string(parser_->get().method_string());
-  ParseTarget(parser_->get().target(), request);
+  request.target = std::string(parser_->get().target());
+  ParseTarget(request.target, request);
+  for (const auto& field : parser_->get()) {
+    request.headers.emplace_back(field.name_string(), field.value());
+  }
   keep_alive_ = parser_->get().keep_alive();
   request.body = std::move(parser_->get().body());
   parser_.reset();
@@ -273,11 +277,11 @@
   response_.version(11);
   response_.result(response.status);
   response_.keep_alive(keep_alive);
-  if (!response.body.empty()) {
+  if (!response.body.empty() && !response.content_type.empty()) {
     response_.set(http::field::content_type, response.content_type);
   }
   for (const auto& [name, value] : response.headers) {
-    response_.set(name, value);
+    response_.insert(name, value);
   }
   response_.body() = std::move(response.body);
   response_.prepare_payload();
--- a/src/transport/log.cc
+++ b/src/transport/log.cc
@@ -11,6 +11,8 @@
 #include <array>
 #include <chrono>
 
+#include "transport/stdout_appender.h"
+
 namespace greengage {
 namespace {
 
@@ -74,6 +76,9 @@
 
 LogFormat chosen_format = LogFormat::kText;
 
+// Kept alive by the logger.
+StdoutAppender* stdout_appender = nullptr;
+
 std::string Render(const Line& line) {
   if (chosen_format == LogFormat::kJson) {
     json::object object{{"event", line.event}};
@@ -96,11 +101,15 @@
   return text;
 }
 
-void Write(LogLevel level, const Line& line) {
+const log4cplus::Logger& TheLogger() {
   static const log4cplus::Logger logger =
       log4cplus::Logger::getInstance(kLoggerName);
-  if (logger.isEnabledFor(EntryOf(level).library)) {
-    logger.log(EntryOf(level).library, Render(line));
+  return logger;
+}
+
+void Write(LogLevel level, const Line& line) {
+  if (IsLogged(level)) {
+    LogMessage(level, Render(line));
   }
 }
 
@@ -115,11 +124,28 @@
   return std::nullopt;
 }
 
-void StartLog(std::string process, LogFormat format, LogLevel level) {
+bool IsLogged(LogLevel level) {
+  return TheLogger().isEnabledFor(EntryOf(level).library);
+}
+
+void LogMessage(LogLevel level, const std::string& message) {
+  TheLogger().log(EntryOf(level).library, message);
+}
+
+void StartLog(std::string process,
+              LogFormat format,
+              LogLevel level,
+              LogOutput output) {
   log4cplus::initialize();
   chosen_format = format;
-  log4cplus::SharedAppenderPtr appender(
-      new log4cplus::ConsoleAppender(true, true));
+  log4cplus::SharedAppenderPtr appender;
+  if (output == LogOutput::kStandardOutput) {
+    stdout_appender = new StdoutAppender(process);
+    appender = log4cplus::SharedAppenderPtr(stdout_appender);
+  } else {
+    appender = log4cplus::SharedAppenderPtr(
+        new log4cplus::ConsoleAppender(true, true));
+  }
   if (format == LogFormat::kJson) {
     appender->setLayout(std::make_unique<JsonLayout>(std::move(process)));
   } else {
@@ -130,6 +156,12 @@
   SetLogLevel(level);
 }
 
+void FlushLog() {
+  if (stdout_appender != nullptr) {
+    stdout_appender->Flush();
+  }
+}
+
 void SetLogLevel(LogLevel level) {
   log4cplus::Logger::getInstance(kLoggerName)
       .setLogLevel(EntryOf(level).library);
--- /dev/null
+++ b/src/transport/log_line.cc
@@ -0,0 +1,48 @@
+#include "greengage/transport/log_line.h"
+
+#include <boost/json.hpp>
+
+#include <array>
+#include <cstdio>
+
+#include "greengage/transport/log.h"
+
+namespace greengage {
+namespace json = boost::json;
+
+LogLine::LogLine(LogLevel level, std::string_view event)
+    : level_(level), enabled_(IsLogged(level)) {
+  Add("event", event);
+}
+
+LogLine& LogLine::Add(std::string_view name, std::string_view value) {
+  if (!enabled_) {
+    return *this;
+  }
+  return AddNumber(name, json::serialize(json::string(value)));
+}
+
+LogLine& LogLine::Add(std::string_view name, Duration value) {
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%.1f",
+                std::chrono::duration<double, std::milli>(value).count());
+  return AddNumber(name, text.data());
+}
+
+LogLine& LogLine::AddNumber(std::string_view name, std::string value) {
+  if (enabled_) {
+    members_ += members_.empty() ? "\"" : ",\"";
+    members_ += name;
+    members_ += "\":";
+    members_ += value;
+  }
+  return *this;
+}
+
+void LogLine::Write() {
+  if (enabled_) {
+    LogMessage(level_, members_);
+  }
+}
+
+}  // namespace greengage
--- /dev/null
+++ b/src/transport/searcher_clients.cc
@@ -0,0 +1,85 @@
+#include "greengage/transport/searcher_clients.h"
+
+#include <chrono>
+#include <utility>
+
+namespace greengage {
+namespace {
+
+// A connection is opened within a round trip and one request's work; one that
+// takes longer is no use to a request with a target of 100 ms or more.
+constexpr std::chrono::milliseconds kConnectTimeout{500};
+
+// Searchers close idle connections after some seconds that not all announce.
+constexpr std::chrono::milliseconds kIdleTimeout{30000};
+
+}  // namespace
+
+SearcherClients::SearcherClients(
+    boost::asio::io_context& context,
+    std::function<size_t(const SearcherEntry&)> connections)
+    : context_(context), connections_(std::move(connections)) {}
+
+std::shared_ptr<HttpClient> SearcherClients::ClientOf(
+    const RoutedSearcher& searcher) {
+  std::shared_ptr<HttpClient>& client = clients_[&searcher];
+  if (!client) {
+    HttpClientLimits limits;
+    limits.connections = connections_(searcher.entry());
+    limits.connecting = limits.connections;
+    limits.connect_timeout = kConnectTimeout;
+    limits.idle_timeout = kIdleTimeout;
+    client = HttpClient::Create(context_, searcher.entry().endpoint, limits);
+  }
+  return client;
+}
+
+void SearcherClients::Start(const RoutedSearcher& searcher,
+                            uint64_t attempt,
+                            HttpCall call,
+                            std::function<void(HttpCallResult)> done) {
+  const std::shared_ptr<HttpClient> client = ClientOf(searcher);
+  const HttpClient::CallId id = client->Start(
+      std::move(call),
+      [this, attempt, done = std::move(done)](HttpCallResult result) {
+        attempts_.erase(attempt);
+        done(std::move(result));
+      });
+  attempts_[attempt] = Attempt{client, id};
+}
+
+void SearcherClients::Cancel(uint64_t attempt, bool only_unsent) {
+  const auto found = attempts_.find(attempt);
+  if (found == attempts_.end()) {
+    return;
+  }
+  if (only_unsent) {
+    found->second.client->CancelUnsent(found->second.call);
+  } else {
+    found->second.client->Cancel(found->second.call);
+  }
+}
+
+void SearcherClients::Close(const RoutedSearcher& searcher) {
+  const auto found = clients_.find(&searcher);
+  if (found != clients_.end()) {
+    found->second->Close();
+    clients_.erase(found);
+  }
+}
+
+void SearcherClients::CloseAll() {
+  for (const auto& [searcher, client] : std::exchange(clients_, {})) {
+    client->Close();
+  }
+}
+
+size_t SearcherClients::open_connections() const {
+  size_t open = 0;
+  for (const auto& [searcher, client] : clients_) {
+    open += client->open_connections();
+  }
+  return open;
+}
+
+}  // namespace greengage
--- /dev/null
+++ b/tests/record_merger_test.cc
@@ -0,0 +1,58 @@
+#include "greengage/coordination/record_merger.h"
+
+#include <algorithm>
+#include <functional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+namespace greengage {
+namespace {
+
+std::string RandomPart(std::minstd_rand& random) {
+  // Few values, so that equal records occur; some bytes above 127.
+  std::uniform_int_distribution<int> byte(0, 3);
+  std::uniform_int_distribution<size_t> size(0, 200);
+  std::string part(size(random), '\0');
+  for (char& letter : part) {
+    letter = static_cast<char>(byte(random) * 80);
+  }
+  return part;
+}
+
+// Sorts all records and takes the first.
+std::string NaiveTop(const std::vector<std::string>& parts, size_t top) {
+  std::vector<std::string> records;
+  for (const std::string& part : parts) {
+    for (size_t at = 0; at + kRecordBytes <= part.size(); at += kRecordBytes) {
+      records.push_back(part.substr(at, kRecordBytes));
+    }
+  }
+  std::sort(records.begin(), records.end(), std::greater<>());
+  records.resize(std::min(records.size(), top));
+  std::string joined;
+  for (const std::string& record : records) {
+    joined += record;
+  }
+  return joined;
+}
+
+}  // namespace
+
+Test(RecordMerger, EqualsSortingAllRecords) {
+  std::minstd_rand random(1);
+  for (int round = 0; round < 500; ++round) {
+    const size_t top = random() % 20;
+    RecordMerger merger(top);
+    std::vector<std::string> parts;
+    for (size_t i = random() % 8; i > 0; --i) {
+      parts.push_back(RandomPart(random));
+      merger.Add(parts.back());
+    }
+    cr_assert(merger.Take() == NaiveTop(parts, top), "round %d", round);
+  }
+}
+
+}  // namespace greengage
--- /dev/null
+++ b/tests/searcher_directory_test.cc
@@ -0,0 +1,133 @@
+#include "greengage/coordination/searcher_directory.h"
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+namespace greengage {
+namespace {
+
+using Ms = std::chrono::milliseconds;
+
+constexpr TimePoint kStart{std::chrono::seconds(100)};
+constexpr Duration kTypical = Ms(20);
+
+SearcherEntry Entry(const std::string& id, Ms started = Ms(1)) {
+  SearcherEntry entry;
+  entry.id = id;
+  entry.service = "shard";
+  entry.endpoint = {"10.0.0.1", 80};
+  entry.slots = 2;
+  entry.started = started;
+  return entry;
+}
+
+struct Fixture {
+  Fixture()
+      : directory({[this](const RoutedSearcher&) { ++added; },
+                   [this](const RoutedSearcher&, std::string_view why) {
+                     leaving.emplace_back(why);
+                   }}) {}
+
+  Usability UsabilityOf(TimePoint now, size_t index = 0) {
+    return directory.Of("shard").at(index)->UsabilityAt(now, kTypical);
+  }
+
+  int added = 0;
+  std::vector<std::string> leaving;
+  SearcherDirectory directory;
+};
+
+}  // namespace
+
+Test(SearcherDirectory, ADrainingSearcherIsNoCandidate) {
+  Fixture fixture;
+  fixture.directory.Replace(kStart, {Entry("a")});
+  cr_assert(fixture.UsabilityOf(kStart) == Usability::kGood);
+  SearcherEntry draining = Entry("a");
+  draining.draining = true;
+  fixture.directory.Apply(kStart, {{"a", draining}});
+  cr_assert(fixture.UsabilityOf(kStart) == Usability::kNone);
+  cr_assert(fixture.leaving == std::vector<std::string>{"draining"});
+  // An entry that says otherwise is an old one.
+  fixture.directory.Apply(kStart, {{"a", Entry("a")}});
+  cr_assert(fixture.UsabilityOf(kStart) == Usability::kNone);
+}
+
+// Heartbeats and removals come in one answer of the store; what came last
+// counts. Applying the removals first brought searchers back that had left.
+Test(SearcherDirectory, ARemovalAfterAHeartbeatInTheSameAnswerCounts) {
+  Fixture fixture;
+  fixture.directory.Replace(kStart, {Entry("a")});
+  fixture.directory.Apply(kStart, {{"a", Entry("a")}, {"a", std::nullopt}});
+  cr_assert(fixture.UsabilityOf(kStart) == Usability::kMissing);
+  fixture.directory.Expire(kStart + Ms(2000));
+  cr_assert(fixture.directory.Of("shard").empty());
+  cr_assert(fixture.leaving == std::vector<std::string>{"gone"});
+}
+
+Test(SearcherDirectory, AnEntryThatComesBackInTimeIsTheSameSearcher) {
+  Fixture fixture;
+  fixture.directory.Replace(kStart, {Entry("a")});
+  fixture.directory.Replace(kStart, {});
+  cr_assert(fixture.UsabilityOf(kStart + Ms(1000)) == Usability::kMissing);
+  fixture.directory.Apply(kStart + Ms(1500), {{"a", Entry("a")}});
+  cr_assert(fixture.UsabilityOf(kStart + Ms(1500)) == Usability::kGood);
+  cr_assert(fixture.added == 1);
+}
+
+Test(SearcherDirectory, ARestartUnderTheSameIdIsAnotherSearcher) {
+  Fixture fixture;
+  fixture.directory.Replace(kStart, {Entry("a", Ms(1))});
+  fixture.directory.Apply(kStart, {{"a", Entry("a", Ms(2))}});
+  cr_assert(fixture.added == 2);
+  cr_assert(fixture.leaving == std::vector<std::string>{"restarted"});
+  cr_assert(fixture.directory.Of("shard").size() == 1);
+}
+
+Test(SearcherDirectory, AMisdirectedAttemptShowsThatTheSearcherHasGone) {
+  Fixture fixture;
+  fixture.directory.Replace(kStart, {Entry("a")});
+  const RoutedSearcherPtr searcher = fixture.directory.Of("shard").front();
+  searcher->OnSent(kStart, 1);
+  AttemptOutcome outcome;
+  outcome.end = AttemptEnd::kMisdirected;
+  searcher->OnEnded(kStart, 1, outcome, kTypical, Duration::zero());
+  cr_assert(fixture.UsabilityOf(kStart) == Usability::kNone);
+}
+
+Test(SearcherDirectory, ASearcherThatStopsAnsweringIsAvoidedUntilItAnswers) {
+  Fixture fixture;
+  fixture.directory.Replace(kStart, {Entry("a")});
+  const RoutedSearcherPtr searcher = fixture.directory.Of("shard").front();
+  searcher->OnSent(kStart, 1);
+  cr_assert(fixture.UsabilityOf(kStart + Ms(50)) == Usability::kGood);
+  cr_assert(fixture.UsabilityOf(kStart + Ms(70)) == Usability::kAvoided);
+  AttemptOutcome outcome;
+  outcome.end = AttemptEnd::kAnswered;
+  searcher->OnEnded(kStart + Ms(300), 1, outcome, kTypical, Duration::zero());
+  cr_assert(fixture.UsabilityOf(kStart + Ms(300)) == Usability::kGood);
+}
+
+Test(SearcherDirectory, ASlowSearcherIsExpectedToTakeLongerForAWhile) {
+  Fixture fixture;
+  fixture.directory.Replace(kStart, {Entry("a")});
+  const RoutedSearcherPtr searcher = fixture.directory.Of("shard").front();
+  AttemptOutcome outcome;
+  outcome.end = AttemptEnd::kAnswered;
+  TimePoint now = kStart;
+  for (uint64_t attempt = 1; attempt <= 8; ++attempt) {
+    searcher->OnSent(now, attempt);
+    now += 8 * kTypical;
+    searcher->OnEnded(now, attempt, outcome, kTypical, Duration::zero());
+  }
+  const Duration slow = searcher->ExpectedTime(now, kTypical, Duration::zero());
+  cr_assert(slow > 4 * kTypical);
+  const Duration later = searcher->ExpectedTime(now + std::chrono::seconds(10),
+                                                kTypical, Duration::zero());
+  cr_assert(later < 2 * kTypical);
+}
+
+}  // namespace greengage
--- a/tools/greengaged/main.cc
+++ b/tools/greengaged/main.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "greengage/greengage.h"
+#include "platform/routed_platform.h"
 
 namespace greengage {
 namespace {
@@ -65,10 +66,11 @@
   }
 }
 
-int Run(const InstanceSettings& settings) {
-  StartLog(settings.id, settings.log_format, settings.log_level);
-  boost::asio::io_context context;
-  const auto instance = EntryInstance::Start(context, settings);
+// Serves until a signal asks for a stop.
+template <typename Instance>
+int Serve(boost::asio::io_context& context,
+          const Result<std::shared_ptr<Instance>>& instance,
+          size_t threads) {
   if (!instance) {
     std::cerr << "greengaged: " << Describe(instance.last_reason()) << '\n';
     return kExitStart;
@@ -77,10 +79,36 @@
             << std::endl;
   const SignalHandler signals(
       context, [&] { (*instance)->Stop([&context] { context.stop(); }); });
-  RunThreads(context, settings.threads);
+  RunThreads(context, threads);
   return kExitOk;
 }
 
+int RunQueries(const InstanceSettings& settings) {
+  StartLog(settings.id, settings.log_format, settings.log_level);
+  boost::asio::io_context context;
+  return Serve(context, EntryInstance::Start(context, settings),
+               settings.threads);
+}
+
+// One thread: the machines of the users' platform run one at a time, and the
+// decisions need no locks then.
+int RunRouted(const InstanceSettings& settings) {
+  StartLog(settings.id, LogFormat::kJson, settings.log_level,
+           LogOutput::kStandardOutput);
+  boost::asio::io_context context(1);
+  return Serve(context,
+               RoutedInstance::Start(
+                   context, settings,
+                   platform::MakeRoutedPlatform(context, settings.platform,
+                                                settings.platform_timeout)),
+               1);
+}
+
+int Run(const InstanceSettings& settings) {
+  return settings.dialect == PlatformDialect::kObjects ? RunRouted(settings)
+                                                       : RunQueries(settings);
+}
+
 int Main(int argc, char** argv) {
   CLI::App app("Entry instance of greengageusher, a query tier over shards.",
                "greengaged");
