--- a/src/routed_instance.cc
+++ b/src/routed_instance.cc
@@ -101,7 +101,7 @@
         .Add("data_centre", settings_.data_centre)
         .Write();
     Follow();
-    KeepHouse();
+    ScheduleHousekeeping();
     return Done{};
   }
 
@@ -121,6 +121,7 @@
   void OnSearcherLeaving(const RoutedSearcher& searcher, std::string_view why);
   size_t Connections(const SearcherEntry& entry) const;
   Duration RegistryAge() const { return Now() - registry_read_; }
+  void ScheduleHousekeeping();
   void KeepHouse();
   void AdvanceStop();
   void FinishStop();
@@ -349,6 +350,10 @@
 void RoutedInstanceImpl::KeepHouse() {
   directory_.Expire(Now());
   FlushLog();
+  ScheduleHousekeeping();
+}
+
+void RoutedInstanceImpl::ScheduleHousekeeping() {
   housekeeping_timer_.expires_after(kHousekeepingPeriod);
   housekeeping_timer_.async_wait([weak = weak_from_this()](auto error) {
     const auto self = weak.lock();
--- /dev/null
+++ b/tests/harness/plan_fixture.h
@@ -0,0 +1,101 @@
+// The parts that a RequestPlan needs, with searchers made for a test.
+#ifndef GREENGAGE_TESTS_HARNESS_PLAN_FIXTURE_H_
+#define GREENGAGE_TESTS_HARNESS_PLAN_FIXTURE_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "greengage/coordination/request_plan.h"
+
+namespace greengage {
+
+inline constexpr TimePoint kPlanStart{std::chrono::seconds(100)};
+
+// Services "s0", "s1" and so on, each with searchers "s0/0", "s0/1" and so on.
+struct PlanFixture {
+  explicit PlanFixture(size_t services, size_t searchers, double extra = 100)
+      : directory({[](const RoutedSearcher&) {},
+                   [](const RoutedSearcher&, std::string_view) {}}),
+        hedges(HedgeOptions{.initial = std::chrono::milliseconds(40)}),
+        budget(15, extra),
+        distances("here") {
+    std::vector<SearcherEntry> entries;
+    for (size_t service = 0; service < services; ++service) {
+      for (size_t searcher = 0; searcher < searchers; ++searcher) {
+        SearcherEntry entry;
+        entry.service = "s" + std::to_string(service);
+        entry.id = entry.service + "/" + std::to_string(searcher);
+        entry.data_centre = "here";
+        entry.slots = 2;
+        entries.push_back(std::move(entry));
+      }
+    }
+    directory.Replace(kPlanStart, entries);
+    context.searchers = &directory;
+    context.hedges = &hedges;
+    context.extra_arrivals = &budget;
+    context.distances = &distances;
+    context.split = &split;
+  }
+
+  // A plan that begins now; `route` is put into a table of its own.
+  RequestPlan Plan(Route route,
+                   std::chrono::milliseconds deadline,
+                   TimePoint now = kPlanStart) {
+    route.path_prefix = "/";
+    RouteTable::Builder builder;
+    builder.Add(std::move(route));
+    const RouteTablePtr table = *builder.Build();
+    return RequestPlan(now, table, &table->routes().front(), now + deadline,
+                       &context, [this] { return ++last_attempt; });
+  }
+
+  SearcherDirectory directory;
+  HedgePolicy hedges;
+  RetryBudget budget;
+  DataCentreDistance distances;
+  ServiceSplit split;
+  RequestPlanContext context;
+  uint64_t last_attempt = 0;
+};
+
+inline Route SingleRoute(RequestKind kind, uint32_t attempts = 2) {
+  Route route;
+  route.name = "single";
+  route.kind = kind;
+  route.timeout = std::chrono::milliseconds(2000);
+  route.target_latency = std::chrono::milliseconds(500);
+  route.max_attempts = attempts;
+  route.services = {{"s0", 1}};
+  return route;
+}
+
+inline Route GatherRoute(size_t shards, double least_coverage) {
+  Route route;
+  route.name = "gather";
+  route.kind = RequestKind::kIdempotent;
+  route.timeout = std::chrono::milliseconds(2000);
+  route.target_latency = std::chrono::milliseconds(250);
+  route.max_attempts = 2;
+  route.gather = GatherRule{{}, 5, least_coverage};
+  for (size_t i = 0; i < shards; ++i) {
+    route.gather->shards.push_back("s" + std::to_string(i));
+  }
+  return route;
+}
+
+inline AttemptOutcome Ended(AttemptEnd end, unsigned status = 200) {
+  AttemptOutcome outcome;
+  outcome.end = end;
+  outcome.answer.status = status;
+  return outcome;
+}
+
+}  // namespace greengage
+
+#endif  // GREENGAGE_TESTS_HARNESS_PLAN_FIXTURE_H_
--- /dev/null
+++ b/tests/harness/raw_server.h
@@ -0,0 +1,72 @@
+// A TCP server that answers each HTTP request with bytes chosen by a test.
+#ifndef GREENGAGE_TESTS_HARNESS_RAW_SERVER_H_
+#define GREENGAGE_TESTS_HARNESS_RAW_SERVER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "greengage/state/endpoint.h"
+
+namespace greengage {
+
+struct RawRequest {
+  std::string head;  // Request line and headers, with the empty line.
+  std::string body;  // As long as Content-Length says.
+
+  std::string Line() const { return head.substr(0, head.find('\r')); }
+
+  // The value of header `name`, written as it was sent; empty without it.
+  std::string Header(std::string_view name) const;
+};
+
+struct RawReply {
+  std::string bytes;
+  std::chrono::milliseconds delay{0};
+  bool close = false;  // After the bytes.
+};
+
+// "HTTP/1.1 STATUS ..." with `headers` ("Name: value\r\n" each) and `body`.
+std::string HttpBytes(unsigned status,
+                      const std::string& headers,
+                      const std::string& body);
+
+// Must run on one thread.
+class RawServer : public std::enable_shared_from_this<RawServer> {
+ public:
+  using Handler = std::function<RawReply(const RawRequest&)>;
+
+  static std::shared_ptr<RawServer> Start(boost::asio::io_context& context,
+                                          Handler handler);
+
+  Endpoint endpoint() const;
+  size_t accepted() const { return accepted_; }
+  size_t requests() const { return requests_; }
+
+ private:
+  struct Session;
+
+  RawServer(boost::asio::io_context& context, Handler handler);
+  void Accept();
+  void ReadHead(const std::shared_ptr<Session>& session);
+  void ReadBody(const std::shared_ptr<Session>& session, size_t head_bytes);
+  void Answer(const std::shared_ptr<Session>& session,
+              const RawRequest& request);
+
+  boost::asio::io_context& context_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  const Handler handler_;
+  std::atomic<size_t> accepted_ = 0;
+  std::atomic<size_t> requests_ = 0;
+};
+
+}  // namespace greengage
+
+#endif  // GREENGAGE_TESTS_HARNESS_RAW_SERVER_H_
--- /dev/null
+++ b/tests/request_plan_test.cc
@@ -0,0 +1,204 @@
+#include "greengage/coordination/request_plan.h"
+
+#include <chrono>
+#include <vector>
+
+#include "tests/harness/plan_fixture.h"
+
+#include <criterion/criterion.h>
+
+namespace greengage {
+namespace {
+
+using Ms = std::chrono::milliseconds;
+
+constexpr Ms kDeadline{2500};
+
+}  // namespace
+
+Test(RequestPlan, PassesOnTheAnswerOfOneSearcher) {
+  PlanFixture fixture(1, 2);
+  RequestPlan plan =
+      fixture.Plan(SingleRoute(RequestKind::kIdempotent), kDeadline);
+  const RequestActions started = plan.Start(kPlanStart);
+  cr_assert(started.sends.size() == 1 && !started.result);
+  const RequestActions ended = plan.OnAttemptEnded(
+      kPlanStart + Ms(10), started.sends[0].id, Ended(AttemptEnd::kAnswered));
+  cr_assert(ended.result->end == RequestEnd::kPassedOn);
+  cr_assert(ended.result->answer.status == 200);
+}
+
+Test(RequestPlan, SendsANonIdempotentRequestAgainOnlyWithProof) {
+  for (const AttemptEnd end :
+       {AttemptEnd::kTurnedAway, AttemptEnd::kMisdirected,
+        AttemptEnd::kNotSent}) {
+    PlanFixture fixture(1, 2);
+    RequestPlan plan =
+        fixture.Plan(SingleRoute(RequestKind::kNonIdempotent), kDeadline);
+    const RequestActions started = plan.Start(kPlanStart);
+    const RequestActions again =
+        plan.OnAttemptEnded(kPlanStart, started.sends[0].id, Ended(end));
+    cr_assert(again.sends.size() == 1 && !again.result);
+    cr_assert(again.sends[0].searcher != started.sends[0].searcher);
+  }
+  PlanFixture fixture(1, 2);
+  RequestPlan plan =
+      fixture.Plan(SingleRoute(RequestKind::kNonIdempotent), kDeadline);
+  const RequestActions started = plan.Start(kPlanStart);
+  const RequestActions lost = plan.OnAttemptEnded(
+      kPlanStart, started.sends[0].id, Ended(AttemptEnd::kLost));
+  cr_assert(lost.sends.empty());
+  cr_assert(lost.result->end == RequestEnd::kUnknown);
+}
+
+Test(RequestPlan, ANonIdempotentRequestIsNeverHedged) {
+  PlanFixture fixture(1, 2);
+  RequestPlan plan =
+      fixture.Plan(SingleRoute(RequestKind::kNonIdempotent), kDeadline);
+  (void)plan.Start(kPlanStart);
+  for (int age = 0; age < 1900; age += 50) {
+    cr_assert(plan.OnTimer(kPlanStart + Ms(age)).sends.empty());
+  }
+  const RequestActions due = plan.OnTimer(kPlanStart + Ms(2000));
+  cr_assert(due.result->end == RequestEnd::kTimedOut);
+}
+
+Test(RequestPlan, SaysNotRunOnlyIfNoAttemptMayHaveRun) {
+  PlanFixture fixture(1, 0);
+  RequestPlan plan =
+      fixture.Plan(SingleRoute(RequestKind::kIdempotent), kDeadline);
+  const RequestActions none = plan.Start(kPlanStart);
+  cr_assert(none.result->end == RequestEnd::kNotRun);
+  cr_assert(none.result->retry_after > Duration::zero());
+
+  PlanFixture one(1, 1);
+  RequestPlan lost = one.Plan(SingleRoute(RequestKind::kIdempotent), kDeadline);
+  const RequestActions started = lost.Start(kPlanStart);
+  const RequestActions ended = lost.OnAttemptEnded(
+      kPlanStart, started.sends[0].id, Ended(AttemptEnd::kLost));
+  cr_assert(ended.result->end == RequestEnd::kUnknown);
+}
+
+Test(RequestPlan, AsksThoseThatTurnedItAwayAgainAfterAPause) {
+  PlanFixture fixture(1, 1);
+  RequestPlan plan =
+      fixture.Plan(SingleRoute(RequestKind::kIdempotent), kDeadline);
+  const RequestActions started = plan.Start(kPlanStart);
+  const RequestActions turned_away = plan.OnAttemptEnded(
+      kPlanStart, started.sends[0].id, Ended(AttemptEnd::kTurnedAway));
+  cr_assert(turned_away.sends.empty() && !turned_away.result);
+  const RequestActions again = plan.OnTimer(*plan.next_timer());
+  cr_assert(again.sends.size() == 1);
+}
+
+Test(RequestPlan, NeverUsesMoreSearchersThanTheRouteAllows) {
+  PlanFixture fixture(1, 5);
+  RequestPlan plan =
+      fixture.Plan(SingleRoute(RequestKind::kIdempotent, 2), kDeadline);
+  RequestActions actions = plan.Start(kPlanStart);
+  size_t sent = 0;
+  while (!actions.result) {
+    cr_assert(actions.sends.size() == 1);
+    ++sent;
+    actions = plan.OnAttemptEnded(kPlanStart, actions.sends[0].id,
+                                  Ended(AttemptEnd::kLost));
+  }
+  cr_assert(sent == 2);
+}
+
+Test(RequestPlan, SpendsNoMoreThanTheBudgetOnExtraArrivals) {
+  PlanFixture fixture(1, 2, 1);
+  size_t extra = 0;
+  for (int i = 0; i < 3; ++i) {
+    RequestPlan plan =
+        fixture.Plan(SingleRoute(RequestKind::kIdempotent), kDeadline);
+    const RequestActions started = plan.Start(kPlanStart);
+    const RequestActions lost = plan.OnAttemptEnded(
+        kPlanStart, started.sends[0].id, Ended(AttemptEnd::kLost));
+    extra += lost.sends.size();
+  }
+  cr_assert(extra == 1);
+}
+
+Test(RequestPlan, HedgesThePartThatIsSlowerThanUsual) {
+  PlanFixture fixture(3, 2);
+  RequestPlan plan = fixture.Plan(GatherRoute(3, 0.6), kDeadline);
+  const RequestActions started = plan.Start(kPlanStart);
+  cr_assert(started.sends.size() == 3);
+  for (size_t i = 0; i < 2; ++i) {
+    cr_assert(!plan.OnAttemptEnded(kPlanStart + Ms(10), started.sends[i].id,
+                                   Ended(AttemptEnd::kAnswered))
+                   .result);
+  }
+  const RequestActions hedged = plan.OnTimer(kPlanStart + Ms(45));
+  cr_assert(hedged.sends.size() == 1);
+  cr_assert(hedged.sends[0].reason == AttemptReason::kHedge);
+  cr_assert(hedged.sends[0].searcher != started.sends[2].searcher);
+  const RequestActions done = plan.OnAttemptEnded(
+      kPlanStart + Ms(60), hedged.sends[0].id, Ended(AttemptEnd::kAnswered));
+  cr_assert(done.result->end == RequestEnd::kMerged);
+  cr_assert(done.result->missing_parts == 0);
+}
+
+Test(RequestPlan, AnswersInTimeWithTheLeastCoverage) {
+  PlanFixture fixture(3, 1);
+  RequestPlan plan = fixture.Plan(GatherRoute(3, 0.6), kDeadline);
+  const RequestActions started = plan.Start(kPlanStart);
+  for (size_t i = 0; i < 2; ++i) {
+    (void)plan.OnAttemptEnded(kPlanStart + Ms(10), started.sends[i].id,
+                              Ended(AttemptEnd::kAnswered));
+  }
+  cr_assert(!plan.OnTimer(kPlanStart + Ms(200)).result);
+  const RequestActions due = plan.OnTimer(kPlanStart + Ms(235));
+  cr_assert(due.result->end == RequestEnd::kMerged);
+  cr_assert(due.result->parts.size() == 2 && due.result->missing_parts == 1);
+  // The attempt that goes on has some time to end by itself.
+  cr_assert(plan.OnTimer(*plan.next_timer()).cancels.size() == 1);
+}
+
+Test(RequestPlan, WaitsLongerOnlyUntilTheLeastCoverage) {
+  PlanFixture fixture(3, 1);
+  RequestPlan plan = fixture.Plan(GatherRoute(3, 0.6), kDeadline);
+  const RequestActions started = plan.Start(kPlanStart);
+  (void)plan.OnAttemptEnded(kPlanStart + Ms(10), started.sends[0].id,
+                            Ended(AttemptEnd::kAnswered));
+  cr_assert(!plan.OnTimer(kPlanStart + Ms(240)).result);
+  const RequestActions enough = plan.OnAttemptEnded(
+      kPlanStart + Ms(400), started.sends[1].id, Ended(AttemptEnd::kAnswered));
+  cr_assert(enough.result->missing_parts == 1);
+}
+
+Test(RequestPlan, GivesUpAtOnceWhenTheCoverageCannotBeReached) {
+  PlanFixture fixture(2, 1);
+  Route route = GatherRoute(3, 0.9);  // Nobody serves the third shard.
+  RequestPlan plan = fixture.Plan(std::move(route), kDeadline);
+  const RequestActions started = plan.Start(kPlanStart);
+  cr_assert(started.sends.empty());
+  cr_assert(started.result->end != RequestEnd::kMerged);
+}
+
+Test(RequestPlan, NothingIsSentOnceTheCallerHasLeft) {
+  PlanFixture fixture(3, 2);
+  RequestPlan plan = fixture.Plan(GatherRoute(3, 0.6), kDeadline);
+  (void)plan.Start(kPlanStart);
+  const RequestActions left = plan.OnCallerLeft(kPlanStart + Ms(5));
+  cr_assert(left.drops.size() == 3 && !left.result);
+  const RequestActions later = plan.OnTimer(*plan.next_timer());
+  cr_assert(later.sends.empty() && later.cancels.size() == 3);
+  cr_assert(*plan.next_timer() <= kPlanStart + Ms(500));
+}
+
+Test(RequestPlan, SplitsRequestsByWeight) {
+  PlanFixture fixture(2, 1);
+  Route route = SingleRoute(RequestKind::kIdempotent);
+  route.services = {{"s0", 3}, {"s1", 1}};
+  int first = 0;
+  for (int i = 0; i < 40; ++i) {
+    RequestPlan plan = fixture.Plan(route, kDeadline);
+    const RequestActions started = plan.Start(kPlanStart);
+    first += started.sends[0].searcher->entry().service == "s0" ? 1 : 0;
+  }
+  cr_assert(first == 30);
+}
+
+}  // namespace greengage
--- /dev/null
+++ b/tests/routed_call_codec_test.cc
@@ -0,0 +1,91 @@
+#include "greengage/protocol/routed_call_codec.h"
+
+#include <chrono>
+#include <string>
+#include <utility>
+
+#include <criterion/criterion.h>
+
+namespace greengage {
+namespace {
+
+const CallDialect kDialect;
+
+AttemptOutcome Read(unsigned status, HeaderList headers) {
+  return ReadSearcherAnswer(kDialect, status, std::move(headers), "body");
+}
+
+}  // namespace
+
+Test(RoutedCallCodec, ASuccessNeedsItsSignatureAndAPlainBody) {
+  cr_assert(Read(200, {{"greengage-signature", "s"}}).end ==
+            AttemptEnd::kAnswered);
+  cr_assert(Read(200, {}).end == AttemptEnd::kLost);
+  cr_assert(
+      Read(200, {{"Greengage-Signature", "s"}, {"Content-Encoding", "gzip"}})
+          .end == AttemptEnd::kLost);
+}
+
+Test(RoutedCallCodec, OnlyTheSearchersWordProvesThatItDidNotRun) {
+  cr_assert(Read(503, {{"Greengage-Not-Run", "1"}}).end ==
+            AttemptEnd::kTurnedAway);
+  cr_assert(Read(421, {}).end == AttemptEnd::kMisdirected);
+  cr_assert(Read(503, {}).end == AttemptEnd::kFailed);
+  cr_assert(Read(500, {{"Greengage-Signature", "s"}}).end ==
+            AttemptEnd::kFailed);
+}
+
+Test(RoutedCallCodec, ReadsTheLoadThatASearcherTells) {
+  const AttemptOutcome outcome = Read(200, {{"Greengage-Load", "3, 1,8"}});
+  cr_assert(outcome.load->running == 3 && outcome.load->waiting == 1 &&
+            outcome.load->slots == 8);
+  cr_assert(!Read(200, {{"Greengage-Load", "3,1"}}).load);
+  cr_assert(!Read(200, {{"Greengage-Load", "a,b,c"}}).load);
+}
+
+Test(RoutedCallCodec, AnAnswerWithAnotherIdIsForeign) {
+  const HeaderList headers{{"greengage-request-id", "one"}};
+  cr_assert(!IsForeignAnswer(kDialect, headers, "one"));
+  cr_assert(IsForeignAnswer(kDialect, headers, "two"));
+  cr_assert(!IsForeignAnswer(kDialect, {}, "two"));
+}
+
+Test(RoutedCallCodec, LeavesOutWhatConcernsOneConnection) {
+  const HeaderList kept =
+      PassedOnHeaders(kDialect, {{"Host", "a"},
+                                 {"Connection", "keep-alive, X-Hop"},
+                                 {"X-Hop", "1"},
+                                 {"Transfer-Encoding", "chunked"},
+                                 {"Content-Length", "3"},
+                                 {"Greengage-Time-Left-Ms", "5"},
+                                 {"Greengage-Expected-Searcher", "fake"},
+                                 {"X-Other", "1"}});
+  cr_assert(kept == HeaderList({{"Host", "a"}, {"X-Other", "1"}}));
+}
+
+Test(RoutedCallCodec, ReadsWhatACallerSays) {
+  const auto request =
+      ReadCallerRequest(kDialect, {{"host", "a.example"},
+                                   {"greengage-request-id", "one"},
+                                   {"greengage-time-left-ms", "250"}});
+  cr_assert(request->id == "one" && request->host == "a.example");
+  cr_assert(request->time_left == std::chrono::milliseconds(250));
+  cr_assert(ReadCallerRequest(kDialect, {{"host", "a"}}).last_reason().kind ==
+            FailureKind::kMissingKey);
+  cr_assert(ReadCallerRequest(kDialect, {{"host", "a"},
+                                         {"greengage-request-id", "one"},
+                                         {"greengage-time-left-ms", "-1"}})
+                .last_reason()
+                .kind == FailureKind::kInvalidSyntax);
+}
+
+Test(RoutedCallCodec, NamesThePartsOfAnAnswer) {
+  std::vector<SearcherAnswer> parts(2);
+  parts[0].signature = "a";
+  parts[1].signature = "b";
+  cr_assert(PartHeaders(kDialect, parts, 3) ==
+            HeaderList({{"Greengage-Part-Signatures", "a, b"},
+                        {"Greengage-Missing-Parts", "3"}}));
+}
+
+}  // namespace greengage
