--- a/include/greengage/coordination/request_plan.h
+++ b/include/greengage/coordination/request_plan.h
@@ -77,8 +77,7 @@
 
 struct RequestActions {
   std::vector<AttemptToSend> sends;
-  std::vector<uint64_t> cancels;  // Attempts to end, whatever became of them.
-  std::vector<uint64_t> drops;    // Attempts to end if still unsent.
+  std::vector<uint64_t> cancels;        // Attempts that are of no use any more.
   std::optional<RequestResult> result;  // Given once.
 };
 
@@ -105,8 +104,7 @@
   // The caller has closed its connection.
   RequestActions OnCallerLeft(TimePoint now);
 
-  // When OnTimer() can next do anything; empty once there is a result and no
-  // attempt is left to be given up.
+  // When OnTimer() can next do anything; empty once there is a result.
   std::optional<TimePoint> next_timer() const;
 
   bool has_result() const { return finished_; }
@@ -148,6 +146,9 @@
                            AttemptReason reason);
   bool MaySendAgain(const Part& part) const;
   void OnPartFailed(TimePoint now, size_t index, RequestActions& actions);
+  // Of `part`, or of all parts.
+  void CancelAttempts(std::optional<size_t> part,
+                      RequestActions& actions) const;
   void CloseIfIdle(Part& part);
   void Conclude(TimePoint now, RequestActions& actions);
   void ConcludeSingle(TimePoint now, RequestActions& actions);
@@ -170,7 +171,6 @@
   std::vector<Part> parts_;
   std::unordered_map<uint64_t, Attempt> attempts_;
   bool finished_ = false;
-  std::optional<TimePoint> abandon_at_;
 };
 
 }  // namespace greengage
--- a/include/greengage/coordination/routed_searcher.h
+++ b/include/greengage/coordination/routed_searcher.h
@@ -34,8 +34,9 @@
   // Takes in a newer entry of the same process.
   void Refresh(TimePoint now, SearcherEntry entry);
 
-  // Its entry has gone from the registry.
-  void OnMissing(TimePoint now);
+  // Its entry has gone from the registry; `grace` is how long it may still be
+  // used where no other searcher can.
+  void OnMissing(TimePoint now, Duration grace);
 
   // It is certain that the process is not there any more, or takes no work.
   void OnGone() { gone_ = true; }
@@ -76,7 +77,7 @@
 
   SearcherEntry entry_;
   TimePoint warm_at_;
-  std::optional<TimePoint> missing_since_;
+  std::optional<TimePoint> forgotten_at_;  // Set while its entry is missing.
   bool gone_ = false;
   std::vector<std::pair<AttemptId, TimePoint>> sent_;  // The oldest first.
   TimePoint last_answer_;
--- a/include/greengage/protocol/instance_settings.h
+++ b/include/greengage/protocol/instance_settings.h
@@ -48,7 +48,7 @@
   std::chrono::milliseconds http_idle_timeout{};
   size_t http_in_flight = 0;  // Queries at once.
 
-  std::chrono::milliseconds registry_period{};
+  std::chrono::milliseconds leave_time{};
   uint32_t extra_arrivals_percent = 0;
   uint32_t extra_arrivals_allowance = 0;
 
--- a/include/greengage/transport/http_client.h
+++ b/include/greengage/transport/http_client.h
@@ -76,9 +76,6 @@
   // Ends a call early; its callback gets kCancelled. No effect if ended.
   virtual void Cancel(CallId id) = 0;
 
-  // Ends a call of which nothing has been sent; others go on.
-  virtual void CancelUnsent(CallId id) = 0;
-
   // Closes idle connections and lets calls under way finish.
   virtual void Close() = 0;
 
--- a/include/greengage/transport/searcher_clients.h
+++ b/include/greengage/transport/searcher_clients.h
@@ -28,8 +28,8 @@
              HttpCall call,
              std::function<void(HttpCallResult)> done);
 
-  // Ends an attempt; with `only_unsent`, one that has been sent goes on.
-  void Cancel(uint64_t attempt, bool only_unsent);
+  // Ends an attempt; its connection closes if it has been sent.
+  void Cancel(uint64_t attempt);
 
   // Lets the attempts at a searcher that leaves finish, and closes its
   // connections.
--- a/src/coordination/request_plan.cc
+++ b/src/coordination/request_plan.cc
@@ -23,10 +23,6 @@
 // request only adds to the load that turned it away.
 constexpr uint32_t kAttemptsBeyondRoute = 2;
 
-// How long attempts that are of no use may still end by themselves. Closing
-// their connections costs the searcher a new one; a pause lasts 300 ms.
-constexpr Duration kAbandonPause = milliseconds(350);
-
 // When to come back after a refusal: the time in which a searcher that was
 // lost is noticed, or a queue that was full has emptied.
 constexpr Duration kLeastRetryAfter = milliseconds(100);
@@ -226,6 +222,7 @@
     if (!part.answer) {
       part.answer = std::move(outcome.answer);
       part.closed = true;
+      CancelAttempts(attempt.part, actions);
     }
   } else {
     if (outcome.end == AttemptEnd::kFailed) {
@@ -237,6 +234,17 @@
   return actions;
 }
 
+// Work that nobody waits for any more would hold up what waits behind it at
+// its searcher, which drops it when its connection closes.
+void RequestPlan::CancelAttempts(std::optional<size_t> part,
+                                 RequestActions& actions) const {
+  for (const auto& [id, attempt] : attempts_) {
+    if (!part || attempt.part == *part) {
+      actions.cancels.push_back(id);
+    }
+  }
+}
+
 void RequestPlan::OnPartFailed(TimePoint now,
                                size_t index,
                                RequestActions& actions) {
@@ -268,12 +276,6 @@
 RequestActions RequestPlan::OnTimer(TimePoint now) {
   RequestActions actions;
   if (finished_) {
-    if (abandon_at_ && now >= *abandon_at_) {
-      abandon_at_.reset();
-      for (const auto& [id, attempt] : attempts_) {
-        actions.cancels.push_back(id);
-      }
-    }
     return actions;
   }
   for (size_t i = 0; i < parts_.size(); ++i) {
@@ -313,7 +315,7 @@
 
 std::optional<TimePoint> RequestPlan::next_timer() const {
   if (finished_) {
-    return attempts_.empty() ? std::nullopt : abandon_at_;
+    return std::nullopt;
   }
   TimePoint next = finish_by_;
   if (route_->gather) {
@@ -420,7 +422,6 @@
                          RequestResult result,
                          RequestActions& actions) {
   finished_ = true;
-  abandon_at_ = now + kAbandonPause;
   actions.result = std::move(result);
   // What was to be sent in the same step is of no use any more.
   for (const AttemptToSend& send : actions.sends) {
@@ -433,9 +434,8 @@
     attempts_.erase(found);
   }
   actions.sends.clear();
-  for (const auto& [id, attempt] : attempts_) {
-    actions.drops.push_back(id);
-  }
+  actions.cancels.clear();
+  CancelAttempts(std::nullopt, actions);
 }
 
 }  // namespace greengage
--- a/src/coordination/routed_searcher.cc
+++ b/src/coordination/routed_searcher.cc
@@ -11,9 +11,6 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
-// An entry that lapsed while the store was away is back within 2 s.
-constexpr Duration kMissingGrace = std::chrono::seconds(2);
-
 // Failures in a row before a searcher is avoided, and for how long. A first
 // short pause sends the trial soon after a reset; the longest bounds what a
 // searcher that is back loses.
@@ -56,17 +53,17 @@
   entry.draining = entry.draining || entry_.draining;
   entry_ = std::move(entry);
   warm_at_ = now + entry_.warm_up_left;
-  missing_since_.reset();
+  forgotten_at_.reset();
 }
 
-void RoutedSearcher::OnMissing(TimePoint now) {
-  if (!missing_since_) {
-    missing_since_ = now;
+void RoutedSearcher::OnMissing(TimePoint now, Duration grace) {
+  if (!forgotten_at_) {
+    forgotten_at_ = now + grace;
   }
 }
 
 bool RoutedSearcher::Forgotten(TimePoint now) const {
-  return gone_ || (missing_since_ && now - *missing_since_ >= kMissingGrace);
+  return gone_ || (forgotten_at_ && now >= *forgotten_at_);
 }
 
 void RoutedSearcher::OnSent(TimePoint now, AttemptId attempt) {
@@ -181,7 +178,7 @@
   if (gone_ || entry_.draining) {
     return Usability::kNone;
   }
-  if (missing_since_) {
+  if (forgotten_at_) {
     return Forgotten(now) ? Usability::kNone : Usability::kMissing;
   }
   // After its time, an avoided searcher gets one attempt at a time.
--- a/src/coordination/searcher_directory.cc
+++ b/src/coordination/searcher_directory.cc
@@ -1,10 +1,22 @@
 #include "greengage/coordination/searcher_directory.h"
 
 #include <algorithm>
+#include <chrono>
 #include <unordered_set>
 #include <utility>
 
 namespace greengage {
+namespace {
+
+// A listing follows a loss of the store, in which entries of searchers that
+// live may have lapsed; they are back within 2 s.
+constexpr Duration kMissingInListing = std::chrono::seconds(2);
+
+// A removal that is told is that of a searcher which has left or fallen silent.
+// The short rest lets one that only restarts its registration come back.
+constexpr Duration kRemoved = std::chrono::milliseconds(300);
+
+}  // namespace
 
 void SearcherDirectory::Replace(TimePoint now,
                                 const std::vector<SearcherEntry>& entries) {
@@ -15,7 +27,7 @@
   }
   for (const auto& [id, searcher] : by_id_) {
     if (!named.contains(id)) {
-      searcher->OnMissing(now);
+      searcher->OnMissing(now, kMissingInListing);
     }
   }
 }
@@ -48,7 +60,7 @@
     }
     const auto found = by_id_.find(change.id);
     if (found != by_id_.end()) {
-      found->second->OnMissing(now);
+      found->second->OnMissing(now, kRemoved);
     }
   }
 }
--- a/src/protocol/instance_settings.cc
+++ b/src/protocol/instance_settings.cc
@@ -81,11 +81,11 @@
                {.minimum = 1, .maximum = 1000000, .initial = 4096},
                "Queries at once; more are refused as not run.");
   table.Section("routing")
-      .Time("registry_period_ms", &S::registry_period,
-            {.minimum = 10, .maximum = 60000, .initial = 1000},
-            "Between two reads of what has changed among the searchers. "
-            "Longer means fewer calls to the store; it must stay well below "
-            "the time in which a leaving searcher may still get work.")
+      .Time("leave_time_ms", &S::leave_time,
+            {.minimum = 100, .maximum = 60000, .initial = 3000},
+            "How long a searcher may still get work after it said that it "
+            "leaves. What has changed among the searchers is read several "
+            "times within it; longer means fewer calls to the store.")
       .Integer("extra_arrivals_percent", &S::extra_arrivals_percent,
                {.minimum = 0, .maximum = 100, .initial = 15},
                "Hedges and retries at a service, per hundred requests for it.")
--- a/src/routed_instance.cc
+++ b/src/routed_instance.cc
@@ -35,6 +35,11 @@
 // of them serve nobody.
 constexpr uint32_t kMostConnections = 8;
 
+// Time between two reads of the registry, as a share of the time in which a
+// leaving searcher may still get work: the rest covers a slow or repeated read
+// and the work that is on its way.
+constexpr int kRegistryPeriodPercent = 30;
+
 HedgeOptions HedgesOfRoutes() {
   HedgeOptions options;
   options.quantile = 0.95;
@@ -266,7 +271,7 @@
       context_, options, std::move(configuration_hooks));
   configuration_feed_->Start();
 
-  options.pause = settings_.registry_period;
+  options.pause = settings_.leave_time * kRegistryPeriodPercent / 100;
   options.seed = RandomBase();
   auto searcher_hooks =
       FeedHooks<SearcherEntry>("searchers", platform_.searchers);
--- a/src/transport/http_client_pool.cc
+++ b/src/transport/http_client_pool.cc
@@ -63,10 +63,6 @@
   Push({Operation::kCancel, id, {}});
 }
 
-void HttpClientPool::CancelUnsent(CallId id) {
-  Push({Operation::kCancelUnsent, id, {}});
-}
-
 void HttpClientPool::Close() {
   Push({Operation::kClose, 0, {}});
 }
@@ -89,9 +85,6 @@
       case Operation::kCancel:
         CancelCall(command.id);
         break;
-      case Operation::kCancelUnsent:
-        CancelUnsentCall(command.id);
-        break;
       case Operation::kClose:
         closed_ = true;
         break;
@@ -125,13 +118,6 @@
   EndCall(id, {Describe(FailureKind::kCancelled, "cancelled"), false});
 }
 
-void HttpClientPool::CancelUnsentCall(CallId id) {
-  const auto found = calls_.find(id);
-  if (found != calls_.end() && found->second.connection == 0) {
-    EndCall(id, {Describe(FailureKind::kCancelled, "cancelled"), false});
-  }
-}
-
 void HttpClientPool::ArmDeadlines() {
   deadlines_.Arm([self = Self()] {
     for (const CallId id : self->deadlines_.TakeExpired(Now())) {
--- a/src/transport/http_client_pool.h
+++ b/src/transport/http_client_pool.h
@@ -31,7 +31,6 @@
 
   CallId Start(HttpCall call, Callback done) override;
   void Cancel(CallId id) override;
-  void CancelUnsent(CallId id) override;
   void Close() override;
   const Endpoint& server() const override { return server_; }
   size_t open_connections() const override { return open_; }
@@ -45,7 +44,7 @@
     ConnectionId connection = 0;  // 0 while it waits.
   };
 
-  enum class Operation : uint8_t { kStart, kCancel, kCancelUnsent, kClose };
+  enum class Operation : uint8_t { kStart, kCancel, kClose };
   struct Command {
     Operation operation = Operation::kStart;
     CallId id = 0;
@@ -68,7 +67,6 @@
   void Execute(std::vector<Command> commands);
   void Add(CallId id, Call call);
   void CancelCall(CallId id);
-  void CancelUnsentCall(CallId id);
   void CloseIdle();
 
   // Gives waiting calls to idle connections and opens more as needed.
--- a/src/transport/request_router.cc
+++ b/src/transport/request_router.cc
@@ -215,11 +215,8 @@
   for (const AttemptToSend& send : actions.sends) {
     SendAttempt(*running, send);
   }
-  for (const uint64_t attempt : actions.drops) {
-    clients_->Cancel(attempt, true);
-  }
   for (const uint64_t attempt : actions.cancels) {
-    clients_->Cancel(attempt, false);
+    clients_->Cancel(attempt);
   }
   if (actions.result) {
     Answer(*running, *std::move(actions.result));
--- a/src/transport/searcher_clients.cc
+++ b/src/transport/searcher_clients.cc
@@ -48,14 +48,9 @@
   attempts_[attempt] = Attempt{client, id};
 }
 
-void SearcherClients::Cancel(uint64_t attempt, bool only_unsent) {
+void SearcherClients::Cancel(uint64_t attempt) {
   const auto found = attempts_.find(attempt);
-  if (found == attempts_.end()) {
-    return;
-  }
-  if (only_unsent) {
-    found->second.client->CancelUnsent(found->second.call);
-  } else {
+  if (found != attempts_.end()) {
     found->second.client->Cancel(found->second.call);
   }
 }
