--- a/include/greengage/coordination/backoff.h
+++ b/include/greengage/coordination/backoff.h
@@ -12,7 +12,7 @@
 
 struct BackoffOptions {
   Duration first = std::chrono::milliseconds(100);
-  Duration longest = std::chrono::seconds(2);
+  Duration longest = std::chrono::seconds(1);
 };
 
 // Pauses double up to the longest. Each is drawn from the upper half of its
