--- a/include/greengage/routed_instance.h
+++ b/include/greengage/routed_instance.h
@@ -54,6 +54,10 @@
   // Where callers reach it, with the real port.
   virtual Endpoint http_endpoint() const = 0;
 
+  // Puts in force what can change while it runs: the log level, the share of
+  // extra arrivals and the times of a stop. Says in the log if more changed.
+  virtual void Reload(const InstanceSettings& settings) = 0;
+
   // Stops gracefully: readiness turns false, callers are served until they
   // have stopped coming or the notice time is over, and every request under
   // way gets its answer within the grace time. `stopped` runs once.
--- a/src/routed_instance.cc
+++ b/src/routed_instance.cc
@@ -38,7 +38,7 @@
 // Time between two reads of the registry, as a share of the time in which a
 // leaving searcher may still get work: the rest covers a slow or repeated read
 // and the work that is on its way.
-constexpr int kRegistryPeriodPercent = 30;
+constexpr int kRegistryPeriodPercent = 45;
 
 HedgeOptions HedgesOfRoutes() {
   HedgeOptions options;
@@ -112,6 +112,8 @@
 
   Endpoint http_endpoint() const override { return callers_->endpoint(); }
 
+  void Reload(const InstanceSettings& settings) override;
+
   void Stop(std::function<void()> stopped) override;
 
  private:
@@ -136,7 +138,7 @@
                                                FeedSource<Item> source);
 
   asio::io_context& context_;
-  const InstanceSettings settings_;
+  InstanceSettings settings_;
   const RoutedPlatform platform_;
   RoutedMetrics metrics_;
   SearcherDirectory directory_;
@@ -368,6 +370,25 @@
   });
 }
 
+// Addresses and limits of open sockets stay as they were at the start.
+void RoutedInstanceImpl::Reload(const InstanceSettings& settings) {
+  const bool needs_restart = settings.id != settings_.id ||
+                             settings.http != settings_.http ||
+                             settings.ready != settings_.ready ||
+                             settings.metrics != settings_.metrics ||
+                             settings.platform != settings_.platform ||
+                             settings.data_centre != settings_.data_centre;
+  SetLogLevel(settings.log_level);
+  extra_arrivals_.set_percent(settings.extra_arrivals_percent);
+  settings_.stop_notice = settings.stop_notice;
+  settings_.stop_grace = settings.stop_grace;
+  LogLine(needs_restart ? LogLevel::kWarning : LogLevel::kInfo,
+          "settings_reloaded")
+      .Add("log_level", static_cast<int>(settings.log_level))
+      .Add("needs_restart", needs_restart ? "yes" : "no")
+      .Write();
+}
+
 void RoutedInstanceImpl::Stop(std::function<void()> stopped) {
   if (std::exchange(stopping_, true)) {
     return;
