--- a/include/greengage/coordination/request_plan.h
+++ b/include/greengage/coordination/request_plan.h
@@ -73,6 +73,7 @@
   RoutedSearcherPtr searcher;
   AttemptReason reason = AttemptReason::kFirst;
   TimePoint deadline;
+  Duration expected{};  // The time that the choice counted on.
 };
 
 struct RequestActions {
@@ -141,9 +142,12 @@
             size_t index,
             AttemptReason reason,
             RequestActions& actions);
-  RoutedSearcherPtr Choose(TimePoint now,
-                           const Part& part,
-                           AttemptReason reason);
+  struct Choice {
+    RoutedSearcherPtr searcher;  // Null if there is none.
+    Duration expected{};
+  };
+
+  Choice Choose(TimePoint now, const Part& part, AttemptReason reason);
   bool MaySendAgain(const Part& part) const;
   void OnPartFailed(TimePoint now, size_t index, RequestActions& actions);
   // Of `part`, or of all parts.
--- /dev/null
+++ b/include/greengage/state/decision_event.h
@@ -0,0 +1,49 @@
+// The kinds of lines that a routed instance logs.
+#ifndef GREENGAGE_STATE_DECISION_EVENT_H_
+#define GREENGAGE_STATE_DECISION_EVENT_H_
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+#include "greengage/state/log_level.h"
+
+namespace greengage {
+
+enum class DecisionEvent : uint8_t {
+  kInstanceStarted,
+  kInstanceStopping,
+  kInstanceStopped,
+  kSettingsReloaded,
+  kStoreLost,
+  kStoreRegained,
+  kConfigurationInForce,
+  kObjectUnreadable,
+  kSearcherAdded,
+  kSearcherLeaving,
+  kRequestRefused,
+  kAttempt,
+  kRequestEnded,
+  kLogLinesDropped,
+};
+
+struct DecisionEventInfo {
+  DecisionEvent event;
+  std::string_view name;  // Of the member "event" of a line.
+  LogLevel level;
+  std::string_view fields;   // Names, separated by commas.
+  std::string_view meaning;  // For people.
+};
+
+const DecisionEventInfo& InfoOf(DecisionEvent event);
+
+// The event whose lines are named `name`; nothing for another program's.
+std::optional<DecisionEvent> FindDecisionEvent(std::string_view name);
+
+// All kinds, for documentation checks.
+const std::vector<DecisionEventInfo>& AllDecisionEvents();
+
+}  // namespace greengage
+
+#endif  // GREENGAGE_STATE_DECISION_EVENT_H_
--- a/include/greengage/transport/log.h
+++ b/include/greengage/transport/log.h
@@ -31,6 +31,10 @@
 // Writes lines that were gathered for standard output. Call now and then.
 void FlushLog();
 
+// Whether there is room for lines that only add detail: lines that matter more
+// keep half of what may be logged at once. Always true for standard error.
+bool HasLogRoom();
+
 // Whether lines of `level` are logged now. Thread-safe.
 bool IsLogged(LogLevel level);
 
--- a/include/greengage/transport/log_line.h
+++ b/include/greengage/transport/log_line.h
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "greengage/state/decision_event.h"
 #include "greengage/state/log_level.h"
 #include "greengage/state/time.h"
 
@@ -17,10 +18,10 @@
 
 // Builds a line; nothing is formatted unless its level is logged.
 //
-//   LogLine(LogLevel::kInfo, "request_ended").Add("request_id", id).Write();
+//   LogLine(DecisionEvent::kRequestEnded).Add("request_id", id).Write();
 class LogLine {
  public:
-  LogLine(LogLevel level, std::string_view event);
+  explicit LogLine(DecisionEvent event);
 
   LogLine& Add(std::string_view name, std::string_view value);
 
--- a/include/greengage/transport/request_router.h
+++ b/include/greengage/transport/request_router.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 
 #include "greengage/coordination/request_plan.h"
@@ -58,6 +59,7 @@
   TimePoint last_request() const { return last_request_; }
 
  private:
+  struct AttemptNote;
   struct Running;
   class Timers;
 
@@ -78,6 +80,9 @@
               const RequestResult& result,
               unsigned status,
               TimePoint now);
+  static std::string_view TroubleOf(const Running& running,
+                                    const RequestResult& result);
+  static void LogAttempts(const Running& running);
   void Refuse(const std::string& request_id,
               const std::shared_ptr<HttpExchange>& exchange,
               const Failure& failure);
--- a/src/coordination/request_plan.cc
+++ b/src/coordination/request_plan.cc
@@ -119,14 +119,13 @@
   return context_->hedges->Delay(now, route_->name, RankOf(*route_));
 }
 
-RoutedSearcherPtr RequestPlan::Choose(TimePoint now,
-                                      const Part& part,
-                                      AttemptReason reason) {
+RequestPlan::Choice RequestPlan::Choose(TimePoint now,
+                                        const Part& part,
+                                        AttemptReason reason) {
   const Duration typical = Typical(now);
   std::uniform_real_distribution<double> jitter(1.0, 1.1);
-  RoutedSearcherPtr best;
+  Choice best;
   Usability best_usability = Usability::kNone;
-  double best_time = 0;
   for (const RoutedSearcherPtr& searcher :
        context_->searchers->Of(part.service)) {
     const Usability usability = searcher->UsabilityAt(now, typical);
@@ -139,15 +138,13 @@
     }
     const Duration distance =
         context_->distances->Of(searcher->entry().data_centre);
-    const double time = jitter(context_->random) *
-                        std::chrono::duration<double>(
-                            searcher->ExpectedTime(now, typical, distance))
-                            .count();
-    if (!best || usability < best_usability ||
-        (usability == best_usability && time < best_time)) {
-      best = searcher;
+    const auto expected = std::chrono::duration_cast<Duration>(
+        searcher->ExpectedTime(now, typical, distance) *
+        jitter(context_->random));
+    if (!best.searcher || usability < best_usability ||
+        (usability == best_usability && expected < best.expected)) {
+      best = {searcher, expected};
       best_usability = usability;
-      best_time = time;
     }
   }
   return best;
@@ -158,7 +155,8 @@
                        AttemptReason reason,
                        RequestActions& actions) {
   Part& part = parts_[index];
-  const RoutedSearcherPtr searcher = Choose(now, part, reason);
+  const Choice choice = Choose(now, part, reason);
+  const RoutedSearcherPtr& searcher = choice.searcher;
   if (!searcher) {
     return false;
   }
@@ -177,7 +175,8 @@
   part.hedge_at = now + HedgeDelay(now) + distance;
   part.retry_at.reset();
   searcher->OnSent(now, id);
-  actions.sends.push_back({id, searcher, reason, finish_by_ + kFinishMargin});
+  actions.sends.push_back(
+      {id, searcher, reason, finish_by_ + kFinishMargin, choice.expected});
   return true;
 }
 
--- a/src/routed_instance.cc
+++ b/src/routed_instance.cc
@@ -101,7 +101,7 @@
         return result;
       }
     }
-    LogLine(LogLevel::kInfo, "instance_started")
+    LogLine(DecisionEvent::kInstanceStarted)
         .Add("version", GREENGAGE_VERSION)
         .Add("data_centre", settings_.data_centre)
         .Write();
@@ -246,7 +246,7 @@
   hooks.list = std::move(source.list);
   hooks.watch = std::move(source.watch);
   hooks.on_lost = [this, feed](const Failure& reason) {
-    LogLine(LogLevel::kWarning, "store_lost")
+    LogLine(DecisionEvent::kStoreLost)
         .Add("feed", feed)
         .Add("cause", FailureKindName(reason.kind))
         .Add("detail", reason.detail)
@@ -254,7 +254,7 @@
     metrics_.store_calls[{feed, "lost"}].Add();
   };
   hooks.on_regained = [this, feed] {
-    LogLine(LogLevel::kInfo, "store_regained").Add("feed", feed).Write();
+    LogLine(DecisionEvent::kStoreRegained).Add("feed", feed).Write();
     metrics_.store_calls[{feed, "regained"}].Add();
   };
   return hooks;
@@ -296,7 +296,7 @@
     }
     table_ = *item.value;
     table_revision_ = item.revision;
-    LogLine(LogLevel::kInfo, "configuration_in_force")
+    LogLine(DecisionEvent::kConfigurationInForce)
         .Add("configuration", table_->version())
         .Add("revision", table_revision_)
         .Add("routes", table_->routes().size())
@@ -328,7 +328,7 @@
 
 void RoutedInstanceImpl::OnSearcherAdded(const RoutedSearcher& searcher) {
   metrics_.searchers_added.Add();
-  LogLine(LogLevel::kInfo, "searcher_added")
+  LogLine(DecisionEvent::kSearcherAdded)
       .Add("searcher", searcher.entry().id)
       .Add("service", searcher.entry().service)
       .Add("endpoint", ToString(searcher.entry().endpoint))
@@ -338,7 +338,7 @@
 void RoutedInstanceImpl::OnSearcherLeaving(const RoutedSearcher& searcher,
                                            std::string_view why) {
   metrics_.searchers_left.Add();
-  LogLine(LogLevel::kInfo, "searcher_leaving")
+  LogLine(DecisionEvent::kSearcherLeaving)
       .Add("searcher", searcher.entry().id)
       .Add("service", searcher.entry().service)
       .Add("cause", why)
@@ -382,8 +382,7 @@
   extra_arrivals_.set_percent(settings.extra_arrivals_percent);
   settings_.stop_notice = settings.stop_notice;
   settings_.stop_grace = settings.stop_grace;
-  LogLine(needs_restart ? LogLevel::kWarning : LogLevel::kInfo,
-          "settings_reloaded")
+  LogLine(DecisionEvent::kSettingsReloaded)
       .Add("log_level", static_cast<int>(settings.log_level))
       .Add("needs_restart", needs_restart ? "yes" : "no")
       .Write();
@@ -394,7 +393,7 @@
     return;
   }
   stopped_ = std::move(stopped);
-  LogLine(LogLevel::kInfo, "instance_stopping")
+  LogLine(DecisionEvent::kInstanceStopping)
       .Add("in_flight", router_->in_flight())
       .Write();
   callers_->EndKeepAlive();
@@ -423,7 +422,7 @@
   searcher_feed_->Stop();
   housekeeping_timer_.cancel();
   clients_->CloseAll();
-  LogLine(LogLevel::kInfo, "instance_stopped")
+  LogLine(DecisionEvent::kInstanceStopped)
       .Add("in_flight", router_->in_flight())
       .Write();
   FlushLog();
--- /dev/null
+++ b/src/state/decision_event.cc
@@ -0,0 +1,74 @@
+#include "greengage/state/decision_event.h"
+
+#include <algorithm>
+#include <cstddef>
+
+namespace greengage {
+
+const std::vector<DecisionEventInfo>& AllDecisionEvents() {
+  using enum DecisionEvent;
+  static const std::vector<DecisionEventInfo> events{
+      {kInstanceStarted, "instance_started", LogLevel::kInfo,
+       "version, data_centre", "The process listens."},
+      {kInstanceStopping, "instance_stopping", LogLevel::kInfo, "in_flight",
+       "A graceful stop begins; the balancer is told."},
+      {kInstanceStopped, "instance_stopped", LogLevel::kInfo, "in_flight",
+       "The process ends; requests in flight would be cut off."},
+      {kSettingsReloaded, "settings_reloaded", LogLevel::kInfo,
+       "log_level, needs_restart",
+       "SIGHUP: what can change while running is in force."},
+      {kStoreLost, "store_lost", LogLevel::kWarning, "feed, cause, detail",
+       "A call to the store failed after others had not; what was known of "
+       "the feed stays in use."},
+      {kStoreRegained, "store_regained", LogLevel::kInfo, "feed",
+       "The store answers again."},
+      {kConfigurationInForce, "configuration_in_force", LogLevel::kInfo,
+       "configuration, revision, routes",
+       "New requests follow this version's routes."},
+      {kObjectUnreadable, "object_unreadable", LogLevel::kWarning,
+       "object, revision, detail",
+       "An object of the store is left out because it cannot be read."},
+      {kSearcherAdded, "searcher_added", LogLevel::kInfo,
+       "searcher, service, endpoint", "A searcher may get work."},
+      {kSearcherLeaving, "searcher_leaving", LogLevel::kInfo,
+       "searcher, service, cause",
+       "A searcher gets no more work: it drains, has gone or has restarted."},
+      {kRequestRefused, "request_refused", LogLevel::kInfo,
+       "request_id, cause, subject, detail",
+       "A request was refused before any searcher was asked."},
+      {kAttempt, "attempt", LogLevel::kInfo,
+       "request_id, attempt, reason, service, searcher, sent_ms, expected_ms, "
+       "end, ended_ms, detail",
+       "An attempt that was extra, slow or without an answer, of a request "
+       "that is logged. Times count from the request's arrival; expected_ms is "
+       "what the choice of the searcher counted on; the end \"open\" means "
+       "that the request ended first. Left out while many lines are logged."},
+      {kRequestEnded, "request_ended", LogLevel::kInfo,
+       "request_id, route, configuration, registry_age_ms, time_left_ms, "
+       "target_ms, took_ms, end, status, cause, parts, missing_parts, "
+       "attempts, extra_attempts, trouble",
+       "The answer to a caller. All that were not answered whole and within "
+       "the target latency are logged, and one in 32 of the others. trouble is "
+       "how most attempts without an answer ended: an end of an attempt, "
+       "no_searcher, or none."},
+      {kLogLinesDropped, "log_lines_dropped", LogLevel::kWarning, "count",
+       "Lines were dropped because there were too many or their reader was "
+       "slow."},
+  };
+  return events;
+}
+
+const DecisionEventInfo& InfoOf(DecisionEvent event) {
+  return AllDecisionEvents()[static_cast<size_t>(event)];
+}
+
+std::optional<DecisionEvent> FindDecisionEvent(std::string_view name) {
+  const auto& all = AllDecisionEvents();
+  const auto found =
+      std::find_if(all.begin(), all.end(), [name](const auto& info) {
+        return info.name == name;
+      });
+  return found == all.end() ? std::nullopt : std::optional(found->event);
+}
+
+}  // namespace greengage
--- a/src/transport/log.cc
+++ b/src/transport/log.cc
@@ -162,6 +162,10 @@
   }
 }
 
+bool HasLogRoom() {
+  return stdout_appender == nullptr || stdout_appender->HasRoom();
+}
+
 void SetLogLevel(LogLevel level) {
   log4cplus::Logger::getInstance(kLoggerName)
       .setLogLevel(EntryOf(level).library);
--- a/src/transport/log_line.cc
+++ b/src/transport/log_line.cc
@@ -10,9 +10,9 @@
 namespace greengage {
 namespace json = boost::json;
 
-LogLine::LogLine(LogLevel level, std::string_view event)
-    : level_(level), enabled_(IsLogged(level)) {
-  Add("event", event);
+LogLine::LogLine(DecisionEvent event)
+    : level_(InfoOf(event).level), enabled_(IsLogged(level_)) {
+  Add("event", InfoOf(event).name);
 }
 
 LogLine& LogLine::Add(std::string_view name, std::string_view value) {
--- a/src/transport/request_router.cc
+++ b/src/transport/request_router.cc
@@ -5,12 +5,14 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <map>
 #include <optional>
 #include <utility>
 #include <vector>
 
 #include "greengage/coordination/record_merger.h"
 #include "greengage/protocol/caller_codec.h"
+#include "greengage/transport/log.h"
 #include "greengage/transport/log_line.h"
 #include "transport/clock.h"
 #include "transport/deadline_timer.h"
@@ -35,6 +37,14 @@
 // logged; all others are.
 constexpr uint64_t kLoggedShare = 32;
 
+// Attempts that took this share of the target latency are slow, for the log,
+// and so many of them are logged for one request at most.
+constexpr int kSlowSharePercent = 50;
+constexpr size_t kMostAttemptLines = 12;
+
+// The end of an attempt that is still under way when its request ends.
+constexpr std::string_view kOpen = "open";
+
 std::string FormatSeconds(Duration duration) {
   std::array<char, 32> text{};
   const auto end =
@@ -79,6 +89,19 @@
 
 }  // namespace
 
+// What the log may have to tell of one attempt. Times count from the arrival.
+struct RequestRouter::AttemptNote {
+  uint64_t attempt = 0;
+  AttemptReason reason = AttemptReason::kFirst;
+  std::string service;
+  std::string searcher;
+  Duration sent{};
+  Duration expected{};
+  std::optional<AttemptEnd> end;
+  Duration ended{};
+  std::string detail;
+};
+
 // One request from its arrival until all its attempts have ended.
 struct RequestRouter::Running {
   uint64_t number = 0;
@@ -92,6 +115,7 @@
   Duration registry_age{};
   size_t attempts = 0;
   size_t extra_attempts = 0;
+  std::vector<AttemptNote> notes;
   std::optional<TimePoint> armed;
 };
 
@@ -157,7 +181,7 @@
 void RequestRouter::Refuse(const std::string& request_id,
                            const std::shared_ptr<HttpExchange>& exchange,
                            const Failure& failure) {
-  LogLine(LogLevel::kInfo, "request_refused")
+  LogLine(DecisionEvent::kRequestRefused)
       .Add("request_id", request_id)
       .Add("cause", FailureKindName(failure.kind))
       .Add("subject", failure.subject)
@@ -236,17 +260,10 @@
   const TimePoint now = Now();
   ++running.attempts;
   const SearcherEntry& searcher = send.searcher->entry();
-  if (send.reason != AttemptReason::kFirst) {
-    ++running.extra_attempts;
-    LogLine(LogLevel::kDebug, "attempt_sent")
-        .Add("request_id", running.caller.id)
-        .Add("attempt", send.id)
-        .Add("reason", AttemptReasonName(send.reason))
-        .Add("service", searcher.service)
-        .Add("searcher", searcher.id)
-        .Add("age_ms", now - running.arrived)
-        .Write();
-  }
+  running.extra_attempts += send.reason == AttemptReason::kFirst ? 0 : 1;
+  running.notes.push_back({send.id, send.reason, searcher.service, searcher.id,
+                           now - running.arrived, send.expected, std::nullopt,
+                           Duration::zero(), ""});
   HttpCall call;
   call.method = running.request.method;
   call.target = running.request.target;
@@ -282,15 +299,12 @@
       ->attempts[{std::string(AttemptReasonName(reason)),
                   std::string(AttemptEndName(outcome.end))}]
       .Add();
-  if (outcome.end != AttemptEnd::kAnswered) {
-    LogLine(LogLevel::kDebug, "attempt_failed")
-        .Add("request_id", found->second->caller.id)
-        .Add("attempt", attempt)
-        .Add("reason", AttemptReasonName(reason))
-        .Add("end", AttemptEndName(outcome.end))
-        .Add("detail", outcome.detail)
-        .Add("age_ms", Now() - found->second->arrived)
-        .Write();
+  for (AttemptNote& note : found->second->notes) {
+    if (note.attempt == attempt) {
+      note.end = outcome.end;
+      note.ended = Now() - found->second->arrived;
+      note.detail = outcome.detail;
+    }
   }
   Perform(number, found->second->plan->OnAttemptEnded(Now(), attempt,
                                                       std::move(outcome)));
@@ -334,12 +348,13 @@
   if (whole_and_timely && ++whole_answers_ % kLoggedShare != 0) {
     return;
   }
-  LogLine(LogLevel::kInfo, "request_ended")
+  LogLine(DecisionEvent::kRequestEnded)
       .Add("request_id", running.caller.id)
       .Add("route", route.name)
       .Add("configuration", running.plan->table().version())
       .Add("registry_age_ms", running.registry_age)
       .Add("time_left_ms", running.deadline - running.arrived)
+      .Add("target_ms", Duration(route.target_latency))
       .Add("took_ms", took)
       .Add("end", RequestEndName(result.end))
       .Add("status", status)
@@ -348,7 +363,59 @@
       .Add("missing_parts", result.missing_parts)
       .Add("attempts", running.attempts)
       .Add("extra_attempts", running.extra_attempts)
+      .Add("trouble", TroubleOf(running, result))
       .Write();
+  if (HasLogRoom()) {
+    LogAttempts(running);
+  }
+}
+
+// How most attempts without an answer ended. A part that nobody was asked for
+// had no searcher.
+std::string_view RequestRouter::TroubleOf(const Running& running,
+                                          const RequestResult& result) {
+  std::map<std::string_view, size_t> counts;
+  for (const AttemptNote& note : running.notes) {
+    if (note.end != AttemptEnd::kAnswered) {
+      ++counts[note.end ? AttemptEndName(*note.end) : kOpen];
+    }
+  }
+  const auto most = std::max_element(
+      counts.begin(), counts.end(),
+      [](const auto& a, const auto& b) { return a.second < b.second; });
+  if (most != counts.end()) {
+    return most->first;
+  }
+  const bool whole = (result.end == RequestEnd::kMerged ||
+                      result.end == RequestEnd::kPassedOn) &&
+                     result.missing_parts == 0;
+  return whole ? "none" : "no_searcher";
+}
+
+void RequestRouter::LogAttempts(const Running& running) {
+  const Duration slow =
+      running.plan->route().target_latency * kSlowSharePercent / 100;
+  size_t logged = 0;
+  for (const AttemptNote& note : running.notes) {
+    const bool ordinary = note.reason == AttemptReason::kFirst &&
+                          note.end == AttemptEnd::kAnswered &&
+                          note.ended - note.sent < slow;
+    if (ordinary || ++logged > kMostAttemptLines) {
+      continue;
+    }
+    LogLine(DecisionEvent::kAttempt)
+        .Add("request_id", running.caller.id)
+        .Add("attempt", note.attempt)
+        .Add("reason", AttemptReasonName(note.reason))
+        .Add("service", note.service)
+        .Add("searcher", note.searcher)
+        .Add("sent_ms", note.sent)
+        .Add("expected_ms", note.expected)
+        .Add("end", note.end ? AttemptEndName(*note.end) : kOpen)
+        .Add("ended_ms", note.ended)
+        .Add("detail", note.detail)
+        .Write();
+  }
 }
 
 HttpResponse RequestRouter::ToResponse(const Route& route,
--- a/src/transport/stdout_appender.cc
+++ b/src/transport/stdout_appender.cc
@@ -12,6 +12,7 @@
 #include <sstream>
 #include <utility>
 
+#include "greengage/state/decision_event.h"
 #include "transport/clock.h"
 
 namespace greengage {
@@ -46,11 +47,21 @@
   WriteSome();
 }
 
-bool StdoutAppender::TakeToken(TimePoint now) {
+bool StdoutAppender::HasRoom() {
+  const log4cplus::thread::MutexGuard guard(access_mutex);
+  EarnTokens(Now());
+  return tokens_ > kBurstLines / 2 && buffer_.size() < kMaxBufferedBytes / 2;
+}
+
+void StdoutAppender::EarnTokens(TimePoint now) {
   const double seconds =
       std::chrono::duration<double>(now - tokens_at_).count();
   tokens_ = std::min(kBurstLines, tokens_ + seconds * kLinesPerSecond);
   tokens_at_ = now;
+}
+
+bool StdoutAppender::TakeToken(TimePoint now) {
+  EarnTokens(now);
   if (tokens_ < 1) {
     return false;
   }
@@ -74,7 +85,9 @@
 void StdoutAppender::ReportDropped() {
   if (dropped_ > 0 && buffer_.size() < kMaxBufferedBytes) {
     buffer_ += "{\"level\":\"warning\",\"process\":\"" + process_ +
-               "\",\"event\":\"log_lines_dropped\",\"count\":" +
+               "\",\"event\":\"" +
+               std::string(InfoOf(DecisionEvent::kLogLinesDropped).name) +
+               "\",\"count\":" +
                std::to_string(std::exchange(dropped_, 0)) + "}\n";
   }
 }
--- a/src/transport/stdout_appender.h
+++ b/src/transport/stdout_appender.h
@@ -22,6 +22,9 @@
 
   void close() override;
 
+  // Whether at least half of the lines that may come at once are left.
+  bool HasRoom();
+
   // Writes what has been gathered, as far as it can be done at once.
   void Flush();
 
@@ -29,6 +32,7 @@
   void append(const log4cplus::spi::InternalLoggingEvent& event) override;
 
  private:
+  void EarnTokens(TimePoint now);
   bool TakeToken(TimePoint now);
   void WriteSome();
   void ReportDropped();
--- a/tests/harness/process.cc
+++ b/tests/harness/process.cc
@@ -69,6 +69,20 @@
   endpoint_ = *endpoint;
 }
 
+std::string Process::ReadOutput() const {
+  std::string text;
+  pollfd waiting{.fd = output_, .events = POLLIN, .revents = 0};
+  while (poll(&waiting, 1, 0) > 0) {
+    std::array<char, 4096> buffer{};
+    const ssize_t size = read(output_, buffer.data(), buffer.size());
+    if (size <= 0) {
+      break;
+    }
+    text.append(buffer.data(), static_cast<size_t>(size));
+  }
+  return text;
+}
+
 void Process::Signal(int signal) const {
   if (!ended_) {
     kill(id_, signal);
--- a/tests/harness/process.h
+++ b/tests/harness/process.h
@@ -34,6 +34,9 @@
 
   void Signal(int signal) const;
 
+  // What it has written to standard output since the last call.
+  std::string ReadOutput() const;
+
   // Sends SIGKILL and waits until the process has gone.
   void Kill();
 
--- a/tests/operations_page_test.cc
+++ b/tests/operations_page_test.cc
@@ -3,8 +3,10 @@
 #include <iterator>
 #include <string>
 
+#include "greengage/state/decision_event.h"
 #include "greengage/state/event_log.h"
 #include "greengage/state/metrics.h"
+#include "greengage/state/routed_metrics.h"
 
 #include <criterion/criterion.h>
 
@@ -28,6 +30,26 @@
   }
 }
 
+Test(OperationsPage, HasEveryMetricOfRoutedInstances) {
+  const std::string page = Page();
+  for (const MetricInfo& info : AllRoutedMetrics()) {
+    const std::string row = "| `" + std::string(info.name) + "` | " +
+                            std::string(info.type) + " | " +
+                            std::string(info.help) + " |\n";
+    cr_expect(page.find(row) != std::string::npos, "%s", row.c_str());
+  }
+}
+
+Test(OperationsPage, HasEveryLogLineOfRoutedInstances) {
+  const std::string page = Page();
+  for (const DecisionEventInfo& info : AllDecisionEvents()) {
+    const std::string row = "| `" + std::string(info.name) + "` | " +
+                            std::string(info.fields) + " | " +
+                            std::string(info.meaning) + " |\n";
+    cr_expect(page.find(row) != std::string::npos, "%s", row.c_str());
+  }
+}
+
 Test(OperationsPage, HasEveryEvent) {
   const std::string page = Page();
   for (const EventKind kind : AllEventKinds()) {
--- a/tools/greengagectl/command_line.h
+++ b/tools/greengagectl/command_line.h
@@ -46,6 +46,7 @@
 void AddShowCommand(CLI::App& app, CommandLine& line);
 void AddStatusCommand(CLI::App& app, CommandLine& line);
 void AddTimelineCommand(CLI::App& app, CommandLine& line);
+void AddExplainCommand(CLI::App& app, CommandLine& line);
 void AddSearchCommand(CLI::App& app, CommandLine& line);
 void AddSettingsCommand(CLI::App& app, CommandLine& line);
 
--- /dev/null
+++ b/tools/greengagectl/explain_command.cc
@@ -0,0 +1,171 @@
+#include <unistd.h>
+
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "greengage/protocol/request_story.h"
+#include "greengage/protocol/timeline.h"
+#include "tools/greengagectl/command_line.h"
+
+namespace greengage {
+
+namespace {
+
+namespace json = boost::json;
+
+// Lines between two reports of progress to a person.
+constexpr size_t kProgressLines = 100000;
+
+// Requests named for each cause.
+constexpr size_t kNamedRequests = 3;
+
+struct ExplainOptions {
+  std::string request_id;
+  std::vector<std::string> logs;
+  std::string svg;
+};
+
+class ExplainRun {
+ public:
+  ExplainRun(const ExplainOptions& options, CommandLine& line)
+      : options_(options), line_(line) {}
+
+  void Run() {
+    if (!ReadLogs()) {
+      return;
+    }
+    if (book_.unreadable() > 0) {
+      std::cerr << "greengagectl: " << book_.unreadable() << " of "
+                << book_.lines() << " lines are no log lines of an instance\n";
+    }
+    if (options_.request_id.empty()) {
+      PrintFailures();
+    } else {
+      PrintStory();
+    }
+  }
+
+ private:
+  bool ReadLogs() {
+    if (options_.logs.empty()) {
+      ReadLog(std::cin);
+      return true;
+    }
+    for (const std::string& path : options_.logs) {
+      std::ifstream file(path);
+      if (!file) {
+        line_.Fail({FailureKind::kUnreadableFile, path,
+                    "the file cannot be opened for reading"});
+        return false;
+      }
+      ReadLog(file);
+    }
+    return true;
+  }
+
+  void ReadLog(std::istream& log) {
+    std::string text;
+    while (std::getline(log, text)) {
+      book_.Add(text);
+      if (book_.lines() % kProgressLines == 0 && isatty(STDERR_FILENO) != 0) {
+        std::cerr << "\rread " << book_.lines() << " lines" << std::flush;
+      }
+    }
+  }
+
+  void PrintFailures() const {
+    json::array groups;
+    for (const StoryBook::Group& group : book_.Failures()) {
+      const size_t named = std::min(kNamedRequests, group.request_ids.size());
+      json::array examples(group.request_ids.begin(),
+                           group.request_ids.begin() + named);
+      if (line_.json) {
+        groups.push_back(json::object{{"cause", RequestCauseName(group.cause)},
+                                      {"requests", group.request_ids.size()},
+                                      {"examples", std::move(examples)}});
+        continue;
+      }
+      std::cout << group.request_ids.size() << '\t'
+                << RequestCauseName(group.cause);
+      for (const json::value& example : examples) {
+        std::cout << '\t' << std::string_view(example.get_string());
+      }
+      std::cout << '\n';
+    }
+    if (line_.json) {
+      std::cout << json::serialize(groups) << '\n';
+    }
+  }
+
+  void PrintStory() {
+    const std::optional<RequestStory> story =
+        book_.Explain(options_.request_id);
+    if (!story) {
+      line_.Fail({FailureKind::kNotFound, options_.request_id,
+                  "no line names this request; answers that were whole and in "
+                  "time are logged only now and then"});
+      return;
+    }
+    if (!options_.svg.empty()) {
+      WritePicture(*story);
+    }
+    if (line_.json) {
+      std::cout << json::serialize(ToJson(*story)) << '\n';
+      return;
+    }
+    if (!story->context.empty()) {
+      std::cout << "before it, at the same instance:\n";
+    }
+    for (const LogRecord& record : story->context) {
+      std::cout << "  " << FormatRecord(record) << '\n';
+    }
+    std::cout << "request " << story->request_id << ":\n";
+    for (const LogRecord& record : story->records) {
+      std::cout << "  " << FormatRecord(record) << '\n';
+    }
+    std::cout << "cause: " << story->summary << '\n';
+  }
+
+  // A lane for each process and each searcher that was asked.
+  void WritePicture(const RequestStory& story) {
+    std::ofstream file(options_.svg);
+    file << TimelineSvg(StoryEvents(story));
+    if (!file.flush()) {
+      line_.Fail({FailureKind::kUnreadableFile, options_.svg,
+                  "the file cannot be written"});
+    }
+  }
+
+  const ExplainOptions& options_;
+  CommandLine& line_;
+  StoryBook book_;
+};
+
+}  // namespace
+
+void AddExplainCommand(CLI::App& app, CommandLine& line) {
+  CLI::App* command = app.add_subcommand(
+      "explain",
+      "Tell from logs why a request had no whole answer in time; without a "
+      "request, count the causes");
+  auto options = std::make_shared<ExplainOptions>();
+  command->add_option("--request", options->request_id, "The request's id");
+  command->add_option("--svg", options->svg,
+                      "Write a picture with a lane for each process and "
+                      "searcher");
+  command->add_option("logs", options->logs,
+                      "Files of JSON lines from any number of instances; "
+                      "standard input without one");
+  command->footer(
+      "Examples:\n"
+      "  greengagectl explain entry-*.log\n"
+      "  greengagectl explain --request 9c41d07be2a35f68 entry-*.log\n"
+      "  cat entry-*.log | greengagectl --json explain --request ID");
+  command->callback([options, &line] { ExplainRun(*options, line).Run(); });
+}
+
+}  // namespace greengage
--- a/tools/greengagectl/main.cc
+++ b/tools/greengagectl/main.cc
@@ -62,6 +62,7 @@
   AddShowCommand(app, line);
   AddStatusCommand(app, line);
   AddTimelineCommand(app, line);
+  AddExplainCommand(app, line);
   AddSearchCommand(app, line);
   AddSettingsCommand(app, line);
   try {
