--- a/include/greengage/coordination/retry_budget.h
+++ b/include/greengage/coordination/retry_budget.h
@@ -28,6 +28,10 @@
   // Follows a changed configuration.
   void set_percent(double percent);
 
+  // Follows a changed share of what may be saved up; services that have more
+  // keep no more than that.
+  void set_burst(double burst);
+
   void OnSent(const std::string& service, Rank rank, size_t count);
 
   // Takes `count` retries; false, without effect, when there are fewer.
@@ -39,7 +43,7 @@
   Tokens& TokensOf(const std::string& service);
 
   double share_;
-  const double burst_;
+  double burst_;
   std::mutex mutex_;
   std::map<std::string, Tokens, std::less<>> services_;
 };
--- a/include/greengage/protocol/instance_settings.h
+++ b/include/greengage/protocol/instance_settings.h
@@ -49,7 +49,7 @@
   size_t http_in_flight = 0;  // Queries at once.
 
   std::chrono::milliseconds leave_time{};
-  uint32_t extra_arrivals_percent = 0;
+  double extra_arrivals_ratio = 0;
   uint32_t extra_arrivals_allowance = 0;
 
   LogLevel log_level = LogLevel::kInfo;
--- a/include/greengage/protocol/setting_table.h
+++ b/include/greengage/protocol/setting_table.h
@@ -78,6 +78,21 @@
         [](Number number) { return static_cast<uint64_t>(number); });
   }
 
+  SettingTable& Decimal(std::string key,
+                        double Target::*member,
+                        double minimum,
+                        double maximum,
+                        std::optional<std::string> initial,
+                        std::string meaning) {
+    return Add<double>(
+        std::move(key), member, "decimal number", DecimalRule(minimum, maximum),
+        std::move(initial), std::move(meaning),
+        [minimum, maximum](const std::string& text) {
+          return ParseDecimal(text, minimum, maximum);
+        },
+        PrintDecimal);
+  }
+
   // A duration, written as a whole number of the member's own unit.
   template <typename Rep, typename Period>
   SettingTable& Time(std::string key,
--- a/include/greengage/protocol/setting_value.h
+++ b/include/greengage/protocol/setting_value.h
@@ -20,11 +20,18 @@
 inline constexpr char kEndpointsRule[] = "IP:PORT, separated by spaces";
 inline constexpr char kKeyRangeRule[] = "FIRST-LAST, both included";
 std::string NumberRule(uint64_t minimum, uint64_t maximum);
+std::string DecimalRule(double minimum, double maximum);
+
+// As short as it can be read back.
+std::string PrintDecimal(double value);
 
 // All fail with kInvalidArgument for a wrong form, ParseNumber with
 // kOutOfRange and ParseEndpoints with kDuplicate besides. The detail says what
 // was read and what is allowed; there is no subject.
 Result<std::string> ParseName(const std::string& text);
+Result<double> ParseDecimal(const std::string& text,
+                            double minimum,
+                            double maximum);
 Result<uint64_t> ParseNumber(const std::string& text,
                              uint64_t minimum,
                              uint64_t maximum);
--- a/include/greengage/routed_instance.h
+++ b/include/greengage/routed_instance.h
@@ -32,11 +32,22 @@
       watch;
 };
 
+// The list of all instances, which each enters when it starts.
+struct InstanceRoll {
+  std::function<void(const std::string& id, std::function<void(Result<Done>)>)>
+      enter;
+  std::function<void(const std::string& id, std::function<void(Result<Done>)>)>
+      leave;
+  // How many there are; may be some seconds old.
+  std::function<void(std::function<void(Result<size_t>)>)> count;
+};
+
 // What differs from platform to platform.
 struct RoutedPlatform {
   CallDialect dialect;
   FeedSource<RouteTablePtr> configuration;
   FeedSource<SearcherEntry> searchers;
+  InstanceRoll instances;
 };
 
 // Usage: Start(), run the io_context on one thread, Stop(), and leave the
--- a/include/greengage/state/decision_event.h
+++ b/include/greengage/state/decision_event.h
@@ -16,6 +16,7 @@
   kInstanceStopping,
   kInstanceStopped,
   kSettingsReloaded,
+  kInstancesCounted,
   kStoreLost,
   kStoreRegained,
   kConfigurationInForce,
--- a/include/greengage/transport/http_client.h
+++ b/include/greengage/transport/http_client.h
@@ -19,7 +19,9 @@
 namespace greengage {
 
 struct HttpClientLimits {
-  size_t connections = 25;                  // Open at once.
+  size_t connections = 25;  // Open at once.
+  // If set, goes before `connections`, and may change.
+  std::function<size_t()> connection_share = {};
   size_t connecting = 4;                    // Being opened at once.
   size_t body_bytes = size_t{1024} * 1024;  // Largest answer.
   std::chrono::milliseconds connect_timeout{1000};
--- a/include/greengage/transport/searcher_clients.h
+++ b/include/greengage/transport/searcher_clients.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 #include <unordered_map>
 
 #include "greengage/coordination/routed_searcher.h"
@@ -19,9 +20,10 @@
 // thread.
 class SearcherClients {
  public:
-  // `connections` tells how many this instance may open to a searcher.
+  // `connections` tells how many this instance may open to a searcher of a
+  // service; it is asked whenever one more would help.
   SearcherClients(boost::asio::io_context& context,
-                  std::function<size_t(const SearcherEntry&)> connections);
+                  std::function<size_t(const std::string&)> connections);
 
   void Start(const RoutedSearcher& searcher,
              uint64_t attempt,
@@ -48,7 +50,7 @@
   std::shared_ptr<HttpClient> ClientOf(const RoutedSearcher& searcher);
 
   boost::asio::io_context& context_;
-  const std::function<size_t(const SearcherEntry&)> connections_;
+  const std::function<size_t(const std::string&)> connections_;
   std::unordered_map<const RoutedSearcher*, std::shared_ptr<HttpClient>>
       clients_;
   std::unordered_map<uint64_t, Attempt> attempts_;
--- a/src/protocol/instance_settings.cc
+++ b/src/protocol/instance_settings.cc
@@ -86,13 +86,13 @@
             "How long a searcher may still get work after it said that it "
             "leaves. What has changed among the searchers is read several "
             "times within it; longer means fewer calls to the store.")
-      .Integer("extra_arrivals_percent", &S::extra_arrivals_percent,
-               {.minimum = 0, .maximum = 100, .initial = 15},
-               "Hedges and retries at a service, per hundred requests for it.")
+      .Decimal("extra_arrivals_ratio", &S::extra_arrivals_ratio, 0, 1, "0.2",
+               "Bound on hedges and retries at a service, as a share of the "
+               "requests for it; four fifths of it are used.")
       .Integer("extra_arrivals_allowance", &S::extra_arrivals_allowance,
-               {.minimum = 1, .maximum = 1000, .initial = 4},
-               "Hedges and retries at a service that may be saved up; all "
-               "instances together must stay within the platform's bound.");
+               {.minimum = 1, .maximum = 100000, .initial = 50},
+               "Hedges and retries at a service beyond that share; all "
+               "instances together use four fifths of it.");
   table.Section("log")
       .OneOf("level", &S::log_level,
              {{"debug", LogLevel::kDebug},
--- a/src/protocol/setting_value.cc
+++ b/src/protocol/setting_value.cc
@@ -1,6 +1,7 @@
 #include "greengage/protocol/setting_value.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <sstream>
 #include <string_view>
@@ -47,6 +48,32 @@
   return text;
 }
 
+std::string PrintDecimal(double value) {
+  std::array<char, 32> text{};
+  const auto end = std::to_chars(text.data(), text.data() + text.size(), value);
+  return {text.data(), end.ptr};
+}
+
+std::string DecimalRule(double minimum, double maximum) {
+  return PrintDecimal(minimum) + " to " + PrintDecimal(maximum);
+}
+
+Result<double> ParseDecimal(const std::string& text,
+                            double minimum,
+                            double maximum) {
+  const std::string rule = "a decimal number, " + DecimalRule(minimum, maximum);
+  double value = 0;
+  const auto parsed =
+      std::from_chars(text.data(), text.data() + text.size(), value);
+  if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size()) {
+    return Invalid(text, rule);
+  }
+  if (!(value >= minimum && value <= maximum)) {
+    return Failure{FailureKind::kOutOfRange, {}, Invalid(text, rule).detail};
+  }
+  return value;
+}
+
 Result<uint64_t> ParseNumber(const std::string& text,
                              uint64_t minimum,
                              uint64_t maximum) {
--- a/src/routed_instance.cc
+++ b/src/routed_instance.cc
@@ -27,13 +27,21 @@
 // Between two rounds of forgetting searchers and writing logs.
 constexpr std::chrono::milliseconds kHousekeepingPeriod{250};
 
-// Instances that are assumed to share a searcher's connections: a few more
-// than the deployments of today have, since instances may be added.
-constexpr uint32_t kAssumedInstances = 12;
+// Assumed until the instances have been counted: a bound that is shared by all
+// must hold also at the largest deployment that is expected.
+constexpr size_t kAssumedInstances = 1000;
+
+// Between two counts of the instances, and before a failed one is repeated.
+constexpr std::chrono::seconds kCountPeriod{10};
+constexpr std::chrono::milliseconds kCountAgain{500};
+
+// Of a bound that is shared by all instances, so much is used: instances that
+// have just come are not counted by all yet.
+constexpr double kUsedShare = 0.8;
 
 // A searcher works on few requests at once; more connections than this to one
 // of them serve nobody.
-constexpr uint32_t kMostConnections = 8;
+constexpr size_t kMostConnections = 8;
 
 // Time between two reads of the registry, as a share of the time in which a
 // leaving searcher may still get work: the rest covers a slow or repeated read
@@ -68,14 +76,17 @@
                OnSearcherLeaving(searcher, why);
              }}),
         hedges_(HedgesOfRoutes()),
-        extra_arrivals_(settings.extra_arrivals_percent,
-                        settings.extra_arrivals_allowance),
+        extra_arrivals_(ExtraPercent(settings), 0),
         distances_(settings.data_centre),
         clients_(std::make_shared<SearcherClients>(
             context,
-            [this](const SearcherEntry& entry) { return Connections(entry); })),
+            [this](const std::string& service) {
+              return Connections(service);
+            })),
         stop_timer_(context),
-        housekeeping_timer_(context) {
+        housekeeping_timer_(context),
+        count_timer_(context) {
+    SetInstances(kAssumedInstances);
     plans_.searchers = &directory_;
     plans_.hedges = &hedges_;
     plans_.extra_arrivals = &extra_arrivals_;
@@ -106,6 +117,8 @@
         .Add("data_centre", settings_.data_centre)
         .Write();
     Follow();
+    EnterRoll();
+    CountInstances();
     ScheduleHousekeeping();
     return Done{};
   }
@@ -126,7 +139,14 @@
   void OnSearchers(std::vector<FeedItem<SearcherEntry>> items, bool whole);
   void OnSearcherAdded(const RoutedSearcher& searcher);
   void OnSearcherLeaving(const RoutedSearcher& searcher, std::string_view why);
-  size_t Connections(const SearcherEntry& entry) const;
+  size_t Connections(const std::string& service) const;
+  static double ExtraPercent(const InstanceSettings& settings) {
+    return settings.extra_arrivals_ratio * 100 * kUsedShare;
+  }
+  void EnterRoll();
+  void CountInstances();
+  void CountLater(Duration pause);
+  void SetInstances(size_t count);
   Duration RegistryAge() const { return Now() - registry_read_; }
   void ScheduleHousekeeping();
   void KeepHouse();
@@ -164,6 +184,9 @@
   std::function<void()> stopped_;
   asio::steady_timer stop_timer_;
   asio::steady_timer housekeeping_timer_;
+  asio::steady_timer count_timer_;
+  size_t instances_ = kAssumedInstances;
+  bool roll_missed_ = false;
 };
 
 Result<Done> RoutedInstanceImpl::ListenToCallers() {
@@ -346,12 +369,60 @@
   clients_->Close(searcher);
 }
 
-size_t RoutedInstanceImpl::Connections(const SearcherEntry& entry) const {
+size_t RoutedInstanceImpl::Connections(const std::string& name) const {
   const RoutedService* const service =
-      table_ ? table_->FindService(entry.service) : nullptr;
-  const uint32_t share =
-      service == nullptr ? 1 : service->max_connections / kAssumedInstances;
-  return std::clamp(share, 1U, kMostConnections);
+      table_ ? table_->FindService(name) : nullptr;
+  const double all = service == nullptr ? 1 : service->max_connections;
+  return std::clamp<size_t>(
+      static_cast<size_t>(all * kUsedShare / static_cast<double>(instances_)),
+      1, kMostConnections);
+}
+
+void RoutedInstanceImpl::SetInstances(size_t count) {
+  instances_ = std::max<size_t>(1, count);
+  extra_arrivals_.set_burst(settings_.extra_arrivals_allowance * kUsedShare /
+                            static_cast<double>(instances_));
+}
+
+void RoutedInstanceImpl::EnterRoll() {
+  platform_.instances.enter(
+      settings_.id, [weak = weak_from_this()](const Result<Done>& entered) {
+        const auto self = weak.lock();
+        if (!self || entered || self->stopping_) {
+          return;
+        }
+        self->roll_missed_ = true;  // Repeated with the next count.
+      });
+}
+
+void RoutedInstanceImpl::CountInstances() {
+  if (std::exchange(roll_missed_, false)) {
+    EnterRoll();
+  }
+  platform_.instances.count([weak = weak_from_this()](
+                                const Result<size_t>& counted) {
+    const auto self = weak.lock();
+    if (!self || self->stopping_) {
+      return;
+    }
+    if (counted && *counted != self->instances_) {
+      self->SetInstances(*counted);
+      LogLine(DecisionEvent::kInstancesCounted)
+          .Add("instances", self->instances_)
+          .Write();
+    }
+    self->CountLater(counted ? Duration(kCountPeriod) : Duration(kCountAgain));
+  });
+}
+
+void RoutedInstanceImpl::CountLater(Duration pause) {
+  count_timer_.expires_after(pause);
+  count_timer_.async_wait([weak = weak_from_this()](auto error) {
+    const auto self = weak.lock();
+    if (!error && self) {
+      self->CountInstances();
+    }
+  });
 }
 
 void RoutedInstanceImpl::KeepHouse() {
@@ -379,7 +450,7 @@
                              settings.platform != settings_.platform ||
                              settings.data_centre != settings_.data_centre;
   SetLogLevel(settings.log_level);
-  extra_arrivals_.set_percent(settings.extra_arrivals_percent);
+  extra_arrivals_.set_percent(ExtraPercent(settings));
   settings_.stop_notice = settings.stop_notice;
   settings_.stop_grace = settings.stop_grace;
   LogLine(DecisionEvent::kSettingsReloaded)
@@ -397,6 +468,10 @@
       .Add("in_flight", router_->in_flight())
       .Write();
   callers_->EndKeepAlive();
+  count_timer_.cancel();
+  platform_.instances.leave(settings_.id, [](const Result<Done>&) {
+    // One that stays on the roll only makes the others' shares smaller.
+  });
   stop_sequence_.emplace(Now(), settings_.stop_notice, settings_.stop_grace);
   AdvanceStop();
 }
--- a/src/state/decision_event.cc
+++ b/src/state/decision_event.cc
@@ -17,6 +17,9 @@
       {kSettingsReloaded, "settings_reloaded", LogLevel::kInfo,
        "log_level, needs_restart",
        "SIGHUP: what can change while running is in force."},
+      {kInstancesCounted, "instances_counted", LogLevel::kInfo, "instances",
+       "So many instances share the connections of searchers and the bound on "
+       "extra arrivals."},
       {kStoreLost, "store_lost", LogLevel::kWarning, "feed, cause, detail",
        "A call to the store failed after others had not; what was known of "
        "the feed stays in use."},
@@ -65,9 +68,8 @@
 std::optional<DecisionEvent> FindDecisionEvent(std::string_view name) {
   const auto& all = AllDecisionEvents();
   const auto found =
-      std::find_if(all.begin(), all.end(), [name](const auto& info) {
-        return info.name == name;
-      });
+      std::find_if(all.begin(), all.end(),
+                   [name](const auto& info) { return info.name == name; });
   return found == all.end() ? std::nullopt : std::optional(found->event);
 }
 
--- a/src/transport/searcher_clients.cc
+++ b/src/transport/searcher_clients.cc
@@ -17,7 +17,7 @@
 
 SearcherClients::SearcherClients(
     boost::asio::io_context& context,
-    std::function<size_t(const SearcherEntry&)> connections)
+    std::function<size_t(const std::string&)> connections)
     : context_(context), connections_(std::move(connections)) {}
 
 std::shared_ptr<HttpClient> SearcherClients::ClientOf(
@@ -25,8 +25,9 @@
   std::shared_ptr<HttpClient>& client = clients_[&searcher];
   if (!client) {
     HttpClientLimits limits;
-    limits.connections = connections_(searcher.entry());
-    limits.connecting = limits.connections;
+    limits.connection_share = [this, service = searcher.entry().service] {
+      return connections_(service);
+    };
     limits.connect_timeout = kConnectTimeout;
     limits.idle_timeout = kIdleTimeout;
     client = HttpClient::Create(context_, searcher.entry().endpoint, limits);
