--- a/include/greengage/routed_instance.h
+++ b/include/greengage/routed_instance.h
@@ -30,6 +30,8 @@
                      std::chrono::milliseconds wait,
                      typename FeedFollower<Item>::PageCallback)>
       watch;
+  // The first page of the listing, some seconds old at worst; may be empty.
+  std::function<void(typename FeedFollower<Item>::PageCallback)> peek;
 };
 
 // The list of all instances, which each enters when it starts.
--- a/include/greengage/transport/feed_follower.h
+++ b/include/greengage/transport/feed_follower.h
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -43,6 +44,9 @@
   // Between the end of a watch and the next one. Bounds the calls where
   // objects change all the time, and adds to the age of what is known.
   std::chrono::milliseconds pause{150};
+  // Between two looks, which may be old and cost little, for what a watch on a
+  // connection that has gone silent does not tell.
+  std::chrono::milliseconds peek_period{3000};
   BackoffOptions backoff;
   uint64_t seed = 0;
 };
@@ -65,6 +69,8 @@
     std::function<
         void(uint64_t revision, std::chrono::milliseconds wait, PageCallback)>
         watch;
+    // Reads the listing's first page as it was some time ago; may be empty.
+    std::function<void(PageCallback)> peek;
     // The whole kind, as listed.
     std::function<void(std::vector<FeedItem<Item>>)> on_snapshot;
     std::function<void(std::vector<FeedItem<Item>>)> on_changes;
@@ -79,13 +85,18 @@
       : options_(options),
         hooks_(std::move(hooks)),
         backoff_(options.backoff, options.seed),
-        timer_(context) {}
+        timer_(context),
+        peek_timer_(context) {}
 
-  void Start() { List(); }
+  void Start() {
+    List();
+    SchedulePeek();
+  }
 
   void Stop() {
     stopped_ = true;
     timer_.cancel();
+    peek_timer_.cancel();
   }
 
   // Revision of the store that is known here; 0 before the first listing.
@@ -111,17 +122,60 @@
                  }));
   }
 
-  // Drops the answer of a call that ends after the follower has.
+  // Drops the answer of a call that ends after the follower has, or after a
+  // newer call took its place.
   PageCallback Guarded(std::function<void(Result<Page>)> handle) {
-    return [weak = this->weak_from_this(),
+    return [weak = this->weak_from_this(), call = ++call_,
             handle = std::move(handle)](Result<Page> page) {
       const auto self = weak.lock();
-      if (self && !self->stopped_) {
+      if (self && !self->stopped_ && call == self->call_) {
         handle(std::move(page));
       }
     };
   }
 
+  void SchedulePeek() {
+    if (!hooks_.peek) {
+      return;
+    }
+    peek_timer_.expires_after(options_.peek_period);
+    peek_timer_.async_wait(
+        [weak = this->weak_from_this()](boost::system::error_code error) {
+          const auto self = weak.lock();
+          if (!error && self && !self->stopped_) {
+            self->Peek();
+          }
+        });
+  }
+
+  void Peek() {
+    hooks_.peek([weak = this->weak_from_this()](const Result<Page>& page) {
+      const auto self = weak.lock();
+      if (!self || self->stopped_) {
+        return;
+      }
+      // A failure shows in the watch as well.
+      if (page && self->HasNews(*page)) {
+        self->List();
+      }
+      self->SchedulePeek();
+    });
+  }
+
+  // Whether a page holds what no listing or watch has told yet, although
+  // nothing is on its way.
+  bool HasNews(const Page& page) const {
+    return std::any_of(
+        page.items.begin(), page.items.end(),
+        [this](const FeedItem<Item>& item) { return item.revision > newest_; });
+  }
+
+  void Note(const std::vector<FeedItem<Item>>& items) {
+    for (const FeedItem<Item>& item : items) {
+      newest_ = std::max(newest_, item.revision);
+    }
+  }
+
   void OnListed(Result<Page> page) {
     if (!page) {
       OnFailed(page.last_reason());
@@ -142,6 +196,7 @@
       return;
     }
     revision_ = listed_revision_;
+    Note(listing_);
     hooks_.on_snapshot(std::exchange(listing_, {}));
     After(options_.pause, [this] { Watch(); });
   }
@@ -151,6 +206,7 @@
       OnAnswered();
       revision_ = std::max(revision_, page->revision);
       if (!page->items.empty()) {
+        Note(page->items);
         hooks_.on_changes(std::move(page->items));
       }
       After(options_.pause, [this] { Watch(); });
@@ -192,6 +248,9 @@
   const Hooks hooks_;
   Backoff backoff_;
   boost::asio::steady_timer timer_;
+  boost::asio::steady_timer peek_timer_;
+  uint64_t call_ = 0;    // The newest call; answers of older ones are dropped.
+  uint64_t newest_ = 0;  // Revision of the newest item that was told.
   uint64_t revision_ = 0;
   uint64_t listed_revision_ = 0;
   std::vector<FeedItem<Item>> listing_;
--- a/src/routed_instance.cc
+++ b/src/routed_instance.cc
@@ -43,6 +43,9 @@
 // of them serve nobody.
 constexpr size_t kMostConnections = 8;
 
+// How long a watch of the searchers waits; some report each second.
+constexpr std::chrono::milliseconds kSearcherWatchWait{1500};
+
 // Time between two reads of the registry, as a share of the time in which a
 // leaving searcher may still get work: the rest covers a slow or repeated read
 // and the work that is on its way.
@@ -268,6 +271,7 @@
   typename FeedFollower<Item>::Hooks hooks;
   hooks.list = std::move(source.list);
   hooks.watch = std::move(source.watch);
+  hooks.peek = std::move(source.peek);
   hooks.on_lost = [this, feed](const Failure& reason) {
     LogLine(DecisionEvent::kStoreLost)
         .Add("feed", feed)
@@ -296,6 +300,8 @@
       context_, options, std::move(configuration_hooks));
   configuration_feed_->Start();
 
+  // Searchers report all the time: a watch that is told nothing is a dead one.
+  options.wait = kSearcherWatchWait;
   options.pause = settings_.leave_time * kRegistryPeriodPercent / 100;
   options.seed = RandomBase();
   auto searcher_hooks =
--- a/tests/feed_follower_test.cc
+++ b/tests/feed_follower_test.cc
@@ -37,6 +37,12 @@
       store.calls.push_back("watch " + std::to_string(revision));
       store.waiting = std::move(done);
     };
+    if (options.peek_period < Ms(1000)) {
+      hooks.peek = [this](auto done) {
+        store.calls.emplace_back("peek");
+        store.waiting = std::move(done);
+      };
+    }
     hooks.on_snapshot = [this](auto items) {
       snapshots.push_back(items.size());
     };
@@ -121,6 +127,33 @@
   cr_assert(fixture.regained == 1);
 }
 
+// The watch's connection has gone silent: only a look shows the news.
+Test(FeedFollower, ListsAnewWhenALookShowsWhatTheWatchDidNotTell) {
+  Fixture fixture({.pause = Ms(0), .peek_period = Ms(1)});
+  fixture.store.Answer(PageOf(7, {"a"}, false));
+  fixture.RunUntilCall();
+  const auto silent = std::exchange(fixture.store.waiting, nullptr);
+  fixture.RunUntilCall();
+  cr_assert(fixture.store.calls.back() == "peek");
+  fixture.store.Answer(PageOf(9, {"a"}, false));
+  cr_assert(fixture.store.calls.back() == "list ");
+  fixture.store.Answer(PageOf(9, {"a"}, false));
+  cr_assert(fixture.snapshots.size() == 2);
+  // What the silent watch still brings is of no use.
+  silent(PageOf(8, {"a"}, false));
+  cr_assert(fixture.changes == 0);
+}
+
+Test(FeedFollower, ALookThatShowsNothingNewChangesNothing) {
+  Fixture fixture({.pause = Ms(0), .peek_period = Ms(1)});
+  fixture.store.Answer(PageOf(7, {"a"}, false));
+  fixture.RunUntilCall();
+  fixture.store.waiting = nullptr;
+  fixture.RunUntilCall();
+  fixture.store.Answer(PageOf(5, {"a"}, false));
+  cr_assert(fixture.snapshots.size() == 1);
+}
+
 Test(FeedFollower, PausesBeforeRepeatingACallThatFailed) {
   Fixture fixture;
   fixture.store.Answer(kDown);
