--- a/include/greengage/state/route.h
+++ b/include/greengage/state/route.h
@@ -41,6 +41,14 @@
   std::optional<GatherRule> gather;
 };
 
+// What callers may send, and how long they may stay idle; what is not set is
+// left to each instance's settings.
+struct CallerLimits {
+  std::optional<size_t> header_bytes;
+  std::optional<size_t> body_bytes;
+  std::optional<std::chrono::milliseconds> idle_timeout;
+};
+
 struct RoutedService {
   std::string name;
   uint32_t max_connections = 1;  // That a searcher takes from all instances.
--- a/include/greengage/state/route_table.h
+++ b/include/greengage/state/route_table.h
@@ -29,10 +29,13 @@
 
   const std::vector<Route>& routes() const { return routes_; }
 
+  const CallerLimits& limits() const { return limits_; }
+
  private:
   RouteTable() = default;
 
   uint64_t version_ = 0;
+  CallerLimits limits_;
   std::vector<Route> routes_;
   // Indices of the routes of a host, the longest prefix first.
   std::unordered_map<std::string, std::vector<size_t>> by_host_;
@@ -45,6 +48,7 @@
 class RouteTable::Builder {
  public:
   Builder& Version(uint64_t version);
+  Builder& Limits(CallerLimits limits);
   Builder& Add(Route route);
   Builder& Add(RoutedService service);
 
--- a/include/greengage/transport/http_server.h
+++ b/include/greengage/transport/http_server.h
@@ -65,6 +65,9 @@
 
   virtual size_t connections() const = 0;
 
+  // Puts other limits in force; requests that are being read keep theirs.
+  virtual void SetLimits(const HttpServerLimits& limits) = 0;
+
   // From here on every answer closes its connection, so that clients move to
   // other servers while this one still takes requests.
   virtual void EndKeepAlive() = 0;
--- /dev/null
+++ b/src/routed_instance_stop.cc
@@ -0,0 +1,99 @@
+// Housekeeping, reload and graceful stop of a routed instance.
+#include <chrono>
+#include <utility>
+
+#include "greengage/transport/log.h"
+#include "greengage/transport/log_line.h"
+#include "routed_instance_impl.h"
+
+namespace greengage {
+namespace {
+
+// Between two looks at a stop's progress.
+constexpr std::chrono::milliseconds kStopPollPeriod{50};
+
+// Between two rounds of forgetting searchers and writing logs.
+constexpr std::chrono::milliseconds kHousekeepingPeriod{250};
+
+}  // namespace
+
+void RoutedInstanceImpl::ScheduleHousekeeping() {
+  housekeeping_timer_.expires_after(kHousekeepingPeriod);
+  housekeeping_timer_.async_wait([weak = weak_from_this()](auto error) {
+    const auto self = weak.lock();
+    if (!error && self) {
+      self->KeepHouse();
+    }
+  });
+}
+
+void RoutedInstanceImpl::KeepHouse() {
+  directory_.Expire(Now());
+  FlushLog();
+  ScheduleHousekeeping();
+}
+
+// Addresses and limits of open sockets stay as they were at the start.
+void RoutedInstanceImpl::Reload(const InstanceSettings& settings) {
+  const bool needs_restart = settings.id != settings_.id ||
+                             settings.http != settings_.http ||
+                             settings.ready != settings_.ready ||
+                             settings.metrics != settings_.metrics ||
+                             settings.platform != settings_.platform ||
+                             settings.data_centre != settings_.data_centre;
+  SetLogLevel(settings.log_level);
+  extra_arrivals_.set_percent(ExtraPercent(settings));
+  settings_.stop_notice = settings.stop_notice;
+  settings_.stop_grace = settings.stop_grace;
+  LogLine(DecisionEvent::kSettingsReloaded)
+      .Add("log_level", static_cast<int>(settings.log_level))
+      .Add("needs_restart", needs_restart ? "yes" : "no")
+      .Write();
+}
+
+void RoutedInstanceImpl::Stop(std::function<void()> stopped) {
+  if (std::exchange(stopping_, true)) {
+    return;
+  }
+  stopped_ = std::move(stopped);
+  LogLine(DecisionEvent::kInstanceStopping)
+      .Add("in_flight", router_->in_flight())
+      .Write();
+  callers_->EndKeepAlive();
+  count_timer_.cancel();
+  platform_.instances.leave(settings_.id, [](const Result<Done>&) {
+    // One that stays on the roll only makes the others' shares smaller.
+  });
+  stop_sequence_.emplace(Now(), settings_.stop_notice, settings_.stop_grace);
+  AdvanceStop();
+}
+
+void RoutedInstanceImpl::AdvanceStop() {
+  const bool has_work = router_->in_flight() > 0 || callers_->connections() > 0;
+  const StopStep step =
+      stop_sequence_->Next(Now(), router_->last_request(), has_work);
+  if (step != StopStep::kServe && !std::exchange(refusing_, true)) {
+    callers_->StopAccepting();
+  }
+  if (step == StopStep::kFinished) {
+    FinishStop();
+    return;
+  }
+  stop_timer_.expires_after(kStopPollPeriod);
+  stop_timer_.async_wait(
+      [self = shared_from_this()](auto) { self->AdvanceStop(); });
+}
+
+void RoutedInstanceImpl::FinishStop() {
+  configuration_feed_->Stop();
+  searcher_feed_->Stop();
+  housekeeping_timer_.cancel();
+  clients_->CloseAll();
+  LogLine(DecisionEvent::kInstanceStopped)
+      .Add("in_flight", router_->in_flight())
+      .Write();
+  FlushLog();
+  stopped_();
+}
+
+}  // namespace greengage
--- a/src/state/route_table.cc
+++ b/src/state/route_table.cc
@@ -66,6 +66,11 @@
   return *this;
 }
 
+RouteTable::Builder& RouteTable::Builder::Limits(CallerLimits limits) {
+  table_->limits_ = limits;
+  return *this;
+}
+
 RouteTable::Builder& RouteTable::Builder::Add(Route route) {
   table_->routes_.push_back(std::move(route));
   return *this;
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -27,11 +27,11 @@
            tcp::acceptor acceptor,
            const HttpServerLimits& limits,
            HttpHandler handler)
-      : limits_(limits),
-        handler_(std::move(handler)),
+      : handler_(std::move(handler)),
         context_(context),
         acceptor_(std::move(acceptor)),
-        accept_timer_(acceptor_.get_executor()) {}
+        accept_timer_(acceptor_.get_executor()),
+        limits_(limits) {}
 
   void Accept() {
     acceptor_.async_accept(
@@ -71,7 +71,15 @@
     sessions_.erase(session);
   }
 
-  const HttpServerLimits& limits() const override { return limits_; }
+  HttpServerLimits limits() const override {
+    const std::lock_guard lock(mutex_);
+    return limits_;
+  }
+
+  void SetLimits(const HttpServerLimits& limits) override {
+    const std::lock_guard lock(mutex_);
+    limits_ = limits;
+  }
   const HttpHandler& handler() const override { return handler_; }
 
  private:
@@ -126,7 +134,7 @@
   }
 
   void StartSession(tcp::socket socket) {
-    if (connections() >= limits_.connections) {
+    if (connections() >= limits().connections) {
       return;  // Closes the socket.
     }
     boost::system::error_code ignored;
@@ -143,12 +151,12 @@
     session->Start();
   }
 
-  const HttpServerLimits limits_;
   const HttpHandler handler_;
   asio::io_context& context_;
   tcp::acceptor acceptor_;
   asio::steady_timer accept_timer_;
   mutable std::mutex mutex_;
+  HttpServerLimits limits_;
   std::unordered_set<HttpSession*> sessions_;
   bool stopped_ = false;
   std::atomic<uint64_t> accepted_{0};
--- a/src/transport/http_session.cc
+++ b/src/transport/http_session.cc
@@ -158,11 +158,11 @@
 }
 
 void HttpSession::ReadRequest() {
-  SetTimeout(host_->limits().read_timeout);
+  const HttpServerLimits limits = host_->limits();
+  SetTimeout(limits.read_timeout);
   parser_.emplace();
-  parser_->header_limit(
-      static_cast<std::uint32_t>(host_->limits().header_bytes));
-  parser_->body_limit(host_->limits().body_bytes);
+  parser_->header_limit(static_cast<std::uint32_t>(limits.header_bytes));
+  parser_->body_limit(limits.body_bytes);
   http::async_read(socket_, buffer_, *parser_,
                    [self = shared_from_this()](auto error, size_t) {
                      self->OnRequest(error);
--- a/src/transport/http_session.h
+++ b/src/transport/http_session.h
@@ -22,7 +22,8 @@
  public:
   virtual ~HttpSessionHost() = default;
 
-  virtual const HttpServerLimits& limits() const = 0;
+  // As they are now.
+  virtual HttpServerLimits limits() const = 0;
   virtual const HttpHandler& handler() const = 0;
 
   // Whether every answer closes its connection.
