--- a/include/greengage/protocol/routed_call_codec.h
+++ b/include/greengage/protocol/routed_call_codec.h
@@ -47,7 +47,7 @@
 // What the whole answer of a searcher means.
 AttemptOutcome ReadSearcherAnswer(const CallDialect& dialect,
                                   unsigned status,
-                                  HeaderList headers,
+                                  const HeaderList& headers,
                                   std::string body);
 
 // The headers that tell of which parts an answer is made.
--- a/include/greengage/transport/log_line.h
+++ b/include/greengage/transport/log_line.h
@@ -38,7 +38,7 @@
   void Write();
 
  private:
-  LogLine& AddNumber(std::string_view name, std::string value);
+  LogLine& AddNumber(std::string_view name, std::string_view value);
 
   const LogLevel level_;
   const bool enabled_;
--- a/src/coordination/searcher_directory.cc
+++ b/src/coordination/searcher_directory.cc
@@ -79,9 +79,9 @@
 
 const std::vector<RoutedSearcherPtr>& SearcherDirectory::Of(
     const std::string& service) const {
-  static const std::vector<RoutedSearcherPtr> kNone;
+  static const std::vector<RoutedSearcherPtr> none;
   const auto found = by_service_.find(service);
-  return found == by_service_.end() ? kNone : found->second;
+  return found == by_service_.end() ? none : found->second;
 }
 
 void SearcherDirectory::Drop(const RoutedSearcherPtr& searcher,
--- a/src/protocol/request_story.cc
+++ b/src/protocol/request_story.cc
@@ -134,11 +134,10 @@
   constexpr int64_t kDay = 86400000;
   const int64_t in_day = time.count() % kDay;
   std::array<char, 32> text{};
-  std::snprintf(text.data(), text.size(), "%02d:%02d:%02d.%03d",
-                static_cast<int>(in_day / 3600000),
-                static_cast<int>(in_day / 60000 % 60),
-                static_cast<int>(in_day / 1000 % 60),
-                static_cast<int>(in_day % 1000));
+  std::snprintf(
+      text.data(), text.size(), "%02d:%02d:%02d.%03d",
+      static_cast<int>(in_day / 3600000), static_cast<int>(in_day / 60000 % 60),
+      static_cast<int>(in_day / 1000 % 60), static_cast<int>(in_day % 1000));
   return text.data();
 }
 
@@ -222,9 +221,11 @@
   if (!record) {
     ++unreadable_;
   } else if (record->request_id.empty()) {
-    processes_[record->process].push_back(*std::move(record));
+    std::vector<LogRecord>& records = processes_[record->process];
+    records.push_back(*std::move(record));
   } else {
-    requests_[record->request_id].push_back(*std::move(record));
+    std::vector<LogRecord>& records = requests_[record->request_id];
+    records.push_back(*std::move(record));
   }
 }
 
@@ -243,7 +244,8 @@
   const auto process = processes_.find(last.process);
   if (process != processes_.end()) {
     for (const LogRecord& record : process->second) {
-      if (record.time <= last.time && last.time - record.time <= kContextWindow) {
+      if (record.time <= last.time &&
+          last.time - record.time <= kContextWindow) {
         story.context.push_back(record);
       }
     }
@@ -264,6 +266,7 @@
     }
   }
   std::vector<Group> sorted;
+  sorted.reserve(groups.size());
   for (auto& [cause, group] : groups) {
     sorted.push_back(std::move(group));
   }
@@ -292,8 +295,8 @@
   for (const LogRecord& record : story.records) {
     if (record.event == DecisionEvent::kRequestEnded) {
       arrived = record.time - Offset(record, "took_ms");
-      events.push_back(EventOf(EventKind::kQueryAdmitted, arrived,
-                               record.process, record));
+      events.push_back(
+          EventOf(EventKind::kQueryAdmitted, arrived, record.process, record));
       events.push_back(EventOf(EventKind::kQueryAnswered, record.time,
                                record.process, record));
     } else if (record.event == DecisionEvent::kRequestRefused) {
@@ -315,8 +318,9 @@
                                record));
     }
   }
-  std::stable_sort(events.begin(), events.end(),
-                   [](const Event& a, const Event& b) { return a.time < b.time; });
+  std::stable_sort(
+      events.begin(), events.end(),
+      [](const Event& a, const Event& b) { return a.time < b.time; });
   return events;
 }
 
--- a/src/protocol/routed_call_codec.cc
+++ b/src/protocol/routed_call_codec.cc
@@ -172,7 +172,7 @@
 
 AttemptOutcome ReadSearcherAnswer(const CallDialect& dialect,
                                   unsigned status,
-                                  HeaderList headers,
+                                  const HeaderList& headers,
                                   std::string body) {
   AttemptOutcome outcome;
   outcome.load = ReadLoad(dialect, headers);
--- a/src/routed_instance.cc
+++ b/src/routed_instance.cc
@@ -65,7 +65,7 @@
   for (const auto& step : {&RoutedInstanceImpl::ListenToCallers,
                            &RoutedInstanceImpl::ListenToBalancer,
                            &RoutedInstanceImpl::ListenToMetrics}) {
-    const Result<Done> result = (this->*step)();
+    Result<Done> result = (this->*step)();
     if (!result) {
       return result;
     }
--- a/src/transport/log_line.cc
+++ b/src/transport/log_line.cc
@@ -29,7 +29,7 @@
   return AddNumber(name, text.data());
 }
 
-LogLine& LogLine::AddNumber(std::string_view name, std::string value) {
+LogLine& LogLine::AddNumber(std::string_view name, std::string_view value) {
   if (enabled_) {
     members_ += members_.empty() ? "\"" : ",\"";
     members_ += name;
--- a/src/transport/request_router.cc
+++ b/src/transport/request_router.cc
@@ -71,8 +71,7 @@
 AttemptOutcome ReadOutcome(const CallDialect& dialect, HttpCallResult result) {
   if (result.response) {
     HttpResponse& response = *result.response;
-    return ReadSearcherAnswer(dialect, response.status,
-                              std::move(response.headers),
+    return ReadSearcherAnswer(dialect, response.status, response.headers,
                               std::move(response.body));
   }
   const Failure& reason = result.response.last_reason();
--- a/src/transport/stdout_appender.cc
+++ b/src/transport/stdout_appender.cc
@@ -84,11 +84,10 @@
 
 void StdoutAppender::ReportDropped() {
   if (dropped_ > 0 && buffer_.size() < kMaxBufferedBytes) {
-    buffer_ += "{\"level\":\"warning\",\"process\":\"" + process_ +
-               "\",\"event\":\"" +
-               std::string(InfoOf(DecisionEvent::kLogLinesDropped).name) +
-               "\",\"count\":" +
-               std::to_string(std::exchange(dropped_, 0)) + "}\n";
+    buffer_ +=
+        "{\"level\":\"warning\",\"process\":\"" + process_ + "\",\"event\":\"" +
+        std::string(InfoOf(DecisionEvent::kLogLinesDropped).name) +
+        "\",\"count\":" + std::to_string(std::exchange(dropped_, 0)) + "}\n";
   }
 }
 
--- a/tests/routed_call_codec_test.cc
+++ b/tests/routed_call_codec_test.cc
@@ -11,8 +11,8 @@
 
 const CallDialect kDialect;
 
-AttemptOutcome Read(unsigned status, HeaderList headers) {
-  return ReadSearcherAnswer(kDialect, status, std::move(headers), "body");
+AttemptOutcome Read(unsigned status, const HeaderList& headers) {
+  return ReadSearcherAnswer(kDialect, status, headers, "body");
 }
 
 }  // namespace
--- a/tools/greengagectl/explain_command.cc
+++ b/tools/greengagectl/explain_command.cc
@@ -1,6 +1,5 @@
 #include <unistd.h>
 
-#include <algorithm>
 #include <fstream>
 #include <iostream>
 #include <memory>
@@ -80,9 +79,12 @@
   void PrintFailures() const {
     json::array groups;
     for (const StoryBook::Group& group : book_.Failures()) {
-      const size_t named = std::min(kNamedRequests, group.request_ids.size());
-      json::array examples(group.request_ids.begin(),
-                           group.request_ids.begin() + named);
+      json::array examples;
+      for (const std::string& id : group.request_ids) {
+        if (examples.size() < kNamedRequests) {
+          examples.emplace_back(id);
+        }
+      }
       if (line_.json) {
         groups.push_back(json::object{{"cause", RequestCauseName(group.cause)},
                                       {"requests", group.request_ids.size()},
@@ -92,7 +94,7 @@
       std::cout << group.request_ids.size() << '\t'
                 << RequestCauseName(group.cause);
       for (const json::value& example : examples) {
-        std::cout << '\t' << std::string_view(example.get_string());
+        std::cout << '\t' << example.get_string().c_str();
       }
       std::cout << '\n';
     }
