--- a/include/greengage/protocol/routed_call_codec.h
+++ b/include/greengage/protocol/routed_call_codec.h
@@ -5,17 +5,15 @@
 #include <chrono>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <vector>
 
 #include "greengage/protocol/call_dialect.h"
+#include "greengage/protocol/header_list.h"
 #include "greengage/state/result.h"
 #include "greengage/state/searcher_answer.h"
 
 namespace greengage {
 
-using HeaderList = std::vector<std::pair<std::string, std::string>>;
-
 // What a caller's request says beside its bytes.
 struct CallerRequest {
   std::string id;
--- a/include/greengage/transport/http_client.h
+++ b/include/greengage/transport/http_client.h
@@ -47,7 +47,7 @@
   TimePoint deadline;
   // Sent as they are; without a Host among them, the server's end point is
   // sent. The content type of a body is JSON unless they name one.
-  HttpHeaders headers = {};
+  HeaderList headers = {};
   // Whether an answer belongs to this call. Empty: all do.
   std::function<HttpAnswerCheck(const HttpResponse&)> check = {};
 };
--- a/include/greengage/transport/http_message.h
+++ b/include/greengage/transport/http_message.h
@@ -3,21 +3,11 @@
 #define GREENGAGE_TRANSPORT_HTTP_MESSAGE_H_
 
 #include <map>
-#include <optional>
 #include <string>
-#include <string_view>
-#include <utility>
-#include <vector>
 
-namespace greengage {
-
-// Names and values in the order of the message; names may repeat.
-using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
+#include "greengage/protocol/header_list.h"
 
-// The value of the first header `name`, whatever its case; nothing if there is
-// none.
-std::optional<std::string_view> FindHeader(const HttpHeaders& headers,
-                                           std::string_view name);
+namespace greengage {
 
 // A request as a server sees it. `path` excludes the query string, whose
 // decoded parameters are in `parameters`.
@@ -26,7 +16,7 @@
   std::string path;
   std::map<std::string, std::string> parameters;
   std::string target;  // Path and query string as they were sent.
-  HttpHeaders headers;
+  HeaderList headers;
   std::string body;
 };
 
@@ -35,7 +25,7 @@
 struct HttpResponse {
   unsigned status = 200;
   std::string content_type = "application/json";
-  HttpHeaders headers;
+  HeaderList headers;
   std::string body;
 };
 
--- a/src/protocol/routed_call_codec.cc
+++ b/src/protocol/routed_call_codec.cc
@@ -1,7 +1,5 @@
 #include "greengage/protocol/routed_call_codec.h"
 
-#include <boost/beast/core/string.hpp>
-
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -19,20 +17,6 @@
     "proxy-authenticate", "proxy-connection", "te",     "trailer",
     "transfer-encoding",  "upgrade"};
 
-bool SameName(std::string_view a, std::string_view b) {
-  return boost::beast::iequals({a.data(), a.size()}, {b.data(), b.size()});
-}
-
-std::optional<std::string_view> Find(const HeaderList& headers,
-                                     std::string_view name) {
-  for (const auto& [key, value] : headers) {
-    if (SameName(key, name)) {
-      return value;
-    }
-  }
-  return std::nullopt;
-}
-
 std::string_view Trim(std::string_view text) {
   const size_t first = text.find_first_not_of(" \t");
   if (first == std::string_view::npos) {
@@ -70,7 +54,7 @@
 std::vector<std::string> NamedByConnection(const HeaderList& headers) {
   std::vector<std::string> names;
   for (const auto& [key, value] : headers) {
-    if (SameName(key, "connection")) {
+    if (IsSameHeader(key, "connection")) {
       for (const std::string_view name : Split(value)) {
         names.emplace_back(name);
       }
@@ -85,7 +69,7 @@
   kept.reserve(headers.size());
   for (const auto& header : headers) {
     const auto is_same = [&header](std::string_view name) {
-      return SameName(name, header.first);
+      return IsSameHeader(name, header.first);
     };
     if (std::none_of(kConnectionHeaders.begin(), kConnectionHeaders.end(),
                      is_same) &&
@@ -98,7 +82,7 @@
 
 std::optional<ToldLoad> ReadLoad(const CallDialect& dialect,
                                  const HeaderList& headers) {
-  const auto header = Find(headers, dialect.load);
+  const auto header = FindHeader(headers, dialect.load);
   const auto parts = header ? Split(*header) : std::vector<std::string_view>();
   if (parts.size() != 3) {
     return std::nullopt;
@@ -120,8 +104,8 @@
 
 Result<CallerRequest> ReadCallerRequest(const CallDialect& dialect,
                                         const HeaderList& headers) {
-  const auto id = Find(headers, dialect.request_id);
-  const auto host = Find(headers, "host");
+  const auto id = FindHeader(headers, dialect.request_id);
+  const auto host = FindHeader(headers, "host");
   if (!id || id->empty() || !host) {
     return Failure{FailureKind::kMissingKey,
                    id && !id->empty() ? "Host" : dialect.request_id,
@@ -130,7 +114,7 @@
   CallerRequest request;
   request.id = *id;
   request.host = *host;
-  if (const auto told = Find(headers, dialect.time_left)) {
+  if (const auto told = FindHeader(headers, dialect.time_left)) {
     const auto milliseconds = ParseWhole<uint32_t>(Trim(*told));
     if (!milliseconds) {
       return Failure{FailureKind::kInvalidSyntax, dialect.time_left,
@@ -145,8 +129,8 @@
                            const HeaderList& headers) {
   HeaderList kept = WithoutConnectionHeaders(headers);
   std::erase_if(kept, [&dialect](const auto& header) {
-    return SameName(header.first, dialect.time_left) ||
-           SameName(header.first, dialect.expected_searcher);
+    return IsSameHeader(header.first, dialect.time_left) ||
+           IsSameHeader(header.first, dialect.expected_searcher);
   });
   return kept;
 }
@@ -166,7 +150,7 @@
 bool IsForeignAnswer(const CallDialect& dialect,
                      const HeaderList& headers,
                      std::string_view request_id) {
-  const auto echoed = Find(headers, dialect.request_id);
+  const auto echoed = FindHeader(headers, dialect.request_id);
   return echoed && *echoed != request_id;
 }
 
@@ -181,14 +165,14 @@
     outcome.detail = "another searcher has the address";
     return outcome;
   }
-  if (Find(headers, dialect.not_run)) {
+  if (FindHeader(headers, dialect.not_run)) {
     outcome.end = AttemptEnd::kTurnedAway;
     outcome.detail = "turned away with " + std::to_string(status);
     return outcome;
   }
-  const auto signature = Find(headers, dialect.signature);
+  const auto signature = FindHeader(headers, dialect.signature);
   if (IsSuccess(status) &&
-      (!signature || Find(headers, "content-encoding").has_value())) {
+      (!signature || FindHeader(headers, "content-encoding").has_value())) {
     outcome.detail = signature ? "the body is encoded" : "no signature";
     return outcome;
   }
--- a/src/transport/http_client_connection.cc
+++ b/src/transport/http_client_connection.cc
@@ -47,7 +47,7 @@
 
 // Headers that may stand once replace what is set already.
 template <typename Request>
-void SetHeaders(const HttpHeaders& headers, Request& request) {
+void SetHeaders(const HeaderList& headers, Request& request) {
   for (const auto& [name, value] : headers) {
     const http::field field = http::string_to_field(name);
     if (field == http::field::host || field == http::field::content_type) {
--- a/tests/record_merger_test.cc
+++ b/tests/record_merger_test.cc
@@ -1,11 +1,11 @@
 #include "greengage/coordination/record_merger.h"
 
-#include <algorithm>
-#include <functional>
 #include <random>
 #include <string>
 #include <vector>
 
+#include "tests/harness/naive_records.h"
+
 #include <criterion/criterion.h>
 
 namespace greengage {
@@ -22,23 +22,6 @@
   return part;
 }
 
-// Sorts all records and takes the first.
-std::string NaiveTop(const std::vector<std::string>& parts, size_t top) {
-  std::vector<std::string> records;
-  for (const std::string& part : parts) {
-    for (size_t at = 0; at + kRecordBytes <= part.size(); at += kRecordBytes) {
-      records.push_back(part.substr(at, kRecordBytes));
-    }
-  }
-  std::sort(records.begin(), records.end(), std::greater<>());
-  records.resize(std::min(records.size(), top));
-  std::string joined;
-  for (const std::string& record : records) {
-    joined += record;
-  }
-  return joined;
-}
-
 }  // namespace
 
 Test(RecordMerger, EqualsSortingAllRecords) {
