--- a/include/greengage/coordination/request_plan.h
+++ b/include/greengage/coordination/request_plan.h
@@ -86,7 +86,7 @@
 class RequestPlan {
  public:
   // `deadline` is the caller's. `table` and `route` stay as they are for the
-  // whole request; attempts are numbered from `first_attempt`.
+  // whole request; `next_attempt` numbers the attempts of all plans.
   RequestPlan(TimePoint now,
               RouteTablePtr table,
               const Route* route,
