--- a/include/greengage/state/routed_metrics.h
+++ b/include/greengage/state/routed_metrics.h
@@ -19,7 +19,7 @@
   std::map<Labels, Counter> requests;                // Route, end.
   std::map<std::string, Distribution> request_time;  // Route.
   std::map<Labels, Counter> attempts;                // Reason, end.
-  std::map<Labels, Counter> store_calls;             // Call, result.
+  std::map<Labels, Counter> store_changes;           // Feed, change.
   Counter searchers_added;
   Counter searchers_left;
   Counter callers_left;
--- a/src/routed_instance_store.cc
+++ b/src/routed_instance_store.cc
@@ -59,11 +59,11 @@
         .Add("cause", FailureKindName(reason.kind))
         .Add("detail", reason.detail)
         .Write();
-    metrics_.store_calls[{feed, "lost"}].Add();
+    metrics_.store_changes[{feed, "lost"}].Add();
   };
   hooks.on_regained = [this, feed] {
     LogLine(DecisionEvent::kStoreRegained).Add("feed", feed).Write();
-    metrics_.store_calls[{feed, "regained"}].Add();
+    metrics_.store_changes[{feed, "regained"}].Add();
   };
   return hooks;
 }
--- a/src/state/routed_metrics.cc
+++ b/src/state/routed_metrics.cc
@@ -18,8 +18,9 @@
     "greengage_attempts_total", "counter",
     "Attempts at searchers by reason and end; beyond the first of a service "
     "they are extra load."};
-constexpr MetricInfo kStoreCalls{"greengage_store_calls_total", "counter",
-                                 "Calls to the platform's store by result."};
+constexpr MetricInfo kStoreChanges{
+    "greengage_store_changes_total", "counter",
+    "Times that a feed of the store was lost or regained."};
 constexpr MetricInfo kAdded{"greengage_searchers_added_total", "counter",
                             "Searchers that came into the registry."};
 constexpr MetricInfo kLeft{"greengage_searchers_left_total", "counter",
@@ -44,7 +45,7 @@
 
 const std::vector<MetricInfo>& AllRoutedMetrics() {
   static const std::vector<MetricInfo> metrics{
-      kRequests, kRequestTime, kAttempts,   kStoreCalls,
+      kRequests, kRequestTime, kAttempts,   kStoreChanges,
       kAdded,    kLeft,        kCallersLeft};
   return metrics;
 }
@@ -58,7 +59,7 @@
     WriteSummary(out, kRequestTime, "route=\"" + route + "\"", distribution);
   }
   WriteLabelled(out, kAttempts, "reason", "end", metrics.attempts);
-  WriteLabelled(out, kStoreCalls, "call", "result", metrics.store_calls);
+  WriteLabelled(out, kStoreChanges, "feed", "change", metrics.store_changes);
   WriteCounter(out, kAdded, metrics.searchers_added);
   WriteCounter(out, kLeft, metrics.searchers_left);
   WriteCounter(out, kCallersLeft, metrics.callers_left);
