--- a/include/greengage/coordination/request_plan.h
+++ b/include/greengage/coordination/request_plan.h
@@ -112,7 +112,6 @@
   size_t open_attempts() const { return attempts_.size(); }
   const Route& route() const { return *route_; }
   const RouteTable& table() const { return *table_; }
-  TimePoint finish_by() const { return finish_by_; }
 
  private:
   struct Attempt {
--- a/include/greengage/transport/feed_follower.h
+++ b/include/greengage/transport/feed_follower.h
@@ -99,11 +99,6 @@
     peek_timer_.cancel();
   }
 
-  // Revision of the store that is known here; 0 before the first listing.
-  uint64_t revision() const { return revision_; }
-
-  bool lost() const { return lost_; }
-
  private:
   void List() {
     listing_.clear();
--- a/include/greengage/transport/searcher_clients.h
+++ b/include/greengage/transport/searcher_clients.h
@@ -39,8 +39,6 @@
 
   void CloseAll();
 
-  size_t open_connections() const;
-
  private:
   struct Attempt {
     std::shared_ptr<HttpClient> client;
--- a/src/transport/searcher_clients.cc
+++ b/src/transport/searcher_clients.cc
@@ -70,12 +70,4 @@
   }
 }
 
-size_t SearcherClients::open_connections() const {
-  size_t open = 0;
-  for (const auto& [searcher, client] : clients_) {
-    open += client->open_connections();
-  }
-  return open;
-}
-
 }  // namespace greengage
