Stop a request that misses its target latency from spinning

Cause: once the time for an answer with enough parts had passed without them, RequestPlan::next_timer() still named that time. RequestRouter then woke again and again, as fast as the machine could, until the caller's time was over. Found by playing the plan in virtual time, where such a request never ends. Ruled out: the timers of hedges and retries, which are taken back when they are due. Test: EachTimerLiesAheadWhileTooFewPartsAreIn, seen to fail on the code before.

--- a/include/greengage/coordination/request_plan.h
+++ b/include/greengage/coordination/request_plan.h
@@ -169,8 +169,9 @@
   RequestPlanContext* const context_;
   const std::function<uint64_t()> next_attempt_;
   const bool idempotent_;
-  TimePoint finish_by_;  // An answer is due then, whatever it is.
-  TimePoint answer_by_;  // Missing parts are not waited for any longer.
+  TimePoint finish_by_;         // An answer is due then, whatever it is.
+  TimePoint answer_by_;         // Missing parts are not waited for any longer.
+  bool target_missed_ = false;  // `answer_by_` passed without enough parts.
   std::vector<Part> parts_;
   std::unordered_map<uint64_t, Attempt> attempts_;
   bool finished_ = false;
--- a/src/coordination/request_plan.cc
+++ b/src/coordination/request_plan.cc
@@ -317,7 +317,7 @@
     return std::nullopt;
   }
   TimePoint next = finish_by_;
-  if (route_->gather) {
+  if (route_->gather && !target_missed_) {
     next = std::min(next, answer_by_);
   }
   for (const Part& part : parts_) {
@@ -367,7 +367,8 @@
   }
   const size_t least = LeastParts();
   const bool enough = answered >= least;
-  if (enough && (open == 0 || now >= answer_by_)) {
+  target_missed_ = now >= answer_by_;
+  if (enough && (open == 0 || target_missed_)) {
     Finish(now, Merge(), actions);
   } else if (answered + open < least || now >= finish_by_) {
     FinishWithout(now, actions);
--- a/tests/request_plan_test.cc
+++ b/tests/request_plan_test.cc
@@ -141,6 +141,21 @@
   cr_assert(done.cancels == std::vector<uint64_t>{started.sends[2].id});
 }
 
+Test(RequestPlan, EachTimerLiesAheadWhileTooFewPartsAreIn) {
+  PlanFixture fixture(3, 1);
+  RequestPlan plan = fixture.Plan(GatherRoute(3, 0.6), kDeadline);
+  RequestActions actions = plan.Start(kPlanStart);
+  TimePoint now = kPlanStart;
+  constexpr int kMostSteps = 100;
+  for (int step = 0; !actions.result; ++step) {
+    cr_assert(step < kMostSteps);
+    cr_assert(*plan.next_timer() > now);
+    now = *plan.next_timer();
+    actions = plan.OnTimer(now);
+  }
+  cr_assert(actions.result->end == RequestEnd::kTimedOut);
+}
+
 Test(RequestPlan, AnswersInTimeWithTheLeastCoverage) {
   PlanFixture fixture(3, 1);
   RequestPlan plan = fixture.Plan(GatherRoute(3, 0.6), kDeadline);
