Spend extra arrivals on the requests that lack the fewest parts

Cause: where most searchers turn requests away, every request took extra arrivals as it came, part by part, until none were left; most then missed the least coverage by a part or two, and what they had spent was lost. Change: a request that is likely to lack parts leaves the more of a service's extra arrivals to others the more it lacks, and a fifth more for each rank below the most urgent. A request that has enough leaves half. What is likely follows from the share of failures of the searchers asked. Ruled out: other shares (0.06 to 1) and no reserve for wholeness: worse or equal for the urgent kind.

--- a/include/greengage/coordination/request_plan.h
+++ b/include/greengage/coordination/request_plan.h
@@ -147,6 +147,9 @@
   };
 
   Choice Choose(TimePoint now, const Part& part, AttemptReason reason);
+  double BudgetReserve(TimePoint now, AttemptReason reason) const;
+  // Parts that are in or likely to come.
+  double ExpectedParts(TimePoint now) const;
   bool MaySendAgain(const Part& part) const;
   void OnPartFailed(TimePoint now, size_t index, RequestActions& actions);
   // Of `part`, or of all parts.
--- a/include/greengage/coordination/retry_budget.h
+++ b/include/greengage/coordination/retry_budget.h
@@ -34,8 +34,12 @@
 
   void OnSent(const std::string& service, Rank rank, size_t count);
 
-  // Takes `count` retries; false, without effect, when there are fewer.
-  bool TrySpend(const std::string& service, Rank rank, size_t count);
+  // Takes `count` retries; false, without effect, when fewer would be left than
+  // `reserve`, a share of what can be saved up, from 0 to 1.
+  bool TrySpend(const std::string& service,
+                Rank rank,
+                size_t count,
+                double reserve = 0);
 
  private:
   using Tokens = std::array<double, kRankCount>;
--- a/include/greengage/coordination/routed_searcher.h
+++ b/include/greengage/coordination/routed_searcher.h
@@ -59,6 +59,9 @@
                         Duration typical,
                         Duration distance) const;
 
+  // The share of its recent attempts that failed or were turned away, 0 to 1.
+  double ErrorShare(TimePoint now) const;
+
   size_t outstanding() const { return sent_.size(); }
 
   // Whether a searcher that went missing is to be forgotten.
--- a/src/coordination/request_plan.cc
+++ b/src/coordination/request_plan.cc
@@ -23,6 +23,18 @@
 // request only adds to the load that turned it away.
 constexpr uint32_t kAttemptsBeyondRoute = 2;
 
+// Share of the parts beyond which a request that lacks them gets extra arrivals
+// only while nobody else uses them.
+constexpr double kHopelessShare = 0.5;
+
+// Share of the extra arrivals that is kept for requests which lack parts, when
+// one has enough and could only become more whole.
+constexpr double kReserveForWholeness = 0.5;
+
+// Share of the extra arrivals that each rank leaves to the more urgent ones
+// when it lacks parts.
+constexpr double kReservePerRank = 0.2;
+
 // When to come back after a refusal: the time in which a searcher that was
 // lost is noticed, or a queue that was full has emptied.
 constexpr Duration kLeastRetryAfter = milliseconds(100);
@@ -150,6 +162,35 @@
   return best;
 }
 
+// Extra arrivals go to the requests that need the fewest of them to become an
+// answer: the more a request lacks, the more has to be left for others.
+double RequestPlan::BudgetReserve(TimePoint now, AttemptReason reason) const {
+  if (!route_->gather) {
+    return 0;
+  }
+  const double lacking = static_cast<double>(LeastParts()) - ExpectedParts(now);
+  if (lacking <= 0) {
+    return reason == AttemptReason::kHedge ? 0 : kReserveForWholeness;
+  }
+  return std::min(
+      1.0, lacking / (kHopelessShare * static_cast<double>(parts_.size())) +
+               kReservePerRank * static_cast<double>(IndexOf(RankOf(*route_))));
+}
+
+double RequestPlan::ExpectedParts(TimePoint now) const {
+  double expected = 0;
+  for (const Part& part : parts_) {
+    expected += part.answer ? 1 : 0;
+  }
+  for (const auto& [id, attempt] : attempts_) {
+    const Part& part = parts_[attempt.part];
+    if (!part.answer) {
+      expected += (1 - attempt.searcher->ErrorShare(now)) / part.open;
+    }
+  }
+  return expected;
+}
+
 bool RequestPlan::Send(TimePoint now,
                        size_t index,
                        AttemptReason reason,
@@ -161,7 +202,8 @@
     return false;
   }
   if (reason != AttemptReason::kFirst &&
-      !context_->extra_arrivals->TrySpend(part.service, kBudgetRank, 1)) {
+      !context_->extra_arrivals->TrySpend(part.service, kBudgetRank, 1,
+                                          BudgetReserve(now, reason))) {
     return false;
   }
   const uint64_t id = next_attempt_();
--- a/src/coordination/retry_budget.cc
+++ b/src/coordination/retry_budget.cc
@@ -50,11 +50,14 @@
 
 bool RetryBudget::TrySpend(const std::string& service,
                            Rank rank,
-                           size_t count) {
+                           size_t count,
+                           double reserve) {
   const std::lock_guard lock(mutex_);
   double& tokens = TokensOf(service)[IndexOf(rank)];
   const auto wanted = static_cast<double>(count);
-  if (tokens < wanted) {
+  // A reserve never asks for more than can be saved up.
+  const double kept = std::max(0.0, reserve * (burst_ - wanted));
+  if (tokens < wanted + kept) {
     return false;
   }
   tokens -= wanted;
--- a/src/coordination/routed_searcher.cc
+++ b/src/coordination/routed_searcher.cc
@@ -163,6 +163,10 @@
   error_share_at_ = now;
 }
 
+double RoutedSearcher::ErrorShare(TimePoint now) const {
+  return Decayed(error_share_, 0, error_share_at_, now);
+}
+
 bool RoutedSearcher::HasStalled(TimePoint now, Duration typical) const {
   if (sent_.empty()) {
     return false;
@@ -204,7 +208,7 @@
   factor *= 1 + std::max(0.0, ahead + 1 - slots) / slots;
   // Equal searchers share the work: a free slot counts a little.
   factor *= 1 + 0.1 * ahead / slots;
-  factor += kErrorCost * Decayed(error_share_, 0, error_share_at_, now);
+  factor += kErrorCost * ErrorShare(now);
   return distance + duration_cast<Duration>(typical * factor);
 }
 
--- a/tests/harness/plan_fixture.h
+++ b/tests/harness/plan_fixture.h
@@ -55,6 +55,19 @@
                        &context, [this] { return ++last_attempt; });
   }
 
+  // Each searcher of `service` has turned away its last `count` attempts.
+  void TeachFailures(const std::string& service, int count) {
+    for (const RoutedSearcherPtr& searcher : directory.Of(service)) {
+      for (int i = 0; i < count; ++i) {
+        AttemptOutcome turned_away;
+        turned_away.end = AttemptEnd::kTurnedAway;
+        searcher->OnSent(kPlanStart, ++last_attempt);
+        searcher->OnEnded(kPlanStart, last_attempt, turned_away,
+                          Duration::zero(), Duration::zero());
+      }
+    }
+  }
+
   SearcherDirectory directory;
   HedgePolicy hedges;
   RetryBudget budget;
--- a/tests/request_plan_test.cc
+++ b/tests/request_plan_test.cc
@@ -120,6 +120,30 @@
   cr_assert(extra == 1);
 }
 
+// Of two requests that meet the same failing searchers, the one that can do
+// with fewer parts gets the extra arrival.
+Test(RequestPlan, SpendsScarceExtraArrivalsWhereFewAreLacking) {
+  constexpr size_t kParts = 10;
+  PlanFixture fixture(kParts, 2, 2.8);
+  for (size_t i = 0; i < kParts; ++i) {
+    const std::string service = "s" + std::to_string(i);
+    cr_assert(fixture.budget.TrySpend(service, Rank::kUrgent, 1));
+    if (i < kParts / 2) {
+      fixture.TeachFailures(service, 4);
+    }
+  }
+  RequestPlan all = fixture.Plan(GatherRoute(kParts, 1), kDeadline);
+  const RequestActions all_sent = all.Start(kPlanStart);
+  const RequestActions given_up = all.OnAttemptEnded(
+      kPlanStart + Ms(1), all_sent.sends[0].id, Ended(AttemptEnd::kLost));
+  cr_assert(given_up.result->end == RequestEnd::kUnknown);
+  RequestPlan most = fixture.Plan(GatherRoute(kParts, 0.7), kDeadline);
+  const RequestActions most_sent = most.Start(kPlanStart + Ms(1));
+  const RequestActions again = most.OnAttemptEnded(
+      kPlanStart + Ms(2), most_sent.sends[0].id, Ended(AttemptEnd::kLost));
+  cr_assert(again.sends.size() == 1);
+}
+
 Test(RequestPlan, HedgesThePartThatIsSlowerThanUsual) {
   PlanFixture fixture(3, 2);
   RequestPlan plan = fixture.Plan(GatherRoute(3, 0.6), kDeadline);
--- /dev/null
+++ b/tools/bench/routed_fleet.cc
@@ -0,0 +1,481 @@
+#include "tools/bench/routed_fleet.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "tools/bench/routed_driver.h"
+
+namespace greengage::bench {
+namespace {
+
+using std::chrono::milliseconds;
+
+// As the routed instance sets them.
+HedgeOptions Hedges() {
+  HedgeOptions options;
+  options.quantile = 0.95;
+  options.longest_in_medians = 3;
+  options.shortest = milliseconds(5);
+  options.initial = milliseconds(80);
+  options.least_latencies = 20;
+  return options;
+}
+constexpr double kUsedShare = 0.8;
+
+// How often a caller repeats a request that was not answered.
+constexpr int kCallerRepeats = 1;
+
+Duration FromSeconds(double seconds) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(seconds));
+}
+
+Route Gather(const std::string& name,
+             size_t shards,
+             uint32_t priority,
+             double least_coverage,
+             milliseconds target) {
+  Route route;
+  route.name = name;
+  route.path_prefix = "/" + name + "/";
+  route.kind = RequestKind::kIdempotent;
+  route.timeout = milliseconds(4000);
+  route.target_latency = target;
+  route.priority = priority;
+  route.max_attempts = 2;
+  route.gather = GatherRule{{}, 50, least_coverage};
+  for (size_t i = 0; i < shards; ++i) {
+    route.gather->shards.push_back("shard-" + std::to_string(i));
+  }
+  return route;
+}
+
+}  // namespace
+
+FleetShape KettlebrookFleet() {
+  FleetShape shape;
+  shape.name = "kettlebrook";
+  shape.loads = {{Gather("list", shape.shards, 1, 0.89, milliseconds(250)),
+                  67.5, 18.8, milliseconds(2500), 0.05},
+                 {Gather("suggest", shape.shards, 0, 0.75, milliseconds(150)),
+                  22.5, 6.3, milliseconds(1500), 0.04}};
+  return shape;
+}
+
+FleetShape UmukonjeFleet() {
+  FleetShape shape;
+  shape.name = "umukonje";
+  shape.instances = 8;
+  shape.between = milliseconds(12);
+  shape.pause = milliseconds(200);
+  shape.pause_period = milliseconds(4500);
+  shape.extra_allowance = 56;
+  shape.loads = {{Gather("survey", shape.shards, 1, 0.89, milliseconds(150)),
+                  67.5, 10.3, milliseconds(800), 0.05},
+                 {Gather("check", shape.shards, 0, 0.75, milliseconds(100)),
+                  22.5, 3.6, milliseconds(600), 0.04}};
+  return shape;
+}
+
+double FleetLoadResult::CreditShare() const {
+  return offered == 0 ? 0 : credit / static_cast<double>(offered);
+}
+
+double FleetResult::ExtraPercent() const {
+  return first_arrivals == 0 ? 0
+                             : 100 * static_cast<double>(extra_arrivals) /
+                                   static_cast<double>(first_arrivals);
+}
+
+// What one instance decides with.
+struct RoutedFleet::Instance {
+  Instance(std::string data_centre, const FleetShape& shape)
+      : data_centre(data_centre),
+        directory({[](const RoutedSearcher&) {},
+                   [](const RoutedSearcher&, std::string_view) {}}),
+        hedges(Hedges()),
+        budget(shape.extra_ratio * 100 * kUsedShare,
+               shape.extra_allowance * kUsedShare /
+                   static_cast<double>(shape.instances)),
+        distances(std::move(data_centre)) {
+    context.searchers = &directory;
+    context.hedges = &hedges;
+    context.extra_arrivals = &budget;
+    context.distances = &distances;
+    context.split = &split;
+  }
+
+  const std::string data_centre;
+  SearcherDirectory directory;
+  HedgePolicy hedges;
+  RetryBudget budget;
+  DataCentreDistance distances;
+  ServiceSplit split;
+  RequestPlanContext context;
+};
+
+struct RoutedFleet::Searcher {
+  SearcherEntry entry;
+  FleetSearcherFaults faults;
+  std::vector<uint64_t> running;
+  std::deque<uint64_t> waiting;
+  TimePoint paused_until;
+};
+
+struct RoutedFleet::Request {
+  size_t load = 0;
+  size_t instance = 0;
+  TimePoint first_sent;
+  int repeats = 0;  // Of the caller, after attempts that were not answered.
+  bool measured = false;
+  bool answered = false;
+  std::unique_ptr<RoutedDriver> driver;
+  std::optional<TimePoint> armed;
+};
+
+struct RoutedFleet::Attempt {
+  uint64_t request = 0;
+  size_t searcher = 0;
+};
+
+RoutedFleet::RoutedFleet(FleetScenario scenario, uint64_t seed)
+    : scenario_(std::move(scenario)),
+      random_(static_cast<std::minstd_rand::result_type>(seed)) {
+  result_.loads.resize(scenario_.shape.loads.size());
+  Build();
+}
+
+RoutedFleet::~RoutedFleet() = default;
+
+size_t RoutedFleet::searchers() const {
+  return searchers_.size();
+}
+
+FleetSearcherFaults& RoutedFleet::faults(size_t searcher) {
+  return searchers_[searcher]->faults;
+}
+
+void RoutedFleet::Build() {
+  const FleetShape& shape = scenario_.shape;
+  RouteTable::Builder table;
+  for (const FleetLoad& load : shape.loads) {
+    table.Add(load.route);
+  }
+  table_ = *table.Build();
+  std::vector<SearcherEntry> entries;
+  for (size_t i = 0; i < shape.shards * shape.replicas; ++i) {
+    const size_t shard = i / shape.replicas;
+    const size_t data_centre =
+        (shard + i % shape.replicas) % shape.data_centres;
+    SearcherEntry entry;
+    entry.id = "searcher-" + std::to_string(i);
+    entry.service = "shard-" + std::to_string(shard);
+    entry.data_centre = "dc-" + std::to_string(data_centre);
+    entry.slots = shape.slots;
+    entries.push_back(entry);
+    searchers_.push_back(std::make_unique<Searcher>());
+    searchers_.back()->entry = std::move(entry);
+    PlanPauses(i);
+  }
+  for (size_t i = 0; i < shape.instances; ++i) {
+    instances_.push_back(std::make_unique<Instance>(
+        "dc-" + std::to_string(i % shape.data_centres), shape));
+    instances_.back()->directory.Replace(events_.now(), entries);
+    instances_.back()->context.random.seed(random_());
+  }
+}
+
+void RoutedFleet::PlanPauses(size_t searcher) {
+  const FleetShape& shape = scenario_.shape;
+  std::uniform_int_distribution<int64_t> phase(0, shape.pause_period.count());
+  const TimePoint end = MeasuredFrom() + scenario_.measured;
+  for (TimePoint at = TimePoint() + Duration(phase(random_)); at < end;
+       at += shape.pause_period) {
+    events_.At(at, [this, searcher] {
+      searchers_[searcher]->paused_until =
+          events_.now() + scenario_.shape.pause;
+    });
+  }
+}
+
+FleetResult RoutedFleet::Run() {
+  if (scenario_.prepare) {
+    scenario_.prepare(*this);
+  }
+  Duration longest{};
+  for (size_t i = 0; i < scenario_.shape.loads.size(); ++i) {
+    ScheduleArrival(i);
+    longest = std::max<Duration>(longest, scenario_.shape.loads[i].deadline);
+  }
+  events_.RunUntil(MeasuredFrom() + scenario_.measured + longest);
+  result_.worst_extra_share = WorstExtraShare();
+  return std::move(result_);
+}
+
+void RoutedFleet::ScheduleArrival(size_t load) {
+  std::exponential_distribution<double> gap(
+      scenario_.shape.loads[load].per_second);
+  const TimePoint at = events_.now() + FromSeconds(gap(random_));
+  if (at >= MeasuredFrom() + scenario_.measured) {
+    return;
+  }
+  events_.At(at, [this, load] {
+    Offer(load, events_.now(), 0);
+    ScheduleArrival(load);
+  });
+}
+
+void RoutedFleet::Offer(size_t load, TimePoint first_sent, int repeats) {
+  const FleetLoad& kind = scenario_.shape.loads[load];
+  const uint64_t number = next_request_++;
+  auto request = std::make_unique<Request>();
+  request->load = load;
+  request->instance = random_() % instances_.size();
+  request->first_sent = first_sent;
+  request->repeats = repeats;
+  request->measured = first_sent >= MeasuredFrom();
+  result_.loads[load].offered += request->measured && repeats == 0 ? 1 : 0;
+  const auto next_attempt = [this] { return ++next_attempt_; };
+  RequestPlanContext* const context = &instances_[request->instance]->context;
+  const Route* const route = &table_->routes()[load];
+  const TimePoint deadline = events_.now() + kind.deadline;
+  request->driver =
+      scenario_.naive ? MakeNaiveDriver(route, deadline, context, next_attempt)
+                      : MakePlanDriver(events_.now(), table_, route, deadline,
+                                       context, next_attempt);
+  Request& placed = *(requests_[number] = std::move(request));
+  CarryOut(number, placed.driver->Start(events_.now()));
+}
+
+void RoutedFleet::CarryOut(uint64_t number, RequestActions actions) {
+  for (const AttemptToSend& send : actions.sends) {
+    Send(number, send);
+  }
+  for (const uint64_t attempt : actions.cancels) {
+    Cancel(attempt);
+  }
+  const auto found = requests_.find(number);
+  if (found == requests_.end()) {
+    return;
+  }
+  Request& request = *found->second;
+  if (actions.result) {
+    Count(request, *actions.result);
+    request.answered = true;
+  }
+  if (request.answered && request.driver->open_attempts() == 0) {
+    requests_.erase(found);
+    return;
+  }
+  Arm(number);
+}
+
+void RoutedFleet::Send(uint64_t number, const AttemptToSend& send) {
+  const Request& request = *requests_.at(number);
+  const SearcherEntry& entry = send.searcher->entry();
+  const auto found = std::find_if(
+      searchers_.begin(), searchers_.end(),
+      [&](const auto& searcher) { return searcher->entry.id == entry.id; });
+  const auto index = static_cast<size_t>(found - searchers_.begin());
+  attempts_[send.id] = {number, index};
+  CountArrival(entry.service, send.reason != AttemptReason::kFirst);
+  events_.After(Way(*instances_[request.instance], **found),
+                [this, id = send.id] { Arrive(id); });
+}
+
+Duration RoutedFleet::Way(const Instance& instance,
+                          const Searcher& searcher) const {
+  return instance.data_centre == searcher.entry.data_centre
+             ? scenario_.shape.within
+             : scenario_.shape.between;
+}
+
+// The attempt ends at once for the instance, and a way later for the searcher.
+void RoutedFleet::Cancel(uint64_t id) {
+  const auto found = attempts_.find(id);
+  if (found == attempts_.end()) {
+    return;
+  }
+  const size_t index = found->second.searcher;
+  const Request& request = *requests_.at(found->second.request);
+  events_.After(Way(*instances_[request.instance], *searchers_[index]),
+                [this, id, index] {
+                  Searcher& searcher = *searchers_[index];
+                  std::erase(searcher.waiting, id);
+                  std::erase(searcher.running, id);
+                  StartNext(searcher);
+                });
+  AttemptOutcome outcome;
+  outcome.end = AttemptEnd::kAbandoned;
+  Deliver(id, std::move(outcome));
+}
+
+void RoutedFleet::Arrive(uint64_t id) {
+  const auto found = attempts_.find(id);
+  if (found == attempts_.end()) {
+    return;
+  }
+  Searcher& searcher = *searchers_[found->second.searcher];
+  if (searcher.faults.silent) {
+    return;
+  }
+  std::uniform_real_distribution<double> chance(0, 1);
+  if (chance(random_) < searcher.faults.turns_away) {
+    Reply(id, AttemptEnd::kTurnedAway);
+    return;
+  }
+  searcher.waiting.push_back(id);
+  StartNext(searcher);
+}
+
+void RoutedFleet::StartNext(Searcher& searcher) {
+  while (searcher.running.size() < scenario_.shape.slots &&
+         !searcher.waiting.empty()) {
+    const uint64_t id = searcher.waiting.front();
+    searcher.waiting.pop_front();
+    const auto found = attempts_.find(id);
+    if (found == attempts_.end()) {
+      continue;
+    }
+    searcher.running.push_back(id);
+    const TimePoint start = std::max(events_.now(), searcher.paused_until);
+    events_.At(start + WorkOf(found->second), [this, id] { Complete(id); });
+  }
+}
+
+Duration RoutedFleet::WorkOf(const Attempt& attempt) {
+  const size_t load = requests_.at(attempt.request)->load;
+  std::lognormal_distribution<double> usual(
+      std::log(scenario_.shape.loads[load].work_median_ms),
+      scenario_.shape.work_sigma);
+  const double slowdown = searchers_[attempt.searcher]->faults.slowdown;
+  return FromSeconds(usual(random_) * slowdown / 1000);
+}
+
+void RoutedFleet::Complete(uint64_t id) {
+  const auto found = attempts_.find(id);
+  if (found == attempts_.end()) {
+    return;
+  }
+  Searcher& searcher = *searchers_[found->second.searcher];
+  if (events_.now() < searcher.paused_until) {
+    events_.At(searcher.paused_until, [this, id] { Complete(id); });
+    return;
+  }
+  std::erase(searcher.running, id);
+  Reply(id, AttemptEnd::kAnswered);
+  StartNext(searcher);
+}
+
+void RoutedFleet::Reply(uint64_t id, AttemptEnd end) {
+  const Attempt& attempt = attempts_.at(id);
+  const Searcher& searcher = *searchers_[attempt.searcher];
+  const Request& request = *requests_.at(attempt.request);
+  AttemptOutcome outcome;
+  outcome.end = end;
+  outcome.answer.status = end == AttemptEnd::kAnswered ? 200 : 503;
+  outcome.load = ToldLoad{static_cast<uint32_t>(searcher.running.size()),
+                          static_cast<uint32_t>(searcher.waiting.size()),
+                          scenario_.shape.slots};
+  events_.After(Way(*instances_[request.instance], searcher),
+                [this, id, outcome = std::move(outcome)]() mutable {
+                  Deliver(id, std::move(outcome));
+                });
+}
+
+void RoutedFleet::Deliver(uint64_t id, AttemptOutcome outcome) {
+  const auto found = attempts_.find(id);
+  if (found == attempts_.end()) {
+    return;
+  }
+  const uint64_t number = found->second.request;
+  attempts_.erase(found);
+  const auto request = requests_.find(number);
+  if (request != requests_.end()) {
+    CarryOut(number, request->second->driver->OnAttemptEnded(
+                         events_.now(), id, std::move(outcome)));
+  }
+}
+
+void RoutedFleet::Arm(uint64_t number) {
+  Request& request = *requests_.at(number);
+  const std::optional<TimePoint> next = request.driver->next_timer();
+  if (!next || (request.armed && *request.armed <= *next)) {
+    return;
+  }
+  request.armed = next;
+  events_.At(std::max(*next, events_.now()), [this, number] {
+    const auto found = requests_.find(number);
+    if (found != requests_.end()) {
+      found->second->armed.reset();
+      CarryOut(number, found->second->driver->OnTimer(events_.now()));
+    }
+  });
+}
+
+void RoutedFleet::Count(const Request& request, const RequestResult& result) {
+  if (result.end != RequestEnd::kMerged && request.repeats < kCallerRepeats) {
+    events_.After(
+        result.retry_after + 2 * scenario_.shape.within,
+        [this, load = request.load, first = request.first_sent,
+         repeats = request.repeats + 1] { Offer(load, first, repeats); });
+    return;
+  }
+  if (!request.measured) {
+    return;
+  }
+  FleetLoadResult& counted = result_.loads[request.load];
+  const FleetLoad& load = scenario_.shape.loads[request.load];
+  const Duration took = events_.now() - request.first_sent;
+  counted.seconds.push_back(std::chrono::duration<double>(took).count());
+  if (result.end == RequestEnd::kNotRun) {
+    ++counted.refused;
+    return;
+  }
+  if (result.end != RequestEnd::kMerged) {
+    ++counted.failed;
+    return;
+  }
+  const auto parts = static_cast<double>(result.parts.size());
+  const double coverage =
+      parts / (parts + static_cast<double>(result.missing_parts));
+  const bool in_time = took <= load.route.target_latency;
+  counted.in_time += in_time ? 1 : 0;
+  counted.late += in_time ? 0 : 1;
+  counted.credit += coverage * coverage * (in_time ? 1 : load.late_share);
+}
+
+void RoutedFleet::CountArrival(const std::string& service, bool extra) {
+  (extra ? result_.extra_arrivals : result_.first_arrivals) += 1;
+  const auto second =
+      static_cast<size_t>(std::chrono::duration_cast<std::chrono::seconds>(
+                              events_.now().time_since_epoch())
+                              .count());
+  std::vector<SecondOfArrivals>& seconds = arrivals_[service];
+  seconds.resize(std::max(seconds.size(), second + 1));
+  (extra ? seconds[second].extra : seconds[second].first) += 1;
+}
+
+double RoutedFleet::WorstExtraShare() const {
+  const FleetShape& shape = scenario_.shape;
+  const auto window = static_cast<size_t>(
+      std::chrono::duration_cast<std::chrono::seconds>(shape.extra_window)
+          .count());
+  double worst = 0;
+  for (const auto& [service, seconds] : arrivals_) {
+    for (size_t from = 0; from < seconds.size(); ++from) {
+      double first = 0;
+      double extra = 0;
+      for (size_t i = from; i < std::min(from + window, seconds.size()); ++i) {
+        first += static_cast<double>(seconds[i].first);
+        extra += static_cast<double>(seconds[i].extra);
+      }
+      worst = std::max(
+          worst, extra / (shape.extra_ratio * first + shape.extra_allowance));
+    }
+  }
+  return worst;
+}
+
+}  // namespace greengage::bench
--- /dev/null
+++ b/tools/bench/routed_fleet.h
@@ -0,0 +1,157 @@
+// Routed instances and their searchers in virtual time: the decisions on opaque
+// requests, played under a load and with faults.
+#ifndef TOOLS_BENCH_ROUTED_FLEET_H_
+#define TOOLS_BENCH_ROUTED_FLEET_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "greengage/coordination/request_plan.h"
+#include "tools/bench/event_queue.h"
+
+namespace greengage::bench {
+
+// One kind of request and how often callers send it.
+struct FleetLoad {
+  Route route;
+  double per_second = 0;
+  double work_median_ms = 0;
+  std::chrono::milliseconds deadline{};
+  double late_share = 0;  // What a late answer is worth, of one in time.
+};
+
+// A deployment: instances and searchers are dealt out to the data centres in
+// turn. Times are one way.
+struct FleetShape {
+  std::string name;
+  size_t data_centres = 3;
+  size_t instances = 9;
+  size_t shards = 20;
+  size_t replicas = 2;
+  uint32_t slots = 2;
+  Duration within = std::chrono::microseconds(200);
+  Duration between = std::chrono::milliseconds(20);
+  double work_sigma = 0.35;  // Of the logarithm.
+  Duration pause = std::chrono::milliseconds(300);
+  Duration pause_period = std::chrono::milliseconds(7500);
+  double extra_ratio = 0.2;     // Extra arrivals a request may cost, and
+  double extra_allowance = 58;  // those that are free, in each window.
+  Duration extra_window = std::chrono::seconds(10);
+  std::vector<FleetLoad> loads;
+};
+
+// The two deployments that the platform's users run.
+FleetShape KettlebrookFleet();
+FleetShape UmukonjeFleet();
+
+// What a simulated searcher does wrong; faults change it at any time.
+struct FleetSearcherFaults {
+  double turns_away = 0;  // Share of the arrivals that it does not run.
+  double slowdown = 1;
+  bool silent = false;
+};
+
+// Requests of one load that arrived in the measured time.
+struct FleetLoadResult {
+  uint64_t offered = 0;
+  uint64_t in_time = 0;
+  uint64_t late = 0;
+  uint64_t refused = 0;  // Not run, with a time to come back.
+  uint64_t failed = 0;
+  double credit = 0;  // Squared coverage, less for late answers.
+  // In fractions of a second; the last answer or refusal of each.
+  std::vector<double> seconds;
+
+  double CreditShare() const;
+};
+
+struct FleetResult {
+  std::vector<FleetLoadResult> loads;  // In the shape's order.
+  uint64_t first_arrivals = 0;
+  uint64_t extra_arrivals = 0;
+  // Over all services and windows: extra arrivals over what was allowed.
+  double worst_extra_share = 0;
+
+  double ExtraPercent() const;
+};
+
+class RoutedFleet;
+
+struct FleetScenario {
+  FleetShape shape;
+  bool naive = false;
+  Duration warm_up = std::chrono::seconds(3);
+  Duration measured = std::chrono::seconds(20);
+  std::function<void(RoutedFleet&)> prepare;  // Schedules faults.
+};
+
+class RoutedFleet {
+ public:
+  RoutedFleet(FleetScenario scenario, uint64_t seed);
+  ~RoutedFleet();
+
+  FleetResult Run();
+
+  // For faults.
+  EventQueue& events() { return events_; }
+  std::minstd_rand& random() { return random_; }
+  size_t searchers() const;
+  FleetSearcherFaults& faults(size_t searcher);
+  TimePoint MeasuredFrom() const { return TimePoint() + scenario_.warm_up; }
+
+ private:
+  struct Instance;
+  struct Searcher;
+  struct Request;
+  struct Attempt;
+
+  void Build();
+  void PlanPauses(size_t searcher);
+  void ScheduleArrival(size_t load);
+  void Offer(size_t load, TimePoint first_sent, int repeats);
+  void CarryOut(uint64_t request, RequestActions actions);
+  void Send(uint64_t request, const AttemptToSend& send);
+  void Cancel(uint64_t attempt);
+  void Arrive(uint64_t attempt);
+  void StartNext(Searcher& searcher);
+  void Complete(uint64_t attempt);
+  void Reply(uint64_t attempt, AttemptEnd end);
+  void Deliver(uint64_t attempt, AttemptOutcome outcome);
+  void Arm(uint64_t request);
+  void Count(const Request& request, const RequestResult& result);
+  Duration Way(const Instance& instance, const Searcher& searcher) const;
+  Duration WorkOf(const Attempt& attempt);
+  void CountArrival(const std::string& service, bool extra);
+  double WorstExtraShare() const;
+
+  const FleetScenario scenario_;
+  EventQueue events_;
+  std::minstd_rand random_;
+  RouteTablePtr table_;
+  std::vector<std::unique_ptr<Instance>> instances_;
+  std::vector<std::unique_ptr<Searcher>> searchers_;
+  std::unordered_map<uint64_t, std::unique_ptr<Request>> requests_;
+  std::unordered_map<uint64_t, Attempt> attempts_;
+  uint64_t next_request_ = 0;
+  uint64_t next_attempt_ = 0;
+  // Arrivals of each service in each second, first ones and extra ones.
+  struct SecondOfArrivals {
+    uint64_t first = 0;
+    uint64_t extra = 0;
+  };
+  std::unordered_map<std::string, std::vector<SecondOfArrivals>> arrivals_;
+  FleetResult result_;
+};
+
+}  // namespace greengage::bench
+
+#endif  // TOOLS_BENCH_ROUTED_FLEET_H_
