--- a/tools/bench/experiments_routed.cc
+++ b/tools/bench/experiments_routed.cc
@@ -37,6 +37,7 @@
           static_cast<double>(own.in_time));
       add("failed", "", static_cast<double>(plain.failed),
           static_cast<double>(own.failed));
+      add("wait in vain", "ms", plain.MeanVainMs(), own.MeanVainMs());
       add("refused", "", static_cast<double>(plain.refused),
           static_cast<double>(own.refused));
     }
@@ -59,5 +60,17 @@
     {"routed-turned-away", "most searchers turn most routed requests away",
      [](uint64_t seed) { return CompareFleets(seed, MostTurnAway); }});
 
+const Registration kShardsSilent(
+    {"routed-shards-silent", "all searchers of three shards are silent",
+     [](uint64_t seed) { return CompareFleets(seed, ShardsGoSilent); }});
+
+const Registration kManySilent(
+    {"routed-many-silent", "three of ten searchers are silent",
+     [](uint64_t seed) { return CompareFleets(seed, ManyGoSilent); }});
+
+const Registration kManySlow(
+    {"routed-many-slow", "half of the searchers turn slow",
+     [](uint64_t seed) { return CompareFleets(seed, ManyTurnSlow); }});
+
 }  // namespace
 }  // namespace greengage::bench
--- a/tools/bench/routed_faults.h
+++ b/tools/bench/routed_faults.h
@@ -11,6 +11,16 @@
 // of what arrives.
 void MostTurnAway(RoutedFleet& fleet);
 
+// All searchers of three shards are silent for six seconds, so that requests
+// which need nine of ten shards cannot be answered.
+void ShardsGoSilent(RoutedFleet& fleet);
+
+// Three of ten searchers are silent for six seconds.
+void ManyGoSilent(RoutedFleet& fleet);
+
+// Half of the searchers take six times as long for six seconds.
+void ManyTurnSlow(RoutedFleet& fleet);
+
 }  // namespace greengage::bench
 
 #endif  // TOOLS_BENCH_ROUTED_FAULTS_H_
--- a/tools/bench/routed_fleet.cc
+++ b/tools/bench/routed_fleet.cc
@@ -82,6 +82,14 @@
   return offered == 0 ? 0 : credit / static_cast<double>(offered);
 }
 
+double FleetLoadResult::MeanVainMs() const {
+  const uint64_t count = refused + failed;
+  return count == 0 ? 0
+                    : std::chrono::duration<double, std::milli>(waited_in_vain)
+                              .count() /
+                          static_cast<double>(count);
+}
+
 double FleetResult::ExtraPercent() const {
   return first_arrivals == 0 ? 0
                              : 100 * static_cast<double>(extra_arrivals) /
@@ -428,13 +436,9 @@
   FleetLoadResult& counted = result_.loads[request.load];
   const FleetLoad& load = scenario_.shape.loads[request.load];
   const Duration took = events_.now() - request.first_sent;
-  counted.seconds.push_back(std::chrono::duration<double>(took).count());
-  if (result.end == RequestEnd::kNotRun) {
-    ++counted.refused;
-    return;
-  }
   if (result.end != RequestEnd::kMerged) {
-    ++counted.failed;
+    (result.end == RequestEnd::kNotRun ? counted.refused : counted.failed) += 1;
+    counted.waited_in_vain += took;
     return;
   }
   const auto parts = static_cast<double>(result.parts.size());
--- a/tools/bench/routed_fleet.h
+++ b/tools/bench/routed_fleet.h
@@ -68,10 +68,13 @@
   uint64_t refused = 0;  // Not run, with a time to come back.
   uint64_t failed = 0;
   double credit = 0;  // Squared coverage, less for late answers.
-  // In fractions of a second; the last answer or refusal of each.
-  std::vector<double> seconds;
+  // How long callers waited for refusals and failures, all together.
+  Duration waited_in_vain{};
 
   double CreditShare() const;
+
+  // Milliseconds that a refusal or failure took, on average.
+  double MeanVainMs() const;
 };
 
 struct FleetResult {
@@ -104,6 +107,7 @@
   // For faults.
   EventQueue& events() { return events_; }
   std::minstd_rand& random() { return random_; }
+  const FleetShape& shape() const { return scenario_.shape; }
   size_t searchers() const;
   FleetSearcherFaults& faults(size_t searcher);
   TimePoint MeasuredFrom() const { return TimePoint() + scenario_.warm_up; }
