Refuse at once what silent or overloaded shards keep from being answered

Cause: a request that needed shards whose searchers had all gone silent was still sent and held until its deadline, though its instance had seen the silence already. Where half of the searchers turn slow, late work of a lower rank filled the queues in front of urgent work. Urgent requests are sent as long as they can be answered at all. A silent searcher gets a trial each 500 ms. - One that is under way ends after its target latency once its searchers have been silent for a second. - Attempts given up while a searcher answered nothing show silence, not slowness; that is forgotten with its first answer. - Callers are asked back after as long as the silence has lasted, or as the queue is too long, the most urgent first.

--- a/include/greengage/coordination/request_plan.h
+++ b/include/greengage/coordination/request_plan.h
@@ -141,6 +141,11 @@
             size_t index,
             AttemptReason reason,
             RequestActions& actions);
+  // The time after which enough parts are likely to be in soon enough; empty
+  // if that holds now.
+  std::optional<Duration> WaitForEnoughParts(TimePoint now) const;
+  Duration WaitForPart(TimePoint now, const Part& part) const;
+  Duration WaitForSearcher(TimePoint now, const RoutedSearcher& searcher) const;
   struct Choice {
     RoutedSearcherPtr searcher;  // Null if there is none.
     Duration expected{};
@@ -160,9 +165,15 @@
   void ConcludeSingle(TimePoint now, RequestActions& actions);
   void ConcludeGather(TimePoint now, RequestActions& actions);
   void Finish(TimePoint now, RequestResult result, RequestActions& actions);
+  void Refuse(TimePoint now,
+              Duration wait,
+              std::string_view cause,
+              RequestActions& actions);
   void FinishWithout(TimePoint now, RequestActions& actions);
   RequestResult Merge();
   size_t LeastParts() const;
+  // Parts that are in or may still come.
+  size_t PartsNotLost(TimePoint now) const;
   bool AnyMayHaveRun() const;
   Duration Typical(TimePoint now) const;
   Duration HedgeDelay(TimePoint now) const;
@@ -174,6 +185,7 @@
   const bool idempotent_;
   TimePoint finish_by_;         // An answer is due then, whatever it is.
   TimePoint answer_by_;         // Missing parts are not waited for any longer.
+  TimePoint look_again_at_;     // Whether what is missing may still come.
   bool target_missed_ = false;  // `answer_by_` passed without enough parts.
   std::vector<Part> parts_;
   std::unordered_map<uint64_t, Attempt> attempts_;
--- a/include/greengage/coordination/routed_searcher.h
+++ b/include/greengage/coordination/routed_searcher.h
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "greengage/coordination/decayed_mean.h"
 #include "greengage/state/searcher_answer.h"
 #include "greengage/state/searcher_entry.h"
 #include "greengage/state/time.h"
@@ -62,6 +63,14 @@
   // The share of its recent attempts that failed or were turned away, 0 to 1.
   double ErrorShare(TimePoint now) const;
 
+  // How long its oldest request has waited if it has answered nothing since;
+  // else zero.
+  Duration SilentFor(TimePoint now) const;
+
+  // Whether the last request is old enough for another one to try whether it
+  // answers again.
+  bool TakesTrial(TimePoint now) const;
+
   size_t outstanding() const { return sent_.size(); }
 
   // Whether a searcher that went missing is to be forgotten.
@@ -71,12 +80,11 @@
   bool HasStalled(TimePoint now, Duration typical) const;
   void OnFailure(TimePoint now, bool certain);
   void OnSuccess(TimePoint now);
-  void LearnSpeed(TimePoint now, Duration latency, Duration typical);
+  void LearnSpeed(TimePoint now,
+                  Duration latency,
+                  Duration typical,
+                  DecayedMean& slowness) const;
   void LearnErrors(TimePoint now, bool error);
-  double Decayed(double value,
-                 double rest,
-                 TimePoint since,
-                 TimePoint now) const;
 
   SearcherEntry entry_;
   TimePoint warm_at_;
@@ -87,10 +95,11 @@
   uint32_t failures_ = 0;  // Without an answer, in a row.
   std::optional<TimePoint> avoided_until_;
   Duration avoidance_{};
-  double slowness_ = 1;  // Its time over the usual one.
-  TimePoint slowness_at_;
-  double error_share_ = 0;
-  TimePoint error_share_at_;
+  DecayedMean slowness_;  // Its time over the usual one.
+  // The same, shown by attempts that were given up while it answered nothing;
+  // forgotten once it answers.
+  DecayedMean silent_slowness_;
+  DecayedMean error_share_;
   ToldLoad load_;
   TimePoint load_at_;
 };
--- a/src/coordination/request_plan.cc
+++ b/src/coordination/request_plan.cc
@@ -35,11 +35,23 @@
 // when it lacks parts.
 constexpr double kReservePerRank = 0.2;
 
+// A searcher that has been silent for this long has not only paused. A request
+// that needs it ends then, or at its target latency if that is later.
+constexpr Duration kLostSilence = std::chrono::seconds(1);
+constexpr Duration kLookAgainPause = milliseconds(100);
+
+// A searcher is taken to be overloaded only if it takes so many times as long
+// as usual: where all are slow, or little is known yet, none is.
+constexpr int kOverloadFactor = 2;
+
 // When to come back after a refusal: the time in which a searcher that was
 // lost is noticed, or a queue that was full has emptied.
 constexpr Duration kLeastRetryAfter = milliseconds(100);
 constexpr Duration kLongestRetryAfter = std::chrono::seconds(1);
 
+// Share of that time over which the callers of one rank are spread.
+constexpr double kRetrySpread = 0.2;
+
 // Extra arrivals are counted for a service, whatever their rank.
 constexpr Rank kBudgetRank = Rank::kUrgent;
 
@@ -113,8 +125,16 @@
 
 RequestActions RequestPlan::Start(TimePoint now) {
   RequestActions actions;
+  for (const Part& part : parts_) {
+    context_->extra_arrivals->OnSent(part.service, kBudgetRank, 1);
+  }
+  if (route_->gather) {
+    if (const std::optional<Duration> wait = WaitForEnoughParts(now)) {
+      Refuse(now, *wait, "too few parts are likely to be in in time", actions);
+      return actions;
+    }
+  }
   for (size_t i = 0; i < parts_.size(); ++i) {
-    context_->extra_arrivals->OnSent(parts_[i].service, kBudgetRank, 1);
     if (!Send(now, i, AttemptReason::kFirst, actions)) {
       parts_[i].closed = true;
     }
@@ -123,6 +143,53 @@
   return actions;
 }
 
+std::optional<Duration> RequestPlan::WaitForEnoughParts(TimePoint now) const {
+  std::vector<Duration> waits;
+  waits.reserve(parts_.size());
+  for (const Part& part : parts_) {
+    waits.push_back(WaitForPart(now, part));
+  }
+  const auto last_needed =
+      waits.begin() + static_cast<std::ptrdiff_t>(LeastParts()) - 1;
+  std::nth_element(waits.begin(), last_needed, waits.end());
+  return *last_needed > Duration::zero() ? std::optional(*last_needed)
+                                         : std::nullopt;
+}
+
+Duration RequestPlan::WaitForPart(TimePoint now, const Part& part) const {
+  Duration shortest = kLongestRetryAfter;
+  for (const RoutedSearcherPtr& searcher :
+       context_->searchers->Of(part.service)) {
+    shortest = std::min(shortest, WaitForSearcher(now, *searcher));
+  }
+  return shortest;
+}
+
+Duration RequestPlan::WaitForSearcher(TimePoint now,
+                                      const RoutedSearcher& searcher) const {
+  const Duration typical = Typical(now);
+  switch (searcher.UsabilityAt(now, typical)) {
+    case Usability::kNone:
+      return kLongestRetryAfter;
+    case Usability::kAvoided:
+      return searcher.TakesTrial(now) ? Duration::zero()
+                                      : searcher.SilentFor(now);
+    case Usability::kGood:
+    case Usability::kMissing:
+      break;
+  }
+  const Duration distance =
+      context_->distances->Of(searcher.entry().data_centre);
+  const Duration expected = searcher.ExpectedTime(now, typical, distance);
+  if (expected - distance < kOverloadFactor * typical) {
+    return Duration::zero();
+  }
+  // Late work of a lower rank would hold up urgent work behind it.
+  const TimePoint useful_by =
+      RankOf(*route_) == Rank::kUrgent ? finish_by_ : answer_by_;
+  return std::max<Duration>(Duration::zero(), now + expected - useful_by);
+}
+
 Duration RequestPlan::Typical(TimePoint now) const {
   return context_->hedges->Typical(now, route_->name, RankOf(*route_));
 }
@@ -359,8 +426,8 @@
     return std::nullopt;
   }
   TimePoint next = finish_by_;
-  if (route_->gather && !target_missed_) {
-    next = std::min(next, answer_by_);
+  if (route_->gather) {
+    next = std::min(next, target_missed_ ? look_again_at_ : answer_by_);
   }
   for (const Part& part : parts_) {
     if (part.closed) {
@@ -410,13 +477,29 @@
   const size_t least = LeastParts();
   const bool enough = answered >= least;
   target_missed_ = now >= answer_by_;
+  look_again_at_ = now + kLookAgainPause;
   if (enough && (open == 0 || target_missed_)) {
     Finish(now, Merge(), actions);
-  } else if (answered + open < least || now >= finish_by_) {
+  } else if (answered + open < least || now >= finish_by_ ||
+             (target_missed_ && PartsNotLost(now) < least)) {
     FinishWithout(now, actions);
   }
 }
 
+size_t RequestPlan::PartsNotLost(TimePoint now) const {
+  std::vector<bool> not_lost(parts_.size());
+  for (size_t i = 0; i < parts_.size(); ++i) {
+    not_lost[i] = parts_[i].answer || parts_[i].retry_at;
+  }
+  for (const auto& [id, attempt] : attempts_) {
+    if (attempt.searcher->SilentFor(now) < kLostSilence) {
+      not_lost[attempt.part] = true;
+    }
+  }
+  return static_cast<size_t>(
+      std::count(not_lost.begin(), not_lost.end(), true));
+}
+
 size_t RequestPlan::LeastParts() const {
   // The bound is a decimal fraction: 0.9 of 20 must not become 19.
   constexpr double kRounding = 1e-9;
@@ -445,18 +528,33 @@
   return result;
 }
 
-void RequestPlan::FinishWithout(TimePoint now, RequestActions& actions) {
+// Callers come back one after the other, the most urgent first.
+void RequestPlan::Refuse(TimePoint now,
+                         Duration wait,
+                         std::string_view cause,
+                         RequestActions& actions) {
+  const auto rank = static_cast<double>(IndexOf(RankOf(*route_)));
+  std::uniform_real_distribution<double> spread(1 + rank * kRetrySpread,
+                                                1 + (rank + 1) * kRetrySpread);
+  const Duration bounded =
+      std::clamp(wait, kLeastRetryAfter, kLongestRetryAfter);
   RequestResult result;
-  const bool due = now >= finish_by_;
+  result.end = RequestEnd::kNotRun;
+  result.cause = cause;
+  result.retry_after =
+      std::chrono::duration_cast<Duration>(bounded * spread(context_->random));
+  Finish(now, std::move(result), actions);
+}
+
+void RequestPlan::FinishWithout(TimePoint now, RequestActions& actions) {
   if (!AnyMayHaveRun()) {
-    result.end = RequestEnd::kNotRun;
-    result.cause = "no searcher could take it";
-    result.retry_after = std::clamp<Duration>(
-        Typical(now) * 2, kLeastRetryAfter, kLongestRetryAfter);
-  } else {
-    result.end = due ? RequestEnd::kTimedOut : RequestEnd::kUnknown;
-    result.cause = due ? "its time was over" : "attempts were lost";
+    Refuse(now, Typical(now) * 2, "no searcher could take it", actions);
+    return;
   }
+  RequestResult result;
+  const bool due = now >= finish_by_;
+  result.end = due ? RequestEnd::kTimedOut : RequestEnd::kUnknown;
+  result.cause = due ? "its time was over" : "attempts were lost";
   Finish(now, std::move(result), actions);
 }
 
--- a/src/coordination/routed_searcher.cc
+++ b/src/coordination/routed_searcher.cc
@@ -23,6 +23,10 @@
 constexpr int kStallFactor = 3;
 constexpr Duration kLeastStall = milliseconds(40);
 
+// A searcher that has stopped answering gets a request this often, to see
+// whether it is back.
+constexpr Duration kTrialPeriod = milliseconds(500);
+
 // Half-lives of what was learned once nothing new comes in: a searcher that
 // was slow or failed is tried again after a few of them.
 constexpr Duration kHalfLife = std::chrono::seconds(2);
@@ -45,8 +49,9 @@
 RoutedSearcher::RoutedSearcher(TimePoint now, SearcherEntry entry)
     : entry_(std::move(entry)),
       warm_at_(now + entry_.warm_up_left),
-      slowness_at_(now),
-      error_share_at_(now) {}
+      slowness_(now, 1, kHalfLife),
+      silent_slowness_(now, 1, kHalfLife),
+      error_share_(now, 0, kHalfLife) {}
 
 void RoutedSearcher::Refresh(TimePoint now, SearcherEntry entry) {
   // Once it leaves, it does not come back as the same process.
@@ -81,7 +86,8 @@
   if (found == sent_.end()) {
     return;
   }
-  const Duration latency = now - found->second;
+  const TimePoint sent = found->second;
+  const Duration latency = now - sent;
   sent_.erase(found);
   if (outcome.load) {
     load_ = *outcome.load;
@@ -91,7 +97,7 @@
     case AttemptEnd::kAnswered:
       OnSuccess(now);
       LearnErrors(now, false);
-      LearnSpeed(now, latency - distance, typical);
+      LearnSpeed(now, latency - distance, typical, slowness_);
       break;
     case AttemptEnd::kFailed:
     case AttemptEnd::kTurnedAway:
@@ -109,8 +115,8 @@
       OnFailure(now, true);
       break;
     case AttemptEnd::kAbandoned:
-      // It had its time; what is slow shows in the answers of others.
-      LearnSpeed(now, latency, typical);
+      LearnSpeed(now, latency, typical,
+                 last_answer_ < sent ? silent_slowness_ : slowness_);
       break;
   }
 }
@@ -120,6 +126,7 @@
   failures_ = 0;
   avoided_until_.reset();
   avoidance_ = Duration::zero();
+  silent_slowness_.Reset();
 }
 
 void RoutedSearcher::OnFailure(TimePoint now, bool certain) {
@@ -134,48 +141,44 @@
   avoided_until_ = now + avoidance_;
 }
 
-double RoutedSearcher::Decayed(double value,
-                               double rest,
-                               TimePoint since,
-                               TimePoint now) const {
-  const double lives =
-      duration<double>(now - since) / duration<double>(kHalfLife);
-  return rest + (value - rest) * std::exp2(-lives);
-}
-
 void RoutedSearcher::LearnSpeed(TimePoint now,
                                 Duration latency,
-                                Duration typical) {
+                                Duration typical,
+                                DecayedMean& slowness) const {
   if (typical <= Duration::zero()) {
     return;
   }
   const double sample =
       std::clamp(duration<double>(latency) / duration<double>(typical), 0.25,
                  kMostSlowness);
-  const double before = Decayed(slowness_, 1, slowness_at_, now);
-  slowness_ = before + kSampleWeight * (sample - before);
-  slowness_at_ = now;
+  slowness.Add(now, sample, kSampleWeight);
 }
 
 void RoutedSearcher::LearnErrors(TimePoint now, bool error) {
-  const double before = Decayed(error_share_, 0, error_share_at_, now);
-  error_share_ = before + kSampleWeight * ((error ? 1 : 0) - before);
-  error_share_at_ = now;
+  error_share_.Add(now, error ? 1 : 0, kSampleWeight);
 }
 
 double RoutedSearcher::ErrorShare(TimePoint now) const {
-  return Decayed(error_share_, 0, error_share_at_, now);
+  return error_share_.At(now);
 }
 
-bool RoutedSearcher::HasStalled(TimePoint now, Duration typical) const {
-  if (sent_.empty()) {
-    return false;
+Duration RoutedSearcher::SilentFor(TimePoint now) const {
+  if (sent_.empty() || last_answer_ >= sent_.front().second) {
+    return Duration::zero();
   }
-  const TimePoint oldest = sent_.front().second;
+  return now - sent_.front().second;
+}
+
+bool RoutedSearcher::TakesTrial(TimePoint now) const {
+  return sent_.empty() || now - sent_.back().second >= kTrialPeriod;
+}
+
+bool RoutedSearcher::HasStalled(TimePoint now, Duration typical) const {
   const Duration patience = std::max(
-      kLeastStall, kStallFactor * duration_cast<Duration>(
-                                      typical * std::max(slowness_, 1.0)));
-  return now - oldest > patience && last_answer_ < oldest;
+      kLeastStall,
+      kStallFactor *
+          duration_cast<Duration>(typical * std::max(slowness_.At(now), 1.0)));
+  return SilentFor(now) > patience;
 }
 
 Usability RoutedSearcher::UsabilityAt(TimePoint now, Duration typical) const {
@@ -201,7 +204,7 @@
     const double told = load_.running + load_.waiting;
     ahead = std::max(ahead, told);
   }
-  double factor = Decayed(slowness_, 1, slowness_at_, now);
+  double factor = std::max(slowness_.At(now), silent_slowness_.At(now));
   if (now < warm_at_) {
     factor = std::max(factor, kColdFactor);
   }
--- a/tests/harness/plan_fixture.h
+++ b/tests/harness/plan_fixture.h
@@ -68,6 +68,21 @@
     }
   }
 
+  // Each searcher of `service` takes `factor` times as long as others.
+  void TeachSlowness(const std::string& service, int factor) {
+    constexpr std::chrono::milliseconds kTypical{20};
+    constexpr int kAnswers = 20;
+    for (const RoutedSearcherPtr& searcher : directory.Of(service)) {
+      for (int i = 0; i < kAnswers; ++i) {
+        AttemptOutcome answered;
+        answered.end = AttemptEnd::kAnswered;
+        searcher->OnSent(kPlanStart - factor * kTypical, ++last_attempt);
+        searcher->OnEnded(kPlanStart, last_attempt, answered, kTypical,
+                          Duration::zero());
+      }
+    }
+  }
+
   SearcherDirectory directory;
   HedgePolicy hedges;
   RetryBudget budget;
--- a/tests/routed_load_test.cc
+++ b/tests/routed_load_test.cc
@@ -51,4 +51,30 @@
   }
 }
 
+// Requests that cannot be answered are not held until their deadline.
+Test(RoutedLoad, CallersDoNotWaitInVainForSilentShards) {
+  for (const FleetShape& shape : {KettlebrookFleet(), UmukonjeFleet()}) {
+    const FleetResult result = Play(shape, 1, ShardsGoSilent);
+    for (size_t i = 0; i < shape.loads.size(); ++i) {
+      const std::chrono::duration<double, std::milli> half =
+          shape.loads[i].deadline / 2;
+      cr_assert(result.loads[i].MeanVainMs() < half.count());
+    }
+  }
+}
+
+// Where half of the searchers turn slow, urgent requests are not the ones that
+// lose.
+Test(RoutedLoad, UrgentRequestsComeFirstWhileManyAreSlow) {
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    for (const FleetShape& shape : {KettlebrookFleet(), UmukonjeFleet()}) {
+      const FleetResult result = Play(shape, seed, ManyTurnSlow);
+      // Equal but for chance where nobody loses.
+      constexpr double kChance = 0.03;
+      cr_assert(result.loads[1].CreditShare() >
+                result.loads[0].CreditShare() - kChance);
+    }
+  }
+}
+
 }  // namespace greengage::bench
--- a/tools/bench/routed_fleet.h
+++ b/tools/bench/routed_fleet.h
@@ -121,7 +121,14 @@
   void Build();
   void PlanPauses(size_t searcher);
   void ScheduleArrival(size_t load);
-  void Offer(size_t load, TimePoint first_sent, int repeats);
+  struct Arrival {
+    TimePoint counts_from;
+    bool measured = false;
+    bool was_refused = false;  // At once, with a time to come back.
+    int repeats = 0;
+  };
+  void Offer(size_t load, const Arrival& arrival);
+  void Repeat(const Request& request, const RequestResult& result);
   void CarryOut(uint64_t request, RequestActions actions);
   void Send(uint64_t request, const AttemptToSend& send);
   void Cancel(uint64_t attempt);
