Shorten a stop to the time until the kill, reload the allowance, log a missed roll

- A reload takes over a changed extra_arrivals_allowance.
- A roll of instances that could not be entered or read leaves a log line.
- A request whose caller left has one result, made by the plan.

--- a/include/greengage/coordination/request_plan.h
+++ b/include/greengage/coordination/request_plan.h
@@ -102,7 +102,7 @@
 
   RequestActions OnTimer(TimePoint now);
 
-  // The caller has closed its connection.
+  // The caller has closed its connection; the result is kLeft.
   RequestActions OnCallerLeft(TimePoint now);
 
   // When OnTimer() can next do anything; empty once there is a result.
--- a/include/greengage/coordination/stop_sequence.h
+++ b/include/greengage/coordination/stop_sequence.h
@@ -20,8 +20,13 @@
 // time: what is under way then still needs the other half. Not thread-safe.
 class StopSequence {
  public:
-  // The whole stop takes at most `notice` and `grace` together.
-  StopSequence(TimePoint started, Duration notice, Duration grace);
+  // The whole stop takes at most `notice` and `grace` together. Both are
+  // shortened alike if the process is killed `within` a time that is too short
+  // for them; zero: it is not.
+  StopSequence(TimePoint started,
+               Duration notice,
+               Duration grace,
+               Duration within = Duration::zero());
 
   // `last_request` is when the last request of a caller arrived, before or
   // after the start of the stop. Steps only ever move forward.
--- a/include/greengage/protocol/instance_settings.h
+++ b/include/greengage/protocol/instance_settings.h
@@ -57,6 +57,7 @@
 
   std::chrono::milliseconds stop_notice{};
   std::chrono::milliseconds stop_grace{};
+  std::chrono::duration<double> stop_within{};  // Zero: no limit.
 };
 
 // All keys with their sections, bounds and initial values.
--- a/include/greengage/protocol/setting_table.h
+++ b/include/greengage/protocol/setting_table.h
@@ -93,6 +93,26 @@
         PrintDecimal);
   }
 
+  // A duration, written as a decimal number of seconds.
+  SettingTable& Seconds(std::string key,
+                        std::chrono::duration<double> Target::*member,
+                        double maximum,
+                        std::optional<std::string> initial,
+                        std::string meaning) {
+    using DecimalSeconds = std::chrono::duration<double>;
+    return Add<DecimalSeconds>(
+        std::move(key), member, "decimal number of s", DecimalRule(0, maximum),
+        std::move(initial), std::move(meaning),
+        [maximum](const std::string& text) -> Result<DecimalSeconds> {
+          const Result<double> seconds = ParseDecimal(text, 0, maximum);
+          if (!seconds) {
+            return seconds.last_reason();
+          }
+          return DecimalSeconds(*seconds);
+        },
+        [](DecimalSeconds time) { return PrintDecimal(time.count()); });
+  }
+
   // A duration, written as a whole number of the member's own unit.
   template <typename Rep, typename Period>
   SettingTable& Time(std::string key,
--- a/include/greengage/state/decision_event.h
+++ b/include/greengage/state/decision_event.h
@@ -17,6 +17,7 @@
   kInstanceStopped,
   kSettingsReloaded,
   kInstancesCounted,
+  kRollMissed,
   kStoreLost,
   kStoreRegained,
   kConfigurationInForce,
--- a/src/coordination/request_plan.cc
+++ b/src/coordination/request_plan.cc
@@ -416,7 +416,6 @@
     result.end = RequestEnd::kLeft;
     result.cause = "the caller closed its connection";
     Finish(now, std::move(result), actions);
-    actions.result.reset();
   }
   return actions;
 }
--- a/src/coordination/stop_sequence.cc
+++ b/src/coordination/stop_sequence.cc
@@ -1,14 +1,43 @@
 #include "greengage/coordination/stop_sequence.h"
 
 #include <algorithm>
+#include <chrono>
 
 namespace greengage {
 
-StopSequence::StopSequence(TimePoint started, Duration notice, Duration grace)
+namespace {
+
+// Share of the time until the kill that a stop uses; the rest is for its last
+// steps on a slow machine.
+constexpr double kUsedOfLimit = 11.0 / 12;
+
+// What notice and grace are multiplied by.
+double Shortening(Duration notice, Duration grace, Duration within) {
+  if (within <= Duration::zero()) {
+    return 1;
+  }
+  const double wanted = std::chrono::duration<double>(notice + grace).count();
+  const double limit =
+      std::chrono::duration<double>(within).count() * kUsedOfLimit;
+  return wanted > limit ? limit / wanted : 1;
+}
+
+Duration Scaled(Duration time, double factor) {
+  return std::chrono::duration_cast<Duration>(time * factor);
+}
+
+}  // namespace
+
+StopSequence::StopSequence(TimePoint started,
+                           Duration notice,
+                           Duration grace,
+                           Duration within)
     : started_(started),
-      notice_(notice),
-      serve_end_(started + notice + grace / 2),
-      end_(started + notice + grace) {}
+      notice_(Scaled(notice, Shortening(notice, grace, within))),
+      serve_end_(started + notice_ +
+                 Scaled(grace, Shortening(notice, grace, within)) / 2),
+      end_(started + notice_ +
+           Scaled(grace, Shortening(notice, grace, within))) {}
 
 StopStep StopSequence::Next(TimePoint now,
                             TimePoint last_request,
--- a/src/entry_instance_stop.cc
+++ b/src/entry_instance_stop.cc
@@ -24,8 +24,10 @@
   configuration_->SetWatching(false);
   gossip_->Leave();
   http_server_->EndKeepAlive();
-  stop_sequence_.emplace(std::chrono::steady_clock::now(),
-                         settings_.stop_notice, settings_.stop_grace);
+  stop_sequence_.emplace(
+      std::chrono::steady_clock::now(), settings_.stop_notice,
+      settings_.stop_grace,
+      std::chrono::duration_cast<Duration>(settings_.stop_within));
   AdvanceStop();
 }
 
--- a/src/protocol/instance_settings.cc
+++ b/src/protocol/instance_settings.cc
@@ -111,7 +111,10 @@
             "false, before listeners close; the balancer notices meanwhile.")
       .Time("grace_ms", &S::stop_grace,
             {.minimum = 1, .maximum = 3600000, .initial = 30000},
-            "With the notice, the longest time that a stop takes.");
+            "With the notice, the longest time that a stop takes.")
+      .Seconds("within_s", &S::stop_within, 3600, "0",
+               "Time from the signal to the kill, in seconds; notice and grace "
+               "are shortened so that a stop ends before. 0: not limited.");
   return table;
 }
 
--- a/src/routed_instance_stop.cc
+++ b/src/routed_instance_stop.cc
@@ -45,6 +45,9 @@
   extra_arrivals_.set_percent(ExtraPercent(settings));
   settings_.stop_notice = settings.stop_notice;
   settings_.stop_grace = settings.stop_grace;
+  settings_.stop_within = settings.stop_within;
+  settings_.extra_arrivals_allowance = settings.extra_arrivals_allowance;
+  SetInstances(instances_);
   LogLine(DecisionEvent::kSettingsReloaded)
       .Add("log_level", static_cast<int>(settings.log_level))
       .Add("needs_restart", needs_restart ? "yes" : "no")
@@ -64,7 +67,9 @@
   platform_.instances.leave(settings_.id, [](const Result<Done>&) {
     // One that stays on the roll only makes the others' shares smaller.
   });
-  stop_sequence_.emplace(Now(), settings_.stop_notice, settings_.stop_grace);
+  stop_sequence_.emplace(
+      Now(), settings_.stop_notice, settings_.stop_grace,
+      std::chrono::duration_cast<Duration>(settings_.stop_within));
   AdvanceStop();
 }
 
--- a/src/routed_instance_store.cc
+++ b/src/routed_instance_store.cc
@@ -35,6 +35,14 @@
 // and the work that is on its way.
 constexpr int kRegistryPeriodPercent = 45;
 
+void LogRollMissed(std::string_view call, const Failure& reason) {
+  LogLine(DecisionEvent::kRollMissed)
+      .Add("call", call)
+      .Add("cause", FailureKindName(reason.kind))
+      .Add("detail", reason.detail)
+      .Write();
+}
+
 }  // namespace
 
 double RoutedInstanceImpl::ExtraPercent(const InstanceSettings& settings) {
@@ -179,6 +187,7 @@
         if (!self || entered || self->stopping_) {
           return;
         }
+        LogRollMissed("enter", entered.last_reason());
         self->roll_missed_ = true;  // Repeated with the next count.
       });
 }
@@ -199,6 +208,9 @@
           .Add("instances", self->instances_)
           .Write();
     }
+    if (!counted) {
+      LogRollMissed("count", counted.last_reason());
+    }
     self->CountLater(counted ? Duration(kCountPeriod) : Duration(kCountAgain));
   });
 }
--- a/src/state/decision_event.cc
+++ b/src/state/decision_event.cc
@@ -20,6 +20,9 @@
       {kInstancesCounted, "instances_counted", LogLevel::kInfo, "instances",
        "So many instances share the connections of searchers and the bound on "
        "extra arrivals."},
+      {kRollMissed, "roll_missed", LogLevel::kWarning, "call, cause, detail",
+       "The instance was not entered on the roll of instances, or the roll not "
+       "read; both are tried again."},
       {kStoreLost, "store_lost", LogLevel::kWarning, "feed, cause, detail",
        "A call to the store failed after others had not; what was known of "
        "the feed stays in use."},
--- a/src/transport/request_router.cc
+++ b/src/transport/request_router.cc
@@ -317,10 +317,8 @@
   metrics_->callers_left.Add();
   --in_flight_;
   RequestActions actions = found->second->plan->OnCallerLeft(Now());
-  RequestResult left;
-  left.end = RequestEnd::kLeft;
-  left.cause = "the caller closed its connection";
-  LogEnd(*found->second, left, 0, Now());
+  LogEnd(*found->second, *actions.result, 0, Now());
+  actions.result.reset();  // There is nobody to answer.
   Perform(number, std::move(actions));
 }
 
--- a/tests/request_plan_test.cc
+++ b/tests/request_plan_test.cc
@@ -293,7 +293,8 @@
   RequestPlan plan = fixture.Plan(GatherRoute(3, 0.6), kDeadline);
   (void)plan.Start(kPlanStart);
   const RequestActions left = plan.OnCallerLeft(kPlanStart + Ms(5));
-  cr_assert(left.cancels.size() == 3 && !left.result);
+  cr_assert(left.cancels.size() == 3);
+  cr_assert(left.result->end == RequestEnd::kLeft);
   cr_assert(plan.OnTimer(kPlanStart + Ms(50)).sends.empty());
 }
 
--- a/tests/stop_sequence_test.cc
+++ b/tests/stop_sequence_test.cc
@@ -32,4 +32,15 @@
   cr_assert(stop.Next(end, end, true) == StopStep::kFinished);
 }
 
+Test(StopSequence, EndsBeforeTheProcessIsKilled) {
+  StopSequence stop(kStart, Ms(2500), Ms(3000), Ms(3000));
+  // Five elevenths of eleven twelfths of the time.
+  cr_assert(stop.Next(kStart + Ms(1249), kStart, true) == StopStep::kServe);
+  cr_assert(stop.Next(kStart + Ms(1251), kStart, true) == StopStep::kDrain);
+  cr_assert(stop.Next(kStart + Ms(2751), kStart, true) == StopStep::kFinished);
+  StopSequence long_enough(kStart, Ms(2500), Ms(3000), Ms(6000));
+  cr_assert(long_enough.Next(kStart + Ms(2499), kStart, true) ==
+            StopStep::kServe);
+}
+
 }  // namespace greengage
