Bound extra arrivals over a sliding window instead of by tokens

Cause: on the grown sites each of 84 instances had 1.98 tokens for a service and earned 0.09 a second; the fixed allowance never came back after the first seconds. Change: ExtraArrivalBudget counts requests and extra arrivals of the last window for each service; RetryBudget is again as the query path needs it. The reserve of a request is now its lacking share of the parts. Ruled out: shares of hopelessness from 0.25 to 2.5 (1.2 to 2.5 are equal).

--- a/include/greengage/coordination/request_plan.h
+++ b/include/greengage/coordination/request_plan.h
@@ -16,8 +16,8 @@
 #include <vector>
 
 #include "greengage/coordination/data_centre_distance.h"
+#include "greengage/coordination/extra_arrival_budget.h"
 #include "greengage/coordination/hedge_policy.h"
-#include "greengage/coordination/retry_budget.h"
 #include "greengage/coordination/searcher_directory.h"
 #include "greengage/coordination/service_split.h"
 #include "greengage/state/route.h"
@@ -40,7 +40,7 @@
 struct RequestPlanContext {
   SearcherDirectory* searchers = nullptr;
   HedgePolicy* hedges = nullptr;
-  RetryBudget* extra_arrivals = nullptr;
+  ExtraArrivalBudget* extra_arrivals = nullptr;
   DataCentreDistance* distances = nullptr;
   ServiceSplit* split = nullptr;
   std::minstd_rand random;
--- a/include/greengage/coordination/retry_budget.h
+++ b/include/greengage/coordination/retry_budget.h
@@ -28,18 +28,10 @@
   // Follows a changed configuration.
   void set_percent(double percent);
 
-  // Follows a changed share of what may be saved up; services that have more
-  // keep no more than that.
-  void set_burst(double burst);
-
   void OnSent(const std::string& service, Rank rank, size_t count);
 
-  // Takes `count` retries; false, without effect, when fewer would be left than
-  // `reserve`, a share of what can be saved up, from 0 to 1.
-  bool TrySpend(const std::string& service,
-                Rank rank,
-                size_t count,
-                double reserve = 0);
+  // Takes `count` retries; false, without effect, when there are fewer.
+  bool TrySpend(const std::string& service, Rank rank, size_t count);
 
  private:
   using Tokens = std::array<double, kRankCount>;
@@ -47,7 +39,7 @@
   Tokens& TokensOf(const std::string& service);
 
   double share_;
-  double burst_;
+  const double burst_;
   std::mutex mutex_;
   std::map<std::string, Tokens, std::less<>> services_;
 };
--- a/include/greengage/protocol/instance_settings.h
+++ b/include/greengage/protocol/instance_settings.h
@@ -51,6 +51,7 @@
   std::chrono::milliseconds leave_time{};
   double extra_arrivals_ratio = 0;
   uint32_t extra_arrivals_allowance = 0;
+  std::chrono::duration<double> extra_arrivals_window{};
 
   LogLevel log_level = LogLevel::kInfo;
   LogFormat log_format = LogFormat::kText;
--- a/include/greengage/protocol/setting_table.h
+++ b/include/greengage/protocol/setting_table.h
@@ -96,15 +96,16 @@
   // A duration, written as a decimal number of seconds.
   SettingTable& Seconds(std::string key,
                         std::chrono::duration<double> Target::*member,
+                        double minimum,
                         double maximum,
                         std::optional<std::string> initial,
                         std::string meaning) {
     using DecimalSeconds = std::chrono::duration<double>;
     return Add<DecimalSeconds>(
-        std::move(key), member, "decimal number of s", DecimalRule(0, maximum),
-        std::move(initial), std::move(meaning),
-        [maximum](const std::string& text) -> Result<DecimalSeconds> {
-          const Result<double> seconds = ParseDecimal(text, 0, maximum);
+        std::move(key), member, "decimal number of s",
+        DecimalRule(minimum, maximum), std::move(initial), std::move(meaning),
+        [minimum, maximum](const std::string& text) -> Result<DecimalSeconds> {
+          const Result<double> seconds = ParseDecimal(text, minimum, maximum);
           if (!seconds) {
             return seconds.last_reason();
           }
--- a/src/coordination/request_plan.cc
+++ b/src/coordination/request_plan.cc
@@ -23,10 +23,6 @@
 // request only adds to the load that turned it away.
 constexpr uint32_t kAttemptsBeyondRoute = 2;
 
-// Share of the parts beyond which a request that lacks them gets extra arrivals
-// only while nobody else uses them.
-constexpr double kHopelessShare = 0.5;
-
 // Share of the extra arrivals that is kept for requests which lack parts, when
 // one has enough and could only become more whole.
 constexpr double kReserveForWholeness = 0.5;
@@ -52,9 +48,6 @@
 // Share of that time over which the callers of one rank are spread.
 constexpr double kRetrySpread = 0.2;
 
-// Extra arrivals are counted for a service, whatever their rank.
-constexpr Rank kBudgetRank = Rank::kUrgent;
-
 Rank RankOf(const Route& route) {
   return static_cast<Rank>(std::min<uint32_t>(route.priority, kRankCount - 1));
 }
@@ -126,11 +119,11 @@
 RequestActions RequestPlan::Start(TimePoint now) {
   RequestActions actions;
   for (const Part& part : parts_) {
-    context_->extra_arrivals->OnSent(part.service, kBudgetRank, 1);
+    context_->extra_arrivals->OnRequest(now, part.service);
   }
   if (route_->gather) {
     if (const std::optional<Duration> wait = WaitForEnoughParts(now)) {
-      Refuse(now, *wait, "too few parts are likely to be in in time", actions);
+      Refuse(now, *wait, "too few shards are likely to answer in time", actions);
       return actions;
     }
   }
@@ -240,7 +233,7 @@
     return reason == AttemptReason::kHedge ? 0 : kReserveForWholeness;
   }
   return std::min(
-      1.0, lacking / (kHopelessShare * static_cast<double>(parts_.size())) +
+      1.0, lacking / static_cast<double>(parts_.size()) +
                kReservePerRank * static_cast<double>(IndexOf(RankOf(*route_))));
 }
 
@@ -269,7 +262,7 @@
     return false;
   }
   if (reason != AttemptReason::kFirst &&
-      !context_->extra_arrivals->TrySpend(part.service, kBudgetRank, 1,
+      !context_->extra_arrivals->TrySpend(now, part.service,
                                           BudgetReserve(now, reason))) {
     return false;
   }
--- a/src/coordination/retry_budget.cc
+++ b/src/coordination/retry_budget.cc
@@ -30,18 +30,6 @@
   share_ = percent / kPercent;
 }
 
-void RetryBudget::set_burst(double burst) {
-  const std::lock_guard lock(mutex_);
-  // What was not allowed before is allowed now, and the reverse.
-  const double gained = std::max(0.0, burst - burst_);
-  burst_ = burst;
-  for (auto& [service, tokens] : services_) {
-    for (double& count : tokens) {
-      count = std::min(burst_, count + gained);
-    }
-  }
-}
-
 void RetryBudget::OnSent(const std::string& service, Rank rank, size_t count) {
   const std::lock_guard lock(mutex_);
   double& tokens = TokensOf(service)[IndexOf(rank)];
@@ -50,14 +38,11 @@
 
 bool RetryBudget::TrySpend(const std::string& service,
                            Rank rank,
-                           size_t count,
-                           double reserve) {
+                           size_t count) {
   const std::lock_guard lock(mutex_);
   double& tokens = TokensOf(service)[IndexOf(rank)];
   const auto wanted = static_cast<double>(count);
-  // A reserve never asks for more than can be saved up.
-  const double kept = std::max(0.0, reserve * (burst_ - wanted));
-  if (tokens < wanted + kept) {
+  if (tokens < wanted) {
     return false;
   }
   tokens -= wanted;
--- a/src/protocol/instance_settings.cc
+++ b/src/protocol/instance_settings.cc
@@ -92,7 +92,9 @@
       .Integer("extra_arrivals_allowance", &S::extra_arrivals_allowance,
                {.minimum = 1, .maximum = 100000, .initial = 50},
                "Hedges and retries at a service beyond that share; all "
-               "instances together use four fifths of it.");
+               "instances together use four fifths of it.")
+      .Seconds("extra_arrivals_window_s", &S::extra_arrivals_window, 0.1, 3600,
+               "10", "Any time of this length keeps these two bounds.");
   table.Section("log")
       .OneOf("level", &S::log_level,
              {{"debug", LogLevel::kDebug},
@@ -112,7 +114,7 @@
       .Time("grace_ms", &S::stop_grace,
             {.minimum = 1, .maximum = 3600000, .initial = 30000},
             "With the notice, the longest time that a stop takes.")
-      .Seconds("within_s", &S::stop_within, 3600, "0",
+      .Seconds("within_s", &S::stop_within, 0, 3600, "0",
                "Time from the signal to the kill, in seconds; notice and grace "
                "are shortened so that a stop ends before. 0: not limited.");
   return table;
--- a/src/routed_instance.cc
+++ b/src/routed_instance.cc
@@ -37,7 +37,7 @@
                     OnSearcherLeaving(searcher, why);
                   }}),
       hedges_(HedgesOfRoutes()),
-      extra_arrivals_(ExtraPercent(settings), 0),
+      extra_arrivals_({}),
       distances_(settings.data_centre),
       clients_(std::make_shared<SearcherClients>(
           context,
--- a/src/routed_instance_impl.h
+++ b/src/routed_instance_impl.h
@@ -54,7 +54,6 @@
   void OnSearcherAdded(const RoutedSearcher& searcher);
   void OnSearcherLeaving(const RoutedSearcher& searcher, std::string_view why);
   size_t Connections(const std::string& service) const;
-  static double ExtraPercent(const InstanceSettings& settings);
   void AssumeManyInstances();
   void EnterRoll();
   void CountInstances();
@@ -76,7 +75,7 @@
   RoutedMetrics metrics_;
   SearcherDirectory directory_;
   HedgePolicy hedges_;
-  RetryBudget extra_arrivals_;
+  ExtraArrivalBudget extra_arrivals_;
   DataCentreDistance distances_;
   ServiceSplit split_;
   RequestPlanContext plans_;
--- a/src/routed_instance_stop.cc
+++ b/src/routed_instance_stop.cc
@@ -42,7 +42,8 @@
                              settings.platform != settings_.platform ||
                              settings.data_centre != settings_.data_centre;
   SetLogLevel(settings.log_level);
-  extra_arrivals_.set_percent(ExtraPercent(settings));
+  settings_.extra_arrivals_ratio = settings.extra_arrivals_ratio;
+  settings_.extra_arrivals_window = settings.extra_arrivals_window;
   settings_.stop_notice = settings.stop_notice;
   settings_.stop_grace = settings.stop_grace;
   settings_.stop_within = settings.stop_within;
--- a/src/routed_instance_store.cc
+++ b/src/routed_instance_store.cc
@@ -45,10 +45,6 @@
 
 }  // namespace
 
-double RoutedInstanceImpl::ExtraPercent(const InstanceSettings& settings) {
-  return settings.extra_arrivals_ratio * 100 * kUsedShare;
-}
-
 void RoutedInstanceImpl::AssumeManyInstances() {
   SetInstances(kAssumedInstances);
 }
@@ -176,8 +172,11 @@
 
 void RoutedInstanceImpl::SetInstances(size_t count) {
   instances_ = std::max<size_t>(1, count);
-  extra_arrivals_.set_burst(settings_.extra_arrivals_allowance * kUsedShare /
-                            static_cast<double>(instances_));
+  extra_arrivals_.set_limits(
+      {settings_.extra_arrivals_ratio * kUsedShare,
+       settings_.extra_arrivals_allowance * kUsedShare /
+           static_cast<double>(instances_),
+       std::chrono::duration_cast<Duration>(settings_.extra_arrivals_window)});
 }
 
 void RoutedInstanceImpl::EnterRoll() {
