Tell a request refused for silent or overloaded shards from one without searchers

explain gave no_searcher for both. request_ended counts unlikely_parts, and the cause is shards_not_answering. Shown by request_plan_test and request_story_test.

--- a/include/greengage/coordination/request_plan.h
+++ b/include/greengage/coordination/request_plan.h
@@ -64,6 +64,9 @@
   std::vector<SearcherAnswer> parts;
   size_t missing_parts = 0;
   Duration retry_after{};  // With kNotRun: when to come back.
+  // Parts whose searchers are silent or overloaded, if the request was refused
+  // for them before any attempt.
+  size_t unlikely_parts = 0;
   std::string_view cause;  // Why it is not a whole answer; for logs.
 };
 
@@ -141,9 +144,8 @@
             size_t index,
             AttemptReason reason,
             RequestActions& actions);
-  // The time after which enough parts are likely to be in soon enough; empty
-  // if that holds now.
-  std::optional<Duration> WaitForEnoughParts(TimePoint now) const;
+  // Refuses the request if too few parts are likely to be in soon enough.
+  void RefuseIfUnlikely(TimePoint now, RequestActions& actions);
   Duration WaitForPart(TimePoint now, const Part& part) const;
   Duration WaitForSearcher(TimePoint now, const RoutedSearcher& searcher) const;
   struct Choice {
@@ -167,7 +169,7 @@
   void Finish(TimePoint now, RequestResult result, RequestActions& actions);
   void Refuse(TimePoint now,
               Duration wait,
-              std::string_view cause,
+              RequestResult result,
               RequestActions& actions);
   void FinishWithout(TimePoint now, RequestActions& actions);
   RequestResult Merge();
--- a/include/greengage/protocol/request_story.h
+++ b/include/greengage/protocol/request_story.h
@@ -29,19 +29,21 @@
 
 // Why a request got no whole answer in time.
 enum class RequestCause : uint8_t {
-  kNone,              // It got one.
-  kInvalidRequest,    // Without an id, or malformed.
-  kNoRoute,           // The configuration in force has no route for it.
-  kNoConfiguration,   // The instance had none yet.
-  kInstanceStopping,  // A stop had gone so far that new work was refused.
-  kInstanceFull,      // Too many requests at once at the instance.
-  kNoSearcher,        // No searcher of a service could be used.
-  kTurnedAway,        // Searchers were full.
-  kSearcherFailed,    // Searchers answered with failures.
-  kConnectionLost,    // Connections broke, or could not be opened.
-  kSearcherSlow,      // Searchers took too long.
-  kCallerLeft,        // The caller closed its connection.
-  kUnknown,           // The lines do not tell.
+  kNone,                // It got one.
+  kInvalidRequest,      // Without an id, or malformed.
+  kNoRoute,             // The configuration in force has no route for it.
+  kNoConfiguration,     // The instance had none yet.
+  kInstanceStopping,    // A stop had gone so far that new work was refused.
+  kInstanceFull,        // Too many requests at once at the instance.
+  kNoSearcher,          // No searcher of a service could be used.
+  kShardsNotAnswering,  // Refused: the searchers of shards that it needed were
+                        // silent or overloaded.
+  kTurnedAway,          // Searchers were full.
+  kSearcherFailed,      // Searchers answered with failures.
+  kConnectionLost,      // Connections broke, or could not be opened.
+  kSearcherSlow,        // Searchers took too long.
+  kCallerLeft,          // The caller closed its connection.
+  kUnknown,             // The lines do not tell.
 };
 
 // Name in snake_case.
--- a/src/coordination/request_plan.cc
+++ b/src/coordination/request_plan.cc
@@ -122,8 +122,8 @@
     context_->extra_arrivals->OnRequest(now, part.service);
   }
   if (route_->gather) {
-    if (const std::optional<Duration> wait = WaitForEnoughParts(now)) {
-      Refuse(now, *wait, "too few shards are likely to answer in time", actions);
+    RefuseIfUnlikely(now, actions);
+    if (finished_) {
       return actions;
     }
   }
@@ -136,17 +136,24 @@
   return actions;
 }
 
-std::optional<Duration> RequestPlan::WaitForEnoughParts(TimePoint now) const {
+void RequestPlan::RefuseIfUnlikely(TimePoint now, RequestActions& actions) {
   std::vector<Duration> waits;
   waits.reserve(parts_.size());
+  RequestResult refusal;
   for (const Part& part : parts_) {
     waits.push_back(WaitForPart(now, part));
+    const bool registered = !context_->searchers->Of(part.service).empty();
+    const bool likely = waits.back() <= Duration::zero();
+    refusal.unlikely_parts += registered && !likely ? 1 : 0;
   }
+  // The wait after which the last part that is needed is likely to come.
   const auto last_needed =
       waits.begin() + static_cast<std::ptrdiff_t>(LeastParts()) - 1;
   std::nth_element(waits.begin(), last_needed, waits.end());
-  return *last_needed > Duration::zero() ? std::optional(*last_needed)
-                                         : std::nullopt;
+  if (*last_needed > Duration::zero()) {
+    refusal.cause = "too few shards are likely to answer in time";
+    Refuse(now, *last_needed, std::move(refusal), actions);
+  }
 }
 
 Duration RequestPlan::WaitForPart(TimePoint now, const Part& part) const {
@@ -523,27 +530,26 @@
 // Callers come back one after the other, the most urgent first.
 void RequestPlan::Refuse(TimePoint now,
                          Duration wait,
-                         std::string_view cause,
+                         RequestResult result,
                          RequestActions& actions) {
   const auto rank = static_cast<double>(IndexOf(RankOf(*route_)));
   std::uniform_real_distribution<double> spread(1 + rank * kRetrySpread,
                                                 1 + (rank + 1) * kRetrySpread);
   const Duration bounded =
       std::clamp(wait, kLeastRetryAfter, kLongestRetryAfter);
-  RequestResult result;
   result.end = RequestEnd::kNotRun;
-  result.cause = cause;
   result.retry_after =
       std::chrono::duration_cast<Duration>(bounded * spread(context_->random));
   Finish(now, std::move(result), actions);
 }
 
 void RequestPlan::FinishWithout(TimePoint now, RequestActions& actions) {
+  RequestResult result;
   if (!AnyMayHaveRun()) {
-    Refuse(now, Typical(now) * 2, "no searcher could take it", actions);
+    result.cause = "no searcher could take it";
+    Refuse(now, Typical(now) * 2, std::move(result), actions);
     return;
   }
-  RequestResult result;
   const bool due = now >= finish_by_;
   result.end = due ? RequestEnd::kTimedOut : RequestEnd::kUnknown;
   result.cause = due ? "its time was over" : "attempts were lost";
--- a/src/protocol/request_story.cc
+++ b/src/protocol/request_story.cc
@@ -74,6 +74,9 @@
   if (trouble == "no_searcher") {
     return RequestCause::kNoSearcher;
   }
+  if (trouble == "shards_not_answering") {
+    return RequestCause::kShardsNotAnswering;
+  }
   if (trouble == AttemptEndName(AttemptEnd::kTurnedAway)) {
     return RequestCause::kTurnedAway;
   }
@@ -199,6 +202,8 @@
       return "instance_full";
     case RequestCause::kNoSearcher:
       return "no_searcher";
+    case RequestCause::kShardsNotAnswering:
+      return "shards_not_answering";
     case RequestCause::kTurnedAway:
       return "turned_away";
     case RequestCause::kSearcherFailed:
--- a/src/transport/request_router.cc
+++ b/src/transport/request_router.cc
@@ -358,6 +358,7 @@
       .Add("cause", result.cause)
       .Add("parts", result.parts.size())
       .Add("missing_parts", result.missing_parts)
+      .Add("unlikely_parts", result.unlikely_parts)
       .Add("attempts", running.attempts)
       .Add("extra_attempts", running.extra_attempts)
       .Add("trouble", TroubleOf(running, result))
@@ -383,6 +384,9 @@
   if (most != counts.end()) {
     return most->first;
   }
+  if (result.unlikely_parts > 0) {
+    return "shards_not_answering";
+  }
   const bool whole = (result.end == RequestEnd::kMerged ||
                       result.end == RequestEnd::kPassedOn) &&
                      result.missing_parts == 0;
--- a/tests/request_plan_test.cc
+++ b/tests/request_plan_test.cc
@@ -159,6 +159,7 @@
   const RequestActions refused = whole.Start(later);
   cr_assert(refused.sends.empty());
   cr_assert(refused.result->end == RequestEnd::kNotRun);
+  cr_assert(refused.result->unlikely_parts == 1);
   // As long again as the silence has lasted, and a little more to spread.
   cr_assert(refused.result->retry_after >= Ms(400));
   cr_assert(refused.result->retry_after <= Ms(480));
--- a/tests/request_story_test.cc
+++ b/tests/request_story_test.cc
@@ -50,6 +50,7 @@
         {"failed", RequestCause::kSearcherFailed},
         {"open", RequestCause::kSearcherSlow},
         {"abandoned", RequestCause::kSearcherSlow},
+        {"shards_not_answering", RequestCause::kShardsNotAnswering},
         {"no_searcher", RequestCause::kNoSearcher}}) {
     cr_assert(CauseOf({Ended("id", "unknown", 90, "a cause", trouble)}) ==
               cause);
