--- a/include/greengage/coordination/request_plan.h
+++ b/include/greengage/coordination/request_plan.h
@@ -146,8 +146,11 @@
             RequestActions& actions);
   // Refuses the request if too few parts are likely to be in soon enough.
   void RefuseIfUnlikely(TimePoint now, RequestActions& actions);
-  Duration WaitForPart(TimePoint now, const Part& part) const;
-  Duration WaitForSearcher(TimePoint now, const RoutedSearcher& searcher) const;
+  // How much later a searcher is likely to answer in time; zero: now.
+  Duration WaitForPart(TimePoint now, Duration typical, const Part& part) const;
+  Duration WaitForSearcher(TimePoint now,
+                           Duration typical,
+                           const RoutedSearcher& searcher) const;
   struct Choice {
     RoutedSearcherPtr searcher;  // Null if there is none.
     Duration expected{};
--- a/src/coordination/request_plan.cc
+++ b/src/coordination/request_plan.cc
@@ -140,8 +140,9 @@
   std::vector<Duration> waits;
   waits.reserve(parts_.size());
   RequestResult refusal;
+  const Duration typical = Typical(now);
   for (const Part& part : parts_) {
-    waits.push_back(WaitForPart(now, part));
+    waits.push_back(WaitForPart(now, typical, part));
     const bool registered = !context_->searchers->Of(part.service).empty();
     const bool likely = waits.back() <= Duration::zero();
     refusal.unlikely_parts += registered && !likely ? 1 : 0;
@@ -156,18 +157,20 @@
   }
 }
 
-Duration RequestPlan::WaitForPart(TimePoint now, const Part& part) const {
+Duration RequestPlan::WaitForPart(TimePoint now,
+                                  Duration typical,
+                                  const Part& part) const {
   Duration shortest = kLongestRetryAfter;
   for (const RoutedSearcherPtr& searcher :
        context_->searchers->Of(part.service)) {
-    shortest = std::min(shortest, WaitForSearcher(now, *searcher));
+    shortest = std::min(shortest, WaitForSearcher(now, typical, *searcher));
   }
   return shortest;
 }
 
 Duration RequestPlan::WaitForSearcher(TimePoint now,
+                                      Duration typical,
                                       const RoutedSearcher& searcher) const {
-  const Duration typical = Typical(now);
   switch (searcher.UsabilityAt(now, typical)) {
     case Usability::kNone:
       return kLongestRetryAfter;
