Bound a gather's least coverage by one part and all parts; shorten an experiment

Found when reading the change again: a coverage above 1 would have read past the end of the list of waits. Test: NeedsOnePartAtLeastAndAllAtMost.

--- a/src/coordination/extra_arrival_budget.cc
+++ b/src/coordination/extra_arrival_budget.cc
@@ -35,7 +35,8 @@
 }
 
 int64_t ExtraArrivalBudget::NumberAt(TimePoint now) const {
-  return now.time_since_epoch() / (limits_.window / kSteps);
+  const Duration step = limits_.window / static_cast<int64_t>(kSteps);
+  return now.time_since_epoch() / step;
 }
 
 ExtraArrivalBudget::Step& ExtraArrivalBudget::StepAt(
--- a/src/coordination/request_plan.cc
+++ b/src/coordination/request_plan.cc
@@ -505,9 +505,10 @@
 size_t RequestPlan::LeastParts() const {
   // The bound is a decimal fraction: 0.9 of 20 must not become 19.
   constexpr double kRounding = 1e-9;
+  const auto all = static_cast<double>(parts_.size());
   const double least =
-      route_->gather->least_coverage * static_cast<double>(parts_.size());
-  return std::max<size_t>(1, static_cast<size_t>(std::ceil(least - kRounding)));
+      std::ceil(route_->gather->least_coverage * all - kRounding);
+  return static_cast<size_t>(std::clamp(least, 1.0, all));
 }
 
 bool RequestPlan::AnyMayHaveRun() const {
--- a/tests/request_plan_test.cc
+++ b/tests/request_plan_test.cc
@@ -167,6 +167,21 @@
   cr_assert(!most.Start(later).sends.empty());
 }
 
+// A configuration may name a coverage that makes no sense.
+Test(RequestPlan, NeedsOnePartAtLeastAndAllAtMost) {
+  for (const double coverage : {-1.0, 1.5}) {
+    PlanFixture fixture(2, 1);
+    RequestPlan plan = fixture.Plan(GatherRoute(2, coverage), kDeadline);
+    const RequestActions started = plan.Start(kPlanStart);
+    cr_assert(started.sends.size() == 2 && !started.result);
+    (void)plan.OnAttemptEnded(kPlanStart + Ms(5), started.sends[0].id,
+                              Ended(AttemptEnd::kAnswered));
+    const RequestActions ended = plan.OnAttemptEnded(
+        kPlanStart + Ms(5), started.sends[1].id, Ended(AttemptEnd::kAnswered));
+    cr_assert(ended.result->end == RequestEnd::kMerged);
+  }
+}
+
 Test(RequestPlan, TriesASilentShardAgainAfterAWhile) {
   PlanFixture fixture(3, 1);
   RequestPlan first = fixture.Plan(GatherRoute(3, 1), kDeadline);
--- a/tools/bench/experiments_routed.cc
+++ b/tools/bench/experiments_routed.cc
@@ -1,6 +1,8 @@
 // Experiments on the decisions of routed instances.
 #include <functional>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "tools/bench/experiment.h"
 #include "tools/bench/routed_faults.h"
@@ -14,6 +16,55 @@
 // The extra arrivals that the services bear, over the allowed ones.
 constexpr Bound kWithinAllowance{BoundOn::kPolicy, BoundKind::kAtMost, 1};
 
+// A figure of one kind of request.
+using LoadFigure = std::function<double(const FleetLoadResult&)>;
+
+struct NamedFigure {
+  const char* name;
+  const char* unit;
+  LoadFigure figure;
+};
+
+const std::vector<NamedFigure>& LoadFigures() {
+  static const std::vector<NamedFigure> figures{
+      {" credit", "%",
+       [](const FleetLoadResult& load) { return 100 * load.CreditShare(); }},
+      {" in time", "",
+       [](const FleetLoadResult& load) {
+         return static_cast<double>(load.in_time);
+       }},
+      {" failed", "",
+       [](const FleetLoadResult& load) {
+         return static_cast<double>(load.failed);
+       }},
+      {" wait in vain", "ms",
+       [](const FleetLoadResult& load) { return load.MeanVainMs(); }},
+      {" refused", "", [](const FleetLoadResult& load) {
+         return static_cast<double>(load.refused);
+       }}};
+  return figures;
+}
+
+void AddFigures(const FleetShape& shape,
+                const FleetResult& baseline,
+                const FleetResult& policy,
+                Measurements& out) {
+  for (size_t i = 0; i < shape.loads.size(); ++i) {
+    for (const NamedFigure& named : LoadFigures()) {
+      std::string name = shape.loads[i].route.name;
+      name += named.name;
+      out.push_back({shape.name, std::move(name), named.unit,
+                     named.figure(baseline.loads[i]),
+                     named.figure(policy.loads[i]), std::nullopt});
+    }
+  }
+  out.push_back({shape.name, "extra arrivals", "%", baseline.ExtraPercent(),
+                 policy.ExtraPercent(), std::nullopt});
+  out.push_back({shape.name, "extra arrivals over allowed", "",
+                 baseline.worst_extra_share, policy.worst_extra_share,
+                 kWithinAllowance});
+}
+
 Measurements CompareFleets(uint64_t seed, const FleetFault& fault) {
   Measurements measurements;
   for (const FleetShape& shape : {KettlebrookFleet(), UmukonjeFleet()}) {
@@ -23,30 +74,7 @@
     const FleetResult policy = RoutedFleet(scenario, seed).Run();
     scenario.naive = true;
     const FleetResult baseline = RoutedFleet(scenario, seed).Run();
-    for (size_t i = 0; i < shape.loads.size(); ++i) {
-      const std::string& name = shape.loads[i].route.name;
-      const auto add = [&](const std::string& what, const std::string& unit,
-                           double a, double b) {
-        measurements.push_back(
-            {shape.name, name + " " + what, unit, a, b, std::nullopt});
-      };
-      const FleetLoadResult& plain = baseline.loads[i];
-      const FleetLoadResult& own = policy.loads[i];
-      add("credit", "%", 100 * plain.CreditShare(), 100 * own.CreditShare());
-      add("in time", "", static_cast<double>(plain.in_time),
-          static_cast<double>(own.in_time));
-      add("failed", "", static_cast<double>(plain.failed),
-          static_cast<double>(own.failed));
-      add("wait in vain", "ms", plain.MeanVainMs(), own.MeanVainMs());
-      add("refused", "", static_cast<double>(plain.refused),
-          static_cast<double>(own.refused));
-    }
-    measurements.push_back({shape.name, "extra arrivals", "%",
-                            baseline.ExtraPercent(), policy.ExtraPercent(),
-                            std::nullopt});
-    measurements.push_back({shape.name, "extra arrivals over allowed", "",
-                            baseline.worst_extra_share,
-                            policy.worst_extra_share, kWithinAllowance});
+    AddFigures(shape, baseline, policy, measurements);
   }
   return measurements;
 }
