Let one piece serve what routed decisions had in several places

- RequestPlanContext owns what plans decide with, in place of pointers that the instance, the bench's fleet and the tests' fixture each wired up by hand.
The bench had its own copy of the hedge options and of the share that is used of a common bound; kRouteHedges, InstanceShare() and ShareOf() serve both now.
- SearcherChooser holds the choice of a searcher and the wait for one; RequestPlan keeps the course of a request.
The pace of a route is looked up once for all parts of a start, the distance and the searchers of a part once instead of twice.
- SettingTable's two decimal kinds share AddDecimal(), as whole numbers do.
- StopSequence keeps notice and grace; the ends follow from them.
- The log and its reader share the names of troubles; the naive driver lost a parameter that it did not use; the fleet's shapes have files of their own.

--- a/include/greengage/coordination/request_plan.h
+++ b/include/greengage/coordination/request_plan.h
@@ -9,17 +9,13 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <random>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
-#include "greengage/coordination/data_centre_distance.h"
-#include "greengage/coordination/extra_arrival_budget.h"
-#include "greengage/coordination/hedge_policy.h"
-#include "greengage/coordination/searcher_directory.h"
-#include "greengage/coordination/service_split.h"
+#include "greengage/coordination/request_plan_context.h"
+#include "greengage/coordination/searcher_chooser.h"
 #include "greengage/state/route.h"
 #include "greengage/state/route_table.h"
 #include "greengage/state/searcher_answer.h"
@@ -36,16 +32,6 @@
 // Name in snake_case, for logs and metrics.
 std::string_view AttemptReasonName(AttemptReason reason);
 
-// What the plans of one instance share. Not thread-safe.
-struct RequestPlanContext {
-  SearcherDirectory* searchers = nullptr;
-  HedgePolicy* hedges = nullptr;
-  ExtraArrivalBudget* extra_arrivals = nullptr;
-  DataCentreDistance* distances = nullptr;
-  ServiceSplit* split = nullptr;
-  std::minstd_rand random;
-};
-
 enum class RequestEnd : uint8_t {
   kPassedOn,  // `answer` is one searcher's.
   kMerged,    // `parts` are to be merged.
@@ -141,22 +127,14 @@
 
   void AddParts();
   bool Send(TimePoint now,
+            const RoutePace& pace,
             size_t index,
             AttemptReason reason,
             RequestActions& actions);
   // Refuses the request if too few parts are likely to be in soon enough.
-  void RefuseIfUnlikely(TimePoint now, RequestActions& actions);
-  // How much later a searcher is likely to answer in time; zero: now.
-  Duration WaitForPart(TimePoint now, Duration typical, const Part& part) const;
-  Duration WaitForSearcher(TimePoint now,
-                           Duration typical,
-                           const RoutedSearcher& searcher) const;
-  struct Choice {
-    RoutedSearcherPtr searcher;  // Null if there is none.
-    Duration expected{};
-  };
-
-  Choice Choose(TimePoint now, const Part& part, AttemptReason reason);
+  void RefuseIfUnlikely(TimePoint now,
+                        Duration typical,
+                        RequestActions& actions);
   double BudgetReserve(TimePoint now, AttemptReason reason) const;
   // Parts that are in or likely to come.
   double ExpectedParts(TimePoint now) const;
@@ -180,12 +158,11 @@
   // Parts that are in or may still come.
   size_t PartsNotLost(TimePoint now) const;
   bool AnyMayHaveRun() const;
-  Duration Typical(TimePoint now) const;
-  Duration HedgeDelay(TimePoint now) const;
 
   const RouteTablePtr table_;
   const Route* const route_;
   RequestPlanContext* const context_;
+  SearcherChooser chooser_;
   const std::function<uint64_t()> next_attempt_;
   const bool idempotent_;
   TimePoint finish_by_;         // An answer is due then, whatever it is.
--- /dev/null
+++ b/include/greengage/coordination/request_plan_context.h
@@ -0,0 +1,56 @@
+// What the plans of one instance decide with, and learn from each other.
+#ifndef GREENGAGE_COORDINATION_REQUEST_PLAN_CONTEXT_H_
+#define GREENGAGE_COORDINATION_REQUEST_PLAN_CONTEXT_H_
+
+#include <chrono>
+#include <cstddef>
+#include <random>
+#include <string>
+#include <utility>
+
+#include "greengage/coordination/data_centre_distance.h"
+#include "greengage/coordination/extra_arrival_budget.h"
+#include "greengage/coordination/hedge_policy.h"
+#include "greengage/coordination/instance_share.h"
+#include "greengage/coordination/searcher_directory.h"
+#include "greengage/coordination/service_split.h"
+
+namespace greengage {
+
+// When attempts of routed requests are hedged.
+inline constexpr HedgeOptions kRouteHedges{
+    .quantile = 0.95,
+    .longest_in_medians = 3,
+    .shortest = std::chrono::milliseconds(5),
+    .initial = std::chrono::milliseconds(80),
+    .least_latencies = 20,
+};
+
+// The part of `whole`, a bound on all instances, that each may use.
+inline ExtraArrivalLimits ShareOf(const ExtraArrivalLimits& whole,
+                                  size_t instances) {
+  return {whole.ratio * kUsedShare, InstanceShare(whole.allowance, instances),
+          whole.window};
+}
+
+// Not thread-safe. No extra arrivals are allowed until their limits are set.
+struct RequestPlanContext {
+  RequestPlanContext(SearcherDirectory::Hooks hooks,
+                     HedgeOptions hedge_options,
+                     const std::string& data_centre)
+      : searchers(std::move(hooks)),
+        hedges(hedge_options),
+        extra_arrivals({}),
+        distances(data_centre) {}
+
+  SearcherDirectory searchers;
+  HedgePolicy hedges;
+  ExtraArrivalBudget extra_arrivals;
+  DataCentreDistance distances;
+  ServiceSplit split;
+  std::minstd_rand random;
+};
+
+}  // namespace greengage
+
+#endif  // GREENGAGE_COORDINATION_REQUEST_PLAN_CONTEXT_H_
--- a/include/greengage/coordination/stop_sequence.h
+++ b/include/greengage/coordination/stop_sequence.h
@@ -35,8 +35,7 @@
  private:
   const TimePoint started_;
   const Duration notice_;
-  const TimePoint serve_end_;
-  const TimePoint end_;
+  const Duration grace_;
   StopStep step_ = StopStep::kServe;
 };
 
--- a/include/greengage/protocol/setting_table.h
+++ b/include/greengage/protocol/setting_table.h
@@ -84,13 +84,11 @@
                         double maximum,
                         std::optional<std::string> initial,
                         std::string meaning) {
-    return Add<double>(
-        std::move(key), member, "decimal number", DecimalRule(minimum, maximum),
+    return AddDecimal<double>(
+        std::move(key), member, "decimal number", minimum, maximum,
         std::move(initial), std::move(meaning),
-        [minimum, maximum](const std::string& text) {
-          return ParseDecimal(text, minimum, maximum);
-        },
-        PrintDecimal);
+        [](double number) { return number; },
+        [](double number) { return number; });
   }
 
   // A duration, written as a decimal number of seconds.
@@ -101,17 +99,11 @@
                         std::optional<std::string> initial,
                         std::string meaning) {
     using DecimalSeconds = std::chrono::duration<double>;
-    return Add<DecimalSeconds>(
-        std::move(key), member, "decimal number of s",
-        DecimalRule(minimum, maximum), std::move(initial), std::move(meaning),
-        [minimum, maximum](const std::string& text) -> Result<DecimalSeconds> {
-          const Result<double> seconds = ParseDecimal(text, minimum, maximum);
-          if (!seconds) {
-            return seconds.last_reason();
-          }
-          return DecimalSeconds(*seconds);
-        },
-        [](DecimalSeconds time) { return PrintDecimal(time.count()); });
+    return AddDecimal<DecimalSeconds>(
+        std::move(key), member, "decimal number of s", minimum, maximum,
+        std::move(initial), std::move(meaning),
+        [](double seconds) { return DecimalSeconds(seconds); },
+        [](DecimalSeconds time) { return time.count(); });
   }
 
   // A duration, written as a whole number of the member's own unit.
@@ -279,6 +271,30 @@
         });
   }
 
+  template <typename Value>
+  SettingTable& AddDecimal(std::string key,
+                           Value Target::*member,
+                           std::string type,
+                           double minimum,
+                           double maximum,
+                           std::optional<std::string> initial,
+                           std::string meaning,
+                           std::function<Value(double)> from_number,
+                           std::function<double(Value)> to_number) {
+    return Add<Value>(
+        std::move(key), member, std::move(type), DecimalRule(minimum, maximum),
+        std::move(initial), std::move(meaning),
+        [minimum, maximum,
+         from_number](const std::string& text) -> Result<Value> {
+          const Result<double> number = ParseDecimal(text, minimum, maximum);
+          return number ? Result<Value>(from_number(*number))
+                        : Result<Value>(number.last_reason());
+        },
+        [to_number](const Value& value) {
+          return PrintDecimal(to_number(value));
+        });
+  }
+
   const Setting* Find(const std::string& kind, const std::string& key) const {
     for (const Setting& setting : settings_) {
       if (setting.info.section == kind && setting.info.key == key) {
--- a/include/greengage/state/decision_event.h
+++ b/include/greengage/state/decision_event.h
@@ -30,6 +30,13 @@
   kLogLinesDropped,
 };
 
+// What the member "trouble" of a request_ended line says where no end of an
+// attempt does.
+inline constexpr std::string_view kNoTrouble = "none";
+inline constexpr std::string_view kNoSearcherTrouble = "no_searcher";
+inline constexpr std::string_view kShardsNotAnsweringTrouble =
+    "shards_not_answering";
+
 struct DecisionEventInfo {
   DecisionEvent event;
   std::string_view name;  // Of the member "event" of a line.
--- a/include/greengage/state/route.h
+++ b/include/greengage/state/route.h
@@ -2,6 +2,7 @@
 #ifndef GREENGAGE_STATE_ROUTE_H_
 #define GREENGAGE_STATE_ROUTE_H_
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -9,6 +10,8 @@
 #include <string>
 #include <vector>
 
+#include "greengage/state/rank.h"
+
 namespace greengage {
 
 enum class RequestKind : uint8_t {
@@ -41,6 +44,12 @@
   std::optional<GatherRule> gather;
 };
 
+// The rank of a route's work; all that is not urgent enough for another one is
+// background work.
+inline Rank RankOf(const Route& route) {
+  return static_cast<Rank>(std::min<uint32_t>(route.priority, kRankCount - 1));
+}
+
 // What callers may send, and how long they may stay idle; what is not set is
 // left to each instance's settings.
 struct CallerLimits {
--- a/src/coordination/request_plan.cc
+++ b/src/coordination/request_plan.cc
@@ -36,22 +36,13 @@
 constexpr Duration kLostSilence = std::chrono::seconds(1);
 constexpr Duration kLookAgainPause = milliseconds(100);
 
-// A searcher is taken to be overloaded only if it takes so many times as long
-// as usual: where all are slow, or little is known yet, none is.
-constexpr int kOverloadFactor = 2;
-
 // When to come back after a refusal: the time in which a searcher that was
 // lost is noticed, or a queue that was full has emptied.
 constexpr Duration kLeastRetryAfter = milliseconds(100);
-constexpr Duration kLongestRetryAfter = std::chrono::seconds(1);
 
 // Share of that time over which the callers of one rank are spread.
 constexpr double kRetrySpread = 0.2;
 
-Rank RankOf(const Route& route) {
-  return static_cast<Rank>(std::min<uint32_t>(route.priority, kRankCount - 1));
-}
-
 }  // namespace
 
 std::string_view AttemptReasonName(AttemptReason reason) {
@@ -93,6 +84,7 @@
     : table_(std::move(table)),
       route_(route),
       context_(context),
+      chooser_(context, route),
       next_attempt_(std::move(next_attempt)),
       idempotent_(route->kind == RequestKind::kIdempotent),
       finish_by_(
@@ -113,22 +105,23 @@
     return;
   }
   parts_.resize(1);
-  parts_[0].service = context_->split->Next(*route_);
+  parts_[0].service = context_->split.Next(*route_);
 }
 
 RequestActions RequestPlan::Start(TimePoint now) {
   RequestActions actions;
   for (const Part& part : parts_) {
-    context_->extra_arrivals->OnRequest(now, part.service);
+    context_->extra_arrivals.OnRequest(now, part.service);
   }
+  const RoutePace pace = chooser_.PaceAt(now);
   if (route_->gather) {
-    RefuseIfUnlikely(now, actions);
+    RefuseIfUnlikely(now, pace.typical, actions);
     if (finished_) {
       return actions;
     }
   }
   for (size_t i = 0; i < parts_.size(); ++i) {
-    if (!Send(now, i, AttemptReason::kFirst, actions)) {
+    if (!Send(now, pace, i, AttemptReason::kFirst, actions)) {
       parts_[i].closed = true;
     }
   }
@@ -136,16 +129,20 @@
   return actions;
 }
 
-void RequestPlan::RefuseIfUnlikely(TimePoint now, RequestActions& actions) {
+void RequestPlan::RefuseIfUnlikely(TimePoint now,
+                                   Duration typical,
+                                   RequestActions& actions) {
+  // Late work of a lower rank would hold up urgent work behind it.
+  const TimePoint useful_by =
+      RankOf(*route_) == Rank::kUrgent ? finish_by_ : answer_by_;
   std::vector<Duration> waits;
   waits.reserve(parts_.size());
   RequestResult refusal;
-  const Duration typical = Typical(now);
   for (const Part& part : parts_) {
-    waits.push_back(WaitForPart(now, typical, part));
-    const bool registered = !context_->searchers->Of(part.service).empty();
-    const bool likely = waits.back() <= Duration::zero();
-    refusal.unlikely_parts += registered && !likely ? 1 : 0;
+    const std::optional<Duration> wait =
+        chooser_.WaitFor(now, typical, part.service, useful_by);
+    waits.push_back(wait.value_or(kLongestRetryAfter));
+    refusal.unlikely_parts += wait && *wait > Duration::zero() ? 1 : 0;
   }
   // The wait after which the last part that is needed is likely to come.
   const auto last_needed =
@@ -157,81 +154,6 @@
   }
 }
 
-Duration RequestPlan::WaitForPart(TimePoint now,
-                                  Duration typical,
-                                  const Part& part) const {
-  Duration shortest = kLongestRetryAfter;
-  for (const RoutedSearcherPtr& searcher :
-       context_->searchers->Of(part.service)) {
-    shortest = std::min(shortest, WaitForSearcher(now, typical, *searcher));
-  }
-  return shortest;
-}
-
-Duration RequestPlan::WaitForSearcher(TimePoint now,
-                                      Duration typical,
-                                      const RoutedSearcher& searcher) const {
-  switch (searcher.UsabilityAt(now, typical)) {
-    case Usability::kNone:
-      return kLongestRetryAfter;
-    case Usability::kAvoided:
-      return searcher.TakesTrial(now) ? Duration::zero()
-                                      : searcher.SilentFor(now);
-    case Usability::kGood:
-    case Usability::kMissing:
-      break;
-  }
-  const Duration distance =
-      context_->distances->Of(searcher.entry().data_centre);
-  const Duration expected = searcher.ExpectedTime(now, typical, distance);
-  if (expected - distance < kOverloadFactor * typical) {
-    return Duration::zero();
-  }
-  // Late work of a lower rank would hold up urgent work behind it.
-  const TimePoint useful_by =
-      RankOf(*route_) == Rank::kUrgent ? finish_by_ : answer_by_;
-  return std::max<Duration>(Duration::zero(), now + expected - useful_by);
-}
-
-Duration RequestPlan::Typical(TimePoint now) const {
-  return context_->hedges->Typical(now, route_->name, RankOf(*route_));
-}
-
-Duration RequestPlan::HedgeDelay(TimePoint now) const {
-  return context_->hedges->Delay(now, route_->name, RankOf(*route_));
-}
-
-RequestPlan::Choice RequestPlan::Choose(TimePoint now,
-                                        const Part& part,
-                                        AttemptReason reason) {
-  const Duration typical = Typical(now);
-  std::uniform_real_distribution<double> jitter(1.0, 1.1);
-  Choice best;
-  Usability best_usability = Usability::kNone;
-  for (const RoutedSearcherPtr& searcher :
-       context_->searchers->Of(part.service)) {
-    const Usability usability = searcher->UsabilityAt(now, typical);
-    const bool tried = std::find(part.tried.begin(), part.tried.end(),
-                                 searcher) != part.tried.end();
-    // A hedge helps only at a searcher that is likely to be faster.
-    if (usability == Usability::kNone || tried ||
-        (reason == AttemptReason::kHedge && usability != Usability::kGood)) {
-      continue;
-    }
-    const Duration distance =
-        context_->distances->Of(searcher->entry().data_centre);
-    const auto expected = std::chrono::duration_cast<Duration>(
-        searcher->ExpectedTime(now, typical, distance) *
-        jitter(context_->random));
-    if (!best.searcher || usability < best_usability ||
-        (usability == best_usability && expected < best.expected)) {
-      best = {searcher, expected};
-      best_usability = usability;
-    }
-  }
-  return best;
-}
-
 // Extra arrivals go to the requests that need the fewest of them to become an
 // answer: the more a request lacks, the more has to be left for others.
 double RequestPlan::BudgetReserve(TimePoint now, AttemptReason reason) const {
@@ -262,18 +184,22 @@
 }
 
 bool RequestPlan::Send(TimePoint now,
+                       const RoutePace& pace,
                        size_t index,
                        AttemptReason reason,
                        RequestActions& actions) {
   Part& part = parts_[index];
-  const Choice choice = Choose(now, part, reason);
+  // A hedge helps only at a searcher that is likely to be faster.
+  const SearcherChoice choice =
+      chooser_.Choose(now, pace.typical, part.service, part.tried,
+                      reason == AttemptReason::kHedge);
   const RoutedSearcherPtr& searcher = choice.searcher;
   if (!searcher) {
     return false;
   }
   if (reason != AttemptReason::kFirst &&
-      !context_->extra_arrivals->TrySpend(now, part.service,
-                                          BudgetReserve(now, reason))) {
+      !context_->extra_arrivals.TrySpend(now, part.service,
+                                         BudgetReserve(now, reason))) {
     return false;
   }
   const uint64_t id = next_attempt_();
@@ -282,9 +208,7 @@
   ++part.open;
   ++part.counted;
   ++part.sent;
-  const Duration distance =
-      context_->distances->Of(searcher->entry().data_centre);
-  part.hedge_at = now + HedgeDelay(now) + distance;
+  part.hedge_at = now + pace.hedge_delay + choice.distance;
   part.retry_at.reset();
   searcher->OnSent(now, id);
   actions.sends.push_back(
@@ -312,14 +236,14 @@
   const Attempt attempt = std::move(found->second);
   attempts_.erase(found);
   const std::string& data_centre = attempt.searcher->entry().data_centre;
-  const Duration distance = context_->distances->Of(data_centre);
-  attempt.searcher->OnEnded(now, id, outcome, Typical(now), distance);
+  const Duration distance = context_->distances.Of(data_centre);
+  attempt.searcher->OnEnded(now, id, outcome, chooser_.Typical(now), distance);
   Part& part = parts_[attempt.part];
   --part.open;
   if (outcome.end == AttemptEnd::kAnswered) {
-    context_->distances->Record(now, data_centre, now - attempt.sent);
-    context_->hedges->Record(now, route_->name, RankOf(*route_),
-                             now - attempt.sent - distance);
+    context_->distances.Record(now, data_centre, now - attempt.sent);
+    context_->hedges.Record(now, route_->name, RankOf(*route_),
+                            now - attempt.sent - distance);
   }
   if (finished_) {
     return actions;
@@ -364,7 +288,8 @@
     return;
   }
   if (MaySendAgain(part) && now < finish_by_) {
-    if (Send(now, index, AttemptReason::kRetry, actions)) {
+    if (Send(now, chooser_.PaceAt(now), index, AttemptReason::kRetry,
+             actions)) {
       return;
     }
     // All have been asked: those that turned it away may have room soon.
@@ -397,13 +322,13 @@
     if (part.retry_at && now >= *part.retry_at) {
       part.retry_at.reset();
       if (!MaySendAgain(part) ||
-          !Send(now, i, AttemptReason::kRetry, actions)) {
+          !Send(now, chooser_.PaceAt(now), i, AttemptReason::kRetry, actions)) {
         CloseIfIdle(part);
       }
     } else if (part.hedge_at && now >= *part.hedge_at) {
       part.hedge_at.reset();
       if (idempotent_ && MaySendAgain(part) &&
-          !Send(now, i, AttemptReason::kHedge, actions)) {
+          !Send(now, chooser_.PaceAt(now), i, AttemptReason::kHedge, actions)) {
         part.hedge_at = now + kAskAgainPause;
       }
     }
@@ -551,7 +476,7 @@
   RequestResult result;
   if (!AnyMayHaveRun()) {
     result.cause = "no searcher could take it";
-    Refuse(now, Typical(now) * 2, std::move(result), actions);
+    Refuse(now, chooser_.Typical(now) * 2, std::move(result), actions);
     return;
   }
   const bool due = now >= finish_by_;
--- /dev/null
+++ b/src/coordination/searcher_chooser.cc
@@ -0,0 +1,98 @@
+#include "greengage/coordination/searcher_chooser.h"
+
+#include <algorithm>
+#include <chrono>
+#include <random>
+
+namespace greengage {
+namespace {
+
+// A searcher is taken to be overloaded only if it takes so many times as long
+// as usual: where all are slow, or little is known yet, none is.
+constexpr int kOverloadFactor = 2;
+
+}  // namespace
+
+RoutePace SearcherChooser::PaceAt(TimePoint now) const {
+  return {Typical(now),
+          context_->hedges.Delay(now, route_->name, RankOf(*route_))};
+}
+
+Duration SearcherChooser::Typical(TimePoint now) const {
+  return context_->hedges.Typical(now, route_->name, RankOf(*route_));
+}
+
+Duration SearcherChooser::DistanceOf(const RoutedSearcher& searcher) const {
+  return context_->distances.Of(searcher.entry().data_centre);
+}
+
+SearcherChoice SearcherChooser::Choose(
+    TimePoint now,
+    Duration typical,
+    const std::string& service,
+    const std::vector<RoutedSearcherPtr>& tried,
+    bool only_good) {
+  std::uniform_real_distribution<double> jitter(1.0, 1.1);
+  SearcherChoice best;
+  Usability best_usability = Usability::kNone;
+  for (const RoutedSearcherPtr& searcher : context_->searchers.Of(service)) {
+    const Usability usability = searcher->UsabilityAt(now, typical);
+    const bool was_tried =
+        std::find(tried.begin(), tried.end(), searcher) != tried.end();
+    if (usability == Usability::kNone || was_tried ||
+        (only_good && usability != Usability::kGood)) {
+      continue;
+    }
+    const Duration distance = DistanceOf(*searcher);
+    const auto expected = std::chrono::duration_cast<Duration>(
+        searcher->ExpectedTime(now, typical, distance) *
+        jitter(context_->random));
+    if (!best.searcher || usability < best_usability ||
+        (usability == best_usability && expected < best.expected)) {
+      best = {searcher, expected, distance};
+      best_usability = usability;
+    }
+  }
+  return best;
+}
+
+std::optional<Duration> SearcherChooser::WaitFor(TimePoint now,
+                                                 Duration typical,
+                                                 const std::string& service,
+                                                 TimePoint useful_by) const {
+  const std::vector<RoutedSearcherPtr>& searchers =
+      context_->searchers.Of(service);
+  if (searchers.empty()) {
+    return std::nullopt;
+  }
+  Duration shortest = kLongestRetryAfter;
+  for (const RoutedSearcherPtr& searcher : searchers) {
+    shortest =
+        std::min(shortest, WaitForSearcher(now, typical, *searcher, useful_by));
+  }
+  return shortest;
+}
+
+Duration SearcherChooser::WaitForSearcher(TimePoint now,
+                                          Duration typical,
+                                          const RoutedSearcher& searcher,
+                                          TimePoint useful_by) const {
+  switch (searcher.UsabilityAt(now, typical)) {
+    case Usability::kNone:
+      return kLongestRetryAfter;
+    case Usability::kAvoided:
+      return searcher.TakesTrial(now) ? Duration::zero()
+                                      : searcher.SilentFor(now);
+    case Usability::kGood:
+    case Usability::kMissing:
+      break;
+  }
+  const Duration distance = DistanceOf(searcher);
+  const Duration expected = searcher.ExpectedTime(now, typical, distance);
+  if (expected - distance < kOverloadFactor * typical) {
+    return Duration::zero();
+  }
+  return std::max<Duration>(Duration::zero(), now + expected - useful_by);
+}
+
+}  // namespace greengage
--- a/src/coordination/stop_sequence.cc
+++ b/src/coordination/stop_sequence.cc
@@ -11,19 +11,15 @@
 // steps on a slow machine.
 constexpr double kUsedOfLimit = 11.0 / 12;
 
-// What notice and grace are multiplied by.
-double Shortening(Duration notice, Duration grace, Duration within) {
-  if (within <= Duration::zero()) {
-    return 1;
+// `time`, which is a part of `whole`, shortened so that the whole ends before
+// `limit`; zero: there is no limit.
+Duration Fit(Duration time, Duration whole, Duration limit) {
+  const std::chrono::duration<double> used = limit * kUsedOfLimit;
+  if (limit <= Duration::zero() || whole <= used) {
+    return time;
   }
-  const double wanted = std::chrono::duration<double>(notice + grace).count();
-  const double limit =
-      std::chrono::duration<double>(within).count() * kUsedOfLimit;
-  return wanted > limit ? limit / wanted : 1;
-}
-
-Duration Scaled(Duration time, double factor) {
-  return std::chrono::duration_cast<Duration>(time * factor);
+  return std::chrono::duration_cast<Duration>(
+      time * (used / std::chrono::duration<double>(whole)));
 }
 
 }  // namespace
@@ -33,23 +29,21 @@
                            Duration grace,
                            Duration within)
     : started_(started),
-      notice_(Scaled(notice, Shortening(notice, grace, within))),
-      serve_end_(started + notice_ +
-                 Scaled(grace, Shortening(notice, grace, within)) / 2),
-      end_(started + notice_ +
-           Scaled(grace, Shortening(notice, grace, within))) {}
+      notice_(Fit(notice, notice + grace, within)),
+      grace_(Fit(grace, notice + grace, within)) {}
 
 StopStep StopSequence::Next(TimePoint now,
                             TimePoint last_request,
                             bool has_work) {
   const TimePoint quiet_since = std::max(started_, last_request);
   const bool quiet = now - quiet_since >= notice_;
-  if (step_ == StopStep::kServe && (quiet || now >= serve_end_)) {
+  if (step_ == StopStep::kServe &&
+      (quiet || now >= started_ + notice_ + grace_ / 2)) {
     step_ = StopStep::kDrain;
   } else if (step_ == StopStep::kDrain && !has_work) {
     step_ = StopStep::kFinished;
   }
-  if (now >= end_) {
+  if (now >= started_ + notice_ + grace_) {
     step_ = StopStep::kFinished;
   }
   return step_;
--- a/src/protocol/request_story.cc
+++ b/src/protocol/request_story.cc
@@ -71,10 +71,10 @@
 
 // `trouble` is how most attempts without an answer ended.
 RequestCause CauseOfTrouble(std::string_view trouble) {
-  if (trouble == "no_searcher") {
+  if (trouble == kNoSearcherTrouble) {
     return RequestCause::kNoSearcher;
   }
-  if (trouble == "shards_not_answering") {
+  if (trouble == kShardsNotAnsweringTrouble) {
     return RequestCause::kShardsNotAnswering;
   }
   if (trouble == AttemptEndName(AttemptEnd::kTurnedAway)) {
--- a/src/routed_instance.cc
+++ b/src/routed_instance.cc
@@ -12,16 +12,6 @@
 
 namespace asio = boost::asio;
 
-HedgeOptions HedgesOfRoutes() {
-  HedgeOptions options;
-  options.quantile = 0.95;
-  options.longest_in_medians = 3;
-  options.shortest = std::chrono::milliseconds(5);
-  options.initial = std::chrono::milliseconds(80);
-  options.least_latencies = 20;
-  return options;
-}
-
 }  // namespace
 
 RoutedInstanceImpl::RoutedInstanceImpl(asio::io_context& context,
@@ -30,15 +20,14 @@
     : context_(context),
       settings_(settings),
       platform_(std::move(platform)),
-      directory_({[this](const RoutedSearcher& searcher) {
-                    OnSearcherAdded(searcher);
-                  },
-                  [this](const RoutedSearcher& searcher, std::string_view why) {
-                    OnSearcherLeaving(searcher, why);
-                  }}),
-      hedges_(HedgesOfRoutes()),
-      extra_arrivals_({}),
-      distances_(settings.data_centre),
+      plans_({[this](const RoutedSearcher& searcher) {
+                OnSearcherAdded(searcher);
+              },
+              [this](const RoutedSearcher& searcher, std::string_view why) {
+                OnSearcherLeaving(searcher, why);
+              }},
+             kRouteHedges,
+             settings.data_centre),
       clients_(std::make_shared<SearcherClients>(
           context,
           [this](const std::string& service) { return Connections(service); })),
@@ -46,11 +35,6 @@
       housekeeping_timer_(context),
       count_timer_(context) {
   AssumeManyInstances();
-  plans_.searchers = &directory_;
-  plans_.hedges = &hedges_;
-  plans_.extra_arrivals = &extra_arrivals_;
-  plans_.distances = &distances_;
-  plans_.split = &split_;
   plans_.random.seed(static_cast<std::minstd_rand::result_type>(RandomBase()));
 }
 
--- a/src/routed_instance_impl.h
+++ b/src/routed_instance_impl.h
@@ -73,11 +73,6 @@
   InstanceSettings settings_;
   const RoutedPlatform platform_;
   RoutedMetrics metrics_;
-  SearcherDirectory directory_;
-  HedgePolicy hedges_;
-  ExtraArrivalBudget extra_arrivals_;
-  DataCentreDistance distances_;
-  ServiceSplit split_;
   RequestPlanContext plans_;
   std::shared_ptr<SearcherClients> clients_;
   std::shared_ptr<RequestRouter> router_;
--- a/src/routed_instance_stop.cc
+++ b/src/routed_instance_stop.cc
@@ -28,7 +28,7 @@
 }
 
 void RoutedInstanceImpl::KeepHouse() {
-  directory_.Expire(Now());
+  plans_.searchers.Expire(Now());
   FlushLog();
   ScheduleHousekeeping();
 }
--- a/src/routed_instance_store.cc
+++ b/src/routed_instance_store.cc
@@ -19,10 +19,6 @@
 constexpr std::chrono::seconds kCountPeriod{10};
 constexpr std::chrono::milliseconds kCountAgain{500};
 
-// Of a bound that is shared by all instances, so much is used: instances that
-// have just come are not counted by all yet.
-constexpr double kUsedShare = 0.8;
-
 // A searcher works on few requests at once; more connections than this to one
 // of them serve nobody.
 constexpr size_t kMostConnections = 8;
@@ -135,9 +131,9 @@
     }
   }
   if (whole) {
-    directory_.Replace(now, entries);
+    plans_.searchers.Replace(now, entries);
   } else {
-    directory_.Apply(now, changes);
+    plans_.searchers.Apply(now, changes);
   }
 }
 
@@ -165,18 +161,17 @@
   const RoutedService* const service =
       table_ ? table_->FindService(name) : nullptr;
   const double all = service == nullptr ? 1 : service->max_connections;
-  return std::clamp<size_t>(
-      static_cast<size_t>(all * kUsedShare / static_cast<double>(instances_)),
-      1, kMostConnections);
+  return std::clamp<size_t>(static_cast<size_t>(InstanceShare(all, instances_)),
+                            1, kMostConnections);
 }
 
 void RoutedInstanceImpl::SetInstances(size_t count) {
   instances_ = std::max<size_t>(1, count);
-  extra_arrivals_.set_limits(
-      {settings_.extra_arrivals_ratio * kUsedShare,
-       settings_.extra_arrivals_allowance * kUsedShare /
-           static_cast<double>(instances_),
-       std::chrono::duration_cast<Duration>(settings_.extra_arrivals_window)});
+  const ExtraArrivalLimits whole{
+      settings_.extra_arrivals_ratio,
+      static_cast<double>(settings_.extra_arrivals_allowance),
+      std::chrono::duration_cast<Duration>(settings_.extra_arrivals_window)};
+  plans_.extra_arrivals.set_limits(ShareOf(whole, instances_));
 }
 
 void RoutedInstanceImpl::EnterRoll() {
--- a/src/state/decision_event.cc
+++ b/src/state/decision_event.cc
@@ -52,8 +52,7 @@
       {kRequestEnded, "request_ended", LogLevel::kInfo,
        "request_id, route, configuration, registry_age_ms, time_left_ms, "
        "target_ms, took_ms, end, status, cause, parts, missing_parts, "
-       "unlikely_parts, "
-       "attempts, extra_attempts, trouble",
+       "unlikely_parts, attempts, extra_attempts, trouble",
        "The answer to a caller. All that were not answered whole and within "
        "the target latency are logged, and one in 32 of the others. trouble is "
        "how most attempts without an answer ended: an end of an attempt, "
--- a/src/transport/request_router.cc
+++ b/src/transport/request_router.cc
@@ -385,12 +385,12 @@
     return most->first;
   }
   if (result.unlikely_parts > 0) {
-    return "shards_not_answering";
+    return kShardsNotAnsweringTrouble;
   }
   const bool whole = (result.end == RequestEnd::kMerged ||
                       result.end == RequestEnd::kPassedOn) &&
                      result.missing_parts == 0;
-  return whole ? "none" : "no_searcher";
+  return whole ? kNoTrouble : kNoSearcherTrouble;
 }
 
 void RequestRouter::LogAttempts(const Running& running) {
--- a/tests/harness/plan_fixture.h
+++ b/tests/harness/plan_fixture.h
@@ -19,11 +19,11 @@
 // Services "s0", "s1" and so on, each with searchers "s0/0", "s0/1" and so on.
 struct PlanFixture {
   explicit PlanFixture(size_t services, size_t searchers, double extra = 100)
-      : directory({[](const RoutedSearcher&) {},
-                   [](const RoutedSearcher&, std::string_view) {}}),
-        hedges(HedgeOptions{.initial = std::chrono::milliseconds(40)}),
-        budget({0.15, extra}),
-        distances("here") {
+      : context({[](const RoutedSearcher&) {},
+                 [](const RoutedSearcher&, std::string_view) {}},
+                {.initial = std::chrono::milliseconds(40)},
+                "here") {
+    context.extra_arrivals.set_limits({0.15, extra});
     std::vector<SearcherEntry> entries;
     for (size_t service = 0; service < services; ++service) {
       for (size_t searcher = 0; searcher < searchers; ++searcher) {
@@ -35,12 +35,7 @@
         entries.push_back(std::move(entry));
       }
     }
-    directory.Replace(kPlanStart, entries);
-    context.searchers = &directory;
-    context.hedges = &hedges;
-    context.extra_arrivals = &budget;
-    context.distances = &distances;
-    context.split = &split;
+    context.searchers.Replace(kPlanStart, entries);
   }
 
   // A plan that begins now; `route` is put into a table of its own.
@@ -57,7 +52,7 @@
 
   // Each searcher of `service` has turned away its last `count` attempts.
   void TeachFailures(const std::string& service, int count) {
-    for (const RoutedSearcherPtr& searcher : directory.Of(service)) {
+    for (const RoutedSearcherPtr& searcher : context.searchers.Of(service)) {
       for (int i = 0; i < count; ++i) {
         AttemptOutcome turned_away;
         turned_away.end = AttemptEnd::kTurnedAway;
@@ -72,7 +67,7 @@
   void TeachSlowness(const std::string& service, int factor) {
     constexpr std::chrono::milliseconds kTypical{20};
     constexpr int kAnswers = 20;
-    for (const RoutedSearcherPtr& searcher : directory.Of(service)) {
+    for (const RoutedSearcherPtr& searcher : context.searchers.Of(service)) {
       for (int i = 0; i < kAnswers; ++i) {
         AttemptOutcome answered;
         answered.end = AttemptEnd::kAnswered;
@@ -83,11 +78,6 @@
     }
   }
 
-  SearcherDirectory directory;
-  HedgePolicy hedges;
-  ExtraArrivalBudget budget;
-  DataCentreDistance distances;
-  ServiceSplit split;
   RequestPlanContext context;
   uint64_t last_attempt = 0;
 };
--- a/tests/request_plan_test.cc
+++ b/tests/request_plan_test.cc
@@ -127,7 +127,7 @@
   PlanFixture fixture(kParts, 2, 2.2);
   for (size_t i = 0; i < kParts; ++i) {
     const std::string service = "s" + std::to_string(i);
-    cr_assert(fixture.budget.TrySpend(kPlanStart, service));
+    cr_assert(fixture.context.extra_arrivals.TrySpend(kPlanStart, service));
     if (i < kParts / 2) {
       fixture.TeachFailures(service, 4);
     }
--- a/tools/bench/routed_driver.cc
+++ b/tools/bench/routed_driver.cc
@@ -54,7 +54,7 @@
   RequestActions Start(TimePoint now) override {
     RequestActions actions;
     for (size_t i = 0; i < parts_.size(); ++i) {
-      Send(now, i, AttemptReason::kFirst, actions);
+      Send(i, AttemptReason::kFirst, actions);
     }
     Conclude(now, actions);
     return actions;
@@ -74,7 +74,7 @@
       parts_[part].answered = true;
       ++answered_;
     } else if (!done_ && parts_[part].sent < route_->max_attempts) {
-      Send(now, part, AttemptReason::kRetry, actions);
+      Send(part, AttemptReason::kRetry, actions);
     }
     Conclude(now, actions);
     return actions;
@@ -97,12 +97,9 @@
     bool answered = false;
   };
 
-  void Send(TimePoint now,
-            size_t part,
-            AttemptReason reason,
-            RequestActions& actions) {
+  void Send(size_t part, AttemptReason reason, RequestActions& actions) {
     const std::vector<RoutedSearcherPtr>& searchers =
-        context_->searchers->Of(route_->gather->shards[part]);
+        context_->searchers.Of(route_->gather->shards[part]);
     if (searchers.empty()) {
       return;
     }
@@ -112,7 +109,6 @@
     open_[id] = part;
     ++parts_[part].sent;
     actions.sends.push_back({id, searcher, reason, deadline_, {}});
-    (void)now;
   }
 
   void Conclude(TimePoint now, RequestActions& actions) {
--- a/tools/bench/routed_fleet.cc
+++ b/tools/bench/routed_fleet.cc
@@ -9,20 +9,6 @@
 namespace greengage::bench {
 namespace {
 
-using std::chrono::milliseconds;
-
-// As the routed instance sets them.
-HedgeOptions Hedges() {
-  HedgeOptions options;
-  options.quantile = 0.95;
-  options.longest_in_medians = 3;
-  options.shortest = milliseconds(5);
-  options.initial = milliseconds(80);
-  options.least_latencies = 20;
-  return options;
-}
-constexpr double kUsedShare = 0.8;
-
 // How often a caller repeats a request that was not answered.
 constexpr int kCallerRepeats = 1;
 
@@ -34,53 +20,8 @@
       std::chrono::duration<double>(seconds));
 }
 
-Route Gather(const std::string& name,
-             size_t shards,
-             uint32_t priority,
-             double least_coverage,
-             milliseconds target) {
-  Route route;
-  route.name = name;
-  route.path_prefix = "/" + name + "/";
-  route.kind = RequestKind::kIdempotent;
-  route.timeout = milliseconds(4000);
-  route.target_latency = target;
-  route.priority = priority;
-  route.max_attempts = 2;
-  route.gather = GatherRule{{}, 50, least_coverage};
-  for (size_t i = 0; i < shards; ++i) {
-    route.gather->shards.push_back("shard-" + std::to_string(i));
-  }
-  return route;
-}
-
 }  // namespace
 
-FleetShape KettlebrookFleet() {
-  FleetShape shape;
-  shape.name = "kettlebrook";
-  shape.loads = {{Gather("list", shape.shards, 1, 0.89, milliseconds(250)),
-                  67.5, 18.8, milliseconds(2500), 0.05},
-                 {Gather("suggest", shape.shards, 0, 0.75, milliseconds(150)),
-                  22.5, 6.3, milliseconds(1500), 0.04}};
-  return shape;
-}
-
-FleetShape UmukonjeFleet() {
-  FleetShape shape;
-  shape.name = "umukonje";
-  shape.instances = 8;
-  shape.between = milliseconds(12);
-  shape.pause = milliseconds(200);
-  shape.pause_period = milliseconds(4500);
-  shape.extra_allowance = 56;
-  shape.loads = {{Gather("survey", shape.shards, 1, 0.89, milliseconds(150)),
-                  67.5, 10.3, milliseconds(800), 0.05},
-                 {Gather("check", shape.shards, 0, 0.75, milliseconds(100)),
-                  22.5, 3.6, milliseconds(600), 0.04}};
-  return shape;
-}
-
 double FleetLoadResult::CreditShare() const {
   return offered == 0 ? 0 : credit / static_cast<double>(offered);
 }
@@ -99,31 +40,18 @@
                                    static_cast<double>(first_arrivals);
 }
 
-// What one instance decides with.
 struct RoutedFleet::Instance {
-  Instance(std::string data_centre, const FleetShape& shape)
-      : data_centre(data_centre),
-        directory({[](const RoutedSearcher&) {},
-                   [](const RoutedSearcher&, std::string_view) {}}),
-        hedges(Hedges()),
-        budget({shape.extra_ratio * kUsedShare,
-                shape.extra_allowance * kUsedShare /
-                    static_cast<double>(shape.instances),
-                shape.extra_window}),
-        distances(std::move(data_centre)) {
-    context.searchers = &directory;
-    context.hedges = &hedges;
-    context.extra_arrivals = &budget;
-    context.distances = &distances;
-    context.split = &split;
+  Instance(std::string own_data_centre, const FleetShape& shape)
+      : data_centre(std::move(own_data_centre)),
+        context({[](const RoutedSearcher&) {},
+                 [](const RoutedSearcher&, std::string_view) {}},
+                kRouteHedges,
+                data_centre) {
+    context.extra_arrivals.set_limits(
+        ShareOf(shape.extra_arrivals, shape.instances));
   }
 
   const std::string data_centre;
-  SearcherDirectory directory;
-  HedgePolicy hedges;
-  ExtraArrivalBudget budget;
-  DataCentreDistance distances;
-  ServiceSplit split;
   RequestPlanContext context;
 };
 
@@ -194,7 +122,7 @@
   for (size_t i = 0; i < shape.instances; ++i) {
     instances_.push_back(std::make_unique<Instance>(
         "dc-" + std::to_string(i % shape.data_centres), shape));
-    instances_.back()->directory.Replace(events_.now(), entries);
+    instances_.back()->context.searchers.Replace(events_.now(), entries);
     instances_.back()->context.random.seed(random_());
   }
 }
@@ -484,9 +412,10 @@
 
 double RoutedFleet::WorstExtraShare() const {
   const FleetShape& shape = scenario_.shape;
-  const auto window = static_cast<size_t>(
-      std::chrono::duration_cast<std::chrono::seconds>(shape.extra_window)
-          .count());
+  const auto window =
+      static_cast<size_t>(std::chrono::duration_cast<std::chrono::seconds>(
+                              shape.extra_arrivals.window)
+                              .count());
   double worst = 0;
   for (const auto& [service, seconds] : arrivals_) {
     for (size_t from = 0; from < seconds.size(); ++from) {
@@ -496,8 +425,8 @@
         first += static_cast<double>(seconds[i].first);
         extra += static_cast<double>(seconds[i].extra);
       }
-      worst = std::max(
-          worst, extra / (shape.extra_ratio * first + shape.extra_allowance));
+      worst = std::max(worst, extra / (shape.extra_arrivals.ratio * first +
+                                       shape.extra_arrivals.allowance));
     }
   }
   return worst;
--- a/tools/bench/routed_fleet.h
+++ b/tools/bench/routed_fleet.h
@@ -17,42 +17,10 @@
 
 #include "greengage/coordination/request_plan.h"
 #include "tools/bench/event_queue.h"
+#include "tools/bench/fleet_shape.h"
 
 namespace greengage::bench {
 
-// One kind of request and how often callers send it.
-struct FleetLoad {
-  Route route;
-  double per_second = 0;
-  double work_median_ms = 0;
-  std::chrono::milliseconds deadline{};
-  double late_share = 0;  // What a late answer is worth, of one in time.
-};
-
-// A deployment: instances and searchers are dealt out to the data centres in
-// turn. Times are one way.
-struct FleetShape {
-  std::string name;
-  size_t data_centres = 3;
-  size_t instances = 9;
-  size_t shards = 20;
-  size_t replicas = 2;
-  uint32_t slots = 2;
-  Duration within = std::chrono::microseconds(200);
-  Duration between = std::chrono::milliseconds(20);
-  double work_sigma = 0.35;  // Of the logarithm.
-  Duration pause = std::chrono::milliseconds(300);
-  Duration pause_period = std::chrono::milliseconds(7500);
-  double extra_ratio = 0.2;     // Extra arrivals a request may cost, and
-  double extra_allowance = 58;  // those that are free, in each window.
-  Duration extra_window = std::chrono::seconds(10);
-  std::vector<FleetLoad> loads;
-};
-
-// The two deployments that the platform's users run.
-FleetShape KettlebrookFleet();
-FleetShape UmukonjeFleet();
-
 // What a simulated searcher does wrong; faults change it at any time.
 struct FleetSearcherFaults {
   double turns_away = 0;  // Share of the arrivals that it does not run.
