Cancel superseded watches of the store

Cause: a poll that finds an undelivered change lists all objects and watches anew; the old watch stayed pending for up to 25 s and kept one of the three connections to the store. The watch hook now returns a function that cancels it; a listing also cancels a watch that is due.

--- a/include/greengage/routed_instance.h
+++ b/include/greengage/routed_instance.h
@@ -27,9 +27,9 @@
   std::function<void(const std::string& after,
                      typename ListWatcher<Item>::PageCallback)>
       list;
-  std::function<void(uint64_t revision,
-                     std::chrono::milliseconds wait,
-                     typename ListWatcher<Item>::PageCallback)>
+  std::function<CancelWatch(uint64_t revision,
+                            std::chrono::milliseconds wait,
+                            typename ListWatcher<Item>::PageCallback)>
       watch;
   // Lists the first page; the result may be a few seconds stale. Optional.
   std::function<void(typename ListWatcher<Item>::PageCallback)> poll;
--- a/include/greengage/transport/list_watcher.h
+++ b/include/greengage/transport/list_watcher.h
@@ -38,6 +38,9 @@
   std::vector<StoreItem<Item>> items;
 };
 
+// Cancels a watch that is still pending; otherwise it has no effect.
+using CancelWatch = std::function<void()>;
+
 struct ListWatchOptions {
   // How long the store holds a watch open while nothing changes.
   std::chrono::milliseconds watch_timeout{25000};
@@ -69,9 +72,10 @@
     std::function<void(const std::string& after, PageCallback)> list;
     // Waits at most `timeout` for changes after `revision`. Fails with
     // kStaleVersion if the store has discarded that part of its history.
-    std::function<void(uint64_t revision,
-                       std::chrono::milliseconds timeout,
-                       PageCallback)>
+    // Returns a function that cancels the call and releases its connection.
+    std::function<CancelWatch(uint64_t revision,
+                              std::chrono::milliseconds timeout,
+                              PageCallback)>
         watch;
     // Reads the first page of the listing; the result may be stale. Polling is
     // disabled if the hook is empty.
@@ -104,10 +108,14 @@
     stopped_ = true;
     timer_.cancel();
     poll_timer_.cancel();
+    CancelPendingWatch();
   }
 
  private:
   void List() {
+    // A poll may have called this while the next watch was due.
+    timer_.cancel();
+    CancelPendingWatch();
     partial_listing_.clear();
     ListAfter("");
   }
@@ -119,10 +127,20 @@
   }
 
   void Watch() {
-    hooks_.watch(revision_, options_.watch_timeout,
-                 IgnoringStaleResults([this](Result<Page> page) {
-                   OnWatched(std::move(page));
-                 }));
+    cancel_watch_ =
+        hooks_.watch(revision_, options_.watch_timeout,
+                     IgnoringStaleResults([this](Result<Page> page) {
+                       OnWatched(std::move(page));
+                     }));
+  }
+
+  // A superseded watch would occupy a connection to the store until its timeout
+  // and leave none for further calls.
+  void CancelPendingWatch() {
+    ++latest_call_;
+    if (const CancelWatch cancel = std::exchange(cancel_watch_, nullptr)) {
+      cancel();
+    }
   }
 
   // Wraps `handle` so that it ignores the result of a call that completes after
@@ -256,6 +274,7 @@
   boost::asio::steady_timer poll_timer_;
   // Number of the latest call; results of earlier calls are ignored.
   uint64_t latest_call_ = 0;
+  CancelWatch cancel_watch_;  // Of the latest watch; may have ended.
   // Highest revision of the items delivered so far.
   uint64_t newest_revision_ = 0;
   uint64_t revision_ = 0;
--- a/tests/list_watcher_test.cc
+++ b/tests/list_watcher_test.cc
@@ -1,5 +1,6 @@
 #include "greengage/transport/list_watcher.h"
 
+#include <algorithm>
 #include <chrono>
 #include <memory>
 #include <string>
@@ -36,6 +37,7 @@
     hooks.watch = [this](uint64_t revision, Ms, auto done) {
       store.calls.push_back("watch " + std::to_string(revision));
       store.pending = std::move(done);
+      return [this] { store.calls.emplace_back("cancel"); };
     };
     if (options.poll_interval < Ms(1000)) {
       hooks.poll = [this](auto done) {
@@ -138,6 +140,8 @@
   cr_assert(fixture.store.calls.back() == "poll");
   fixture.store.Answer(PageOf(9, {"a"}, false));
   cr_assert(fixture.store.calls.back() == "list ");
+  // The stalled watch must not keep its connection to the store.
+  cr_assert(std::ranges::count(fixture.store.calls, "cancel") == 1);
   fixture.store.Answer(PageOf(9, {"a"}, false));
   cr_assert(fixture.snapshots.size() == 2);
   // A late result of the stalled watch is ignored.
