--- a/include/greengage/coordination/request_plan.h
+++ b/include/greengage/coordination/request_plan.h
@@ -85,6 +85,10 @@
               RequestPlanContext* context,
               std::function<uint64_t()> next_attempt);
 
+  // Reports, before Start(), that another instance may have sent the request to
+  // searchers already. All arrivals count as extra then.
+  void SetRepeated() { repeated_ = true; }
+
   RequestActions Start(TimePoint now);
 
   RequestActions OnAttemptEnded(TimePoint now,
@@ -120,6 +124,8 @@
     // Attempts, in flight or ended, that are not known not to have run.
     uint32_t may_have_run_count = 0;
     uint32_t sent_count = 0;
+    // Ended attempts that reached no searcher of the service.
+    uint32_t not_arrived_count = 0;
     bool may_have_run = false;
     std::optional<TimePoint> hedge_at;
     std::optional<TimePoint> retry_at;
@@ -175,6 +181,7 @@
   bool target_missed_ = false;  // `target_deadline_` has passed.
   std::vector<Part> parts_;
   std::unordered_map<uint64_t, Attempt> attempts_;
+  bool repeated_ = false;
   bool finished_ = false;
 };
 
--- a/include/greengage/coordination/searcher_directory.h
+++ b/include/greengage/coordination/searcher_directory.h
@@ -20,7 +20,10 @@
 // A change of the registry.
 struct SearcherChange {
   std::string id;
-  std::optional<SearcherEntry> entry;  // Empty if it was removed.
+  std::optional<SearcherEntry> entry;  // Empty if it is not registered.
+  // Without an entry: the registry did not report a removal, a listing just
+  // lacked the searcher.
+  bool unlisted = false;
 };
 
 // Not thread-safe.
--- a/include/greengage/protocol/instance_settings.h
+++ b/include/greengage/protocol/instance_settings.h
@@ -28,6 +28,7 @@
   std::string id;
   std::string data_centre;
   uint32_t threads = 0;
+  double capacity = 0;  // Processor cores that the instance may use.
 
   // Addresses that the instance listens on.
   Endpoint http;     // For callers and operators.
--- a/include/greengage/routed_instance.h
+++ b/include/greengage/routed_instance.h
@@ -11,9 +11,11 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "greengage/protocol/call_dialect.h"
 #include "greengage/protocol/instance_settings.h"
+#include "greengage/state/instance_record.h"
 #include "greengage/state/result.h"
 #include "greengage/state/route_table.h"
 #include "greengage/state/searcher_entry.h"
@@ -35,21 +37,38 @@
   std::function<void(typename ListWatcher<Item>::PageCallback)> poll;
 };
 
+enum class Registration : uint8_t {
+  kNew,
+  kRenewed,  // An earlier process of the instance had left its entry.
+};
+
 // The platform's registry of instances. Each instance adds itself when it
 // starts and removes itself when it stops.
 struct InstanceRegistry {
-  std::function<void(const std::string& id, std::function<void(Result<Done>)>)>
+  std::function<void(const InstanceRecord&,
+                     std::function<void(Result<Registration>)>)>
       add;
   std::function<void(const std::string& id, std::function<void(Result<Done>)>)>
       remove;
-  // Number of registered instances; may be some seconds old.
-  std::function<void(std::function<void(Result<size_t>)>)> count;
+  // Lists the registered instances; the result may be some seconds old.
+  std::function<void(std::function<void(Result<std::vector<InstanceRecord>>)>)>
+      list;
+};
+
+// A configuration and the text from which it was decoded, which another
+// instance can decode as well.
+struct StoredConfiguration {
+  std::string text;
+  RouteTablePtr table;
 };
 
 // The platform-specific parts of a routed instance.
 struct RoutedPlatform {
   CallDialect dialect;
-  ListWatchSource<RouteTablePtr> configuration;
+  ListWatchSource<StoredConfiguration> configuration;
+  // Decodes the text of a StoredConfiguration. Fails with kMalformedMessage.
+  std::function<Result<StoredConfiguration>(const std::string& text)>
+      decode_configuration;
   ListWatchSource<SearcherEntry> searchers;
   InstanceRegistry instances;
 };
--- a/include/greengage/state/searcher_answer.h
+++ b/include/greengage/state/searcher_answer.h
@@ -54,6 +54,13 @@
          end == AttemptEnd::kNotSent;
 }
 
+// Returns whether `end` proves that the request reached no searcher of its
+// service. An address that another searcher has is usually one of another
+// service.
+inline bool ProvesNotArrived(AttemptEnd end) {
+  return end == AttemptEnd::kMisdirected || end == AttemptEnd::kNotSent;
+}
+
 }  // namespace greengage
 
 #endif  // GREENGAGE_STATE_SEARCHER_ANSWER_H_
--- /dev/null
+++ b/include/greengage/transport/gather_forwarder.h
@@ -0,0 +1,109 @@
+// Forwards callers' queries to instances that gather.
+#ifndef GREENGAGE_TRANSPORT_GATHER_FORWARDER_H_
+#define GREENGAGE_TRANSPORT_GATHER_FORWARDER_H_
+
+#include <boost/asio/io_context.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "greengage/coordination/gatherers.h"
+#include "greengage/protocol/header_list.h"
+#include "greengage/state/endpoint.h"
+#include "greengage/state/time.h"
+#include "greengage/transport/http_client.h"
+#include "greengage/transport/http_server.h"
+
+namespace greengage {
+
+// Path of the call that finds out whether a peer still answers.
+inline constexpr char kAlivePath[] = "/alive";
+
+// Status with which an instance refuses a forwarded query, for example because
+// it is shutting down or has an older configuration. The query has not run.
+inline constexpr unsigned kForwardRefusedStatus = 421;
+
+// What an instance tells the gatherer about a query, in headers.
+struct ForwardInfo {
+  uint64_t configuration = 0;  // Oldest version that may be used.
+  // Another gatherer may have sent the query to searchers before.
+  bool repeated = false;
+};
+
+void AddForwardInfo(const ForwardInfo& info, HeaderList& headers);
+
+bool HasForwardInfo(const HeaderList& headers);
+
+// Removes the headers that AddForwardInfo() adds. Returns nothing if they are
+// missing or malformed.
+std::optional<ForwardInfo> TakeForwardInfo(HeaderList& headers);
+
+// Header of a gatherer's answer: the id of the request that it answers.
+inline constexpr char kAnsweredRequestHeader[] = "Greengage-Answered";
+
+struct ForwardedQuery {
+  std::string request_id;
+  HttpCall call;  // The request for the gatherer, without ForwardInfo.
+  uint64_t configuration = 0;
+  bool may_repeat = false;  // The route allows more than one attempt.
+  // Time at which a gatherer without an answer is checked.
+  TimePoint expected_by;
+};
+
+// Each query is forwarded over one hop. If a gatherer is lost, the query goes
+// to another one, as repeated. A gatherer that is only slow keeps it. Not
+// thread-safe: runs on one thread.
+class GatherForwarder : public std::enable_shared_from_this<GatherForwarder> {
+ public:
+  // `repeated` as in ForwardInfo. The exchange is that of the caller.
+  using GatherHere =
+      std::function<void(const std::shared_ptr<HttpExchange>&, bool repeated)>;
+
+  struct Hooks {
+    // Runs once for each forwarded query that does not come back.
+    std::function<void(const std::string& request_id,
+                       const std::string& gatherer,
+                       unsigned status,
+                       Duration took)>
+        on_answered;
+    std::function<void(const std::string& request_id,
+                       const std::string& gatherer,
+                       const std::string& detail)>
+        on_failed;
+  };
+
+  // `chooser` and `random` must outlive the forwarder.
+  GatherForwarder(boost::asio::io_context& context,
+                  GathererChooser* chooser,
+                  std::minstd_rand* random,
+                  Hooks hooks);
+
+  // Forwards the query, or runs `gather_here` if no gatherer can take it.
+  void Forward(ForwardedQuery query,
+               const std::shared_ptr<HttpExchange>& exchange,
+               GatherHere gather_here);
+
+  size_t in_flight() const { return in_flight_; }
+
+ private:
+  class Query;
+
+  std::shared_ptr<HttpClient> ClientFor(const Endpoint& endpoint);
+
+  boost::asio::io_context& context_;
+  GathererChooser* const chooser_;
+  std::minstd_rand* const random_;
+  const Hooks hooks_;
+  std::map<Endpoint, std::shared_ptr<HttpClient>> clients_;
+  size_t in_flight_ = 0;
+};
+
+}  // namespace greengage
+
+#endif  // GREENGAGE_TRANSPORT_GATHER_FORWARDER_H_
--- a/include/greengage/transport/http_client.h
+++ b/include/greengage/transport/http_client.h
@@ -24,6 +24,7 @@
   // `connections`.
   std::function<size_t()> dynamic_connection_limit = {};
   size_t connecting = 4;  // Maximum number of connections being opened.
+  uint32_t header_bytes = 8 * 1024;         // Maximum response headers.
   size_t body_bytes = size_t{1024} * 1024;  // Maximum response body.
   std::chrono::milliseconds connect_timeout{1000};
   // A shorter timeout announced by the server takes precedence.
--- a/include/greengage/transport/list_watcher.h
+++ b/include/greengage/transport/list_watcher.h
@@ -51,6 +51,10 @@
   // Interval between polls. A poll is a cheap, possibly stale read that detects
   // changes which a watch misses when its connection has stalled.
   std::chrono::milliseconds poll_interval{3000};
+  // A watch that returns this many objects may have been cut off by the store's
+  // page size. The next one starts at once, or the local state would fall
+  // further behind with each watch.
+  size_t full_watch_items = 400;
   BackoffOptions backoff;
   uint64_t seed = 0;
 };
@@ -80,10 +84,13 @@
     // Reads the first page of the listing; the result may be stale. Polling is
     // disabled if the hook is empty.
     std::function<void(PageCallback)> poll;
-    // Receives a complete listing.
-    std::function<void(std::vector<StoreItem<Item>>)> on_snapshot;
-    // Receives the objects that changed since the last listing or watch.
-    std::function<void(std::vector<StoreItem<Item>>)> on_changes;
+    // Receives a complete listing, as of the store's `revision`.
+    std::function<void(std::vector<StoreItem<Item>>, uint64_t revision)>
+        on_snapshot;
+    // Receives the objects that changed since the last listing or watch; empty
+    // if a watch ended without a change.
+    std::function<void(std::vector<StoreItem<Item>>, uint64_t revision)>
+        on_changes;
     // Runs on the first failed call after a successful one.
     std::function<void(const Failure&)> on_failing;
     // Runs on the first successful call after a failed one.
@@ -219,7 +226,7 @@
     }
     revision_ = listed_revision_;
     UpdateNewestRevision(partial_listing_);
-    hooks_.on_snapshot(std::exchange(partial_listing_, {}));
+    hooks_.on_snapshot(std::exchange(partial_listing_, {}), revision_);
     RunAfter(options_.watch_delay, [this] { Watch(); });
   }
 
@@ -227,11 +234,13 @@
     if (page) {
       OnCallSucceeded();
       revision_ = std::max(revision_, page->revision);
-      if (!page->items.empty()) {
-        UpdateNewestRevision(page->items);
-        hooks_.on_changes(std::move(page->items));
-      }
-      RunAfter(options_.watch_delay, [this] { Watch(); });
+      UpdateNewestRevision(page->items);
+      const bool may_be_cut_off =
+          page->items.size() >= options_.full_watch_items;
+      hooks_.on_changes(std::move(page->items), revision_);
+      RunAfter(
+          may_be_cut_off ? std::chrono::milliseconds(0) : options_.watch_delay,
+          [this] { Watch(); });
       return;
     }
     const bool history_discarded =
--- a/include/greengage/transport/request_router.h
+++ b/include/greengage/transport/request_router.h
@@ -19,6 +19,7 @@
 #include "greengage/protocol/routed_call_codec.h"
 #include "greengage/state/route_table.h"
 #include "greengage/state/routed_metrics.h"
+#include "greengage/transport/gather_forwarder.h"
 #include "greengage/transport/http_server.h"
 #include "greengage/transport/searcher_clients.h"
 
@@ -35,6 +36,13 @@
     std::function<bool()> rejecting;
     // Returns the age of the searcher registry, for logs.
     std::function<Duration()> registry_age;
+    // Returns true if other instances gather the queries that arrive here.
+    std::function<bool()> forwards_gathers;
+    // Forwards a query, as GatherForwarder::Forward() does.
+    std::function<void(ForwardedQuery,
+                       const std::shared_ptr<HttpExchange>&,
+                       GatherForwarder::GatherHere)>
+        forward;
   };
 
   struct Limits {
@@ -53,6 +61,11 @@
   void Handle(HttpRequest request,
               const std::shared_ptr<HttpExchange>& exchange);
 
+  // Handles a query that another instance forwarded. It is gathered here, or
+  // refused with kForwardRefusedStatus.
+  void HandleForwarded(HttpRequest request,
+                       const std::shared_ptr<HttpExchange>& exchange);
+
   // Number of requests that have not been answered yet.
   size_t in_flight() const { return in_flight_; }
 
@@ -64,11 +77,26 @@
   struct ActiveRequest;
   class Timers;
 
+  // Where a request comes from.
+  enum class Origin : uint8_t {
+    kCaller,
+    kPeer,          // Another instance forwarded it.
+    kRepeatedPeer,  // As kPeer; searchers may have received it before.
+    kReturned,      // It could not be forwarded.
+    kRepeated,      // As kReturned; searchers may have received it before.
+  };
+
   void StartRequest(HttpRequest request,
                     CallerRequest caller,
                     const std::shared_ptr<HttpExchange>& exchange,
                     RouteTablePtr table,
-                    const Route* route);
+                    const Route* route,
+                    Origin origin);
+  void ForwardGather(HttpRequest request,
+                     CallerRequest caller,
+                     const std::shared_ptr<HttpExchange>& exchange,
+                     const RouteTablePtr& table,
+                     const Route* route);
   void ExecuteActions(uint64_t number, RequestActions actions);
   void SendAttempt(ActiveRequest& active, const AttemptToSend& send);
   void OnAttemptEnded(uint64_t number,
--- a/src/coordination/searcher_directory.cc
+++ b/src/coordination/searcher_directory.cc
@@ -61,7 +61,8 @@
     }
     const auto found = by_id_.find(change.id);
     if (found != by_id_.end()) {
-      found->second->OnUnregistered(now, kRemovalGracePeriod);
+      found->second->OnUnregistered(
+          now, change.unlisted ? kListingGracePeriod : kRemovalGracePeriod);
     }
   }
 }
--- /dev/null
+++ b/src/protocol/feed_codec.cc
@@ -0,0 +1,163 @@
+#include "greengage/protocol/feed_codec.h"
+
+#include <chrono>
+#include <optional>
+#include <utility>
+
+#include "protocol/peer.pb.h"
+
+namespace greengage {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Longest time on a page; larger values could overflow a time point.
+constexpr int64_t kMaxTimeMs = int64_t{24} * 3600 * 1000;
+
+constexpr uint32_t kMaxPort = 65535;
+
+void Write(const Endpoint& endpoint, wire::Endpoint* written) {
+  written->set_host(endpoint.host);
+  written->set_port(endpoint.port);
+}
+
+void Write(const FeedObject& object, wire::FeedObject* written) {
+  written->set_kind(static_cast<uint32_t>(object.kind));
+  written->set_name(object.name);
+  written->set_revision(object.revision);
+  written->set_removed(object.removed);
+  if (const auto* text = std::get_if<ConfigurationText>(&object.value)) {
+    written->set_configuration(text->text);
+  } else if (const auto* entry = std::get_if<SearcherEntry>(&object.value)) {
+    wire::FeedSearcher* const searcher = written->mutable_searcher();
+    searcher->set_service(entry->service);
+    Write(entry->endpoint, searcher->mutable_endpoint());
+    searcher->set_data_centre(entry->data_centre);
+    searcher->set_slots(entry->slots);
+    searcher->set_draining(entry->draining);
+    searcher->set_warm_up_left_ms(entry->warm_up_left.count());
+    searcher->set_started_ms(entry->started.count());
+  } else if (const auto* record = std::get_if<InstanceRecord>(&object.value)) {
+    wire::FeedInstance* const instance = written->mutable_instance();
+    instance->set_data_centre(record->data_centre);
+    Write(record->peer, instance->mutable_peer());
+    instance->set_capacity(record->capacity);
+  }
+}
+
+std::optional<Endpoint> Read(const wire::Endpoint& message) {
+  if (message.host().empty() || message.port() == 0 ||
+      message.port() > kMaxPort) {
+    return std::nullopt;
+  }
+  return Endpoint{message.host(), static_cast<uint16_t>(message.port())};
+}
+
+std::optional<SearcherEntry> Read(const std::string& id,
+                                  const wire::FeedSearcher& message) {
+  const std::optional<Endpoint> endpoint = Read(message.endpoint());
+  if (!endpoint || message.service().empty() || message.warm_up_left_ms() < 0 ||
+      message.warm_up_left_ms() > kMaxTimeMs) {
+    return std::nullopt;
+  }
+  SearcherEntry entry;
+  entry.id = id;
+  entry.service = message.service();
+  entry.endpoint = *endpoint;
+  entry.data_centre = message.data_centre();
+  entry.slots = message.slots();
+  entry.draining = message.draining();
+  entry.warm_up_left = milliseconds(message.warm_up_left_ms());
+  entry.started = milliseconds(message.started_ms());
+  return entry;
+}
+
+std::optional<InstanceRecord> Read(const std::string& id,
+                                   const wire::FeedInstance& message) {
+  const std::optional<Endpoint> peer = Read(message.peer());
+  if (!peer) {
+    return std::nullopt;
+  }
+  return InstanceRecord{id, message.data_centre(), *peer, message.capacity()};
+}
+
+std::optional<FeedObject> Read(const wire::FeedObject& message) {
+  if (message.kind() >= kFeedKinds || message.name().empty()) {
+    return std::nullopt;
+  }
+  FeedObject object;
+  object.kind = static_cast<FeedKind>(message.kind());
+  object.name = message.name();
+  object.revision = message.revision();
+  object.removed = message.removed();
+  FeedKind kind_of_value = object.kind;
+  switch (message.value_case()) {
+    case wire::FeedObject::kConfiguration:
+      kind_of_value = FeedKind::kConfiguration;
+      object.value = ConfigurationText{message.configuration()};
+      break;
+    case wire::FeedObject::kSearcher: {
+      kind_of_value = FeedKind::kSearcher;
+      auto entry = Read(object.name, message.searcher());
+      if (!entry) {
+        return std::nullopt;
+      }
+      object.value = *std::move(entry);
+      break;
+    }
+    case wire::FeedObject::kInstance: {
+      kind_of_value = FeedKind::kInstance;
+      auto record = Read(object.name, message.instance());
+      if (!record) {
+        return std::nullopt;
+      }
+      object.value = *std::move(record);
+      break;
+    }
+    case wire::FeedObject::VALUE_NOT_SET:
+      break;
+  }
+  return kind_of_value == object.kind ? std::optional(std::move(object))
+                                      : std::nullopt;
+}
+
+}  // namespace
+
+std::string SerializeFeedPage(const FeedPage& page) {
+  wire::FeedPage written;
+  written.set_epoch(page.epoch);
+  written.set_sequence(page.sequence);
+  written.set_complete(page.complete);
+  written.set_age_ms(ToMilliseconds(page.age).count());
+  written.set_searchers_revision(page.searchers_revision);
+  for (const FeedObject& object : page.objects) {
+    Write(object, written.add_objects());
+  }
+  return written.SerializeAsString();
+}
+
+Result<FeedPage> ParseFeedPage(std::string_view message) {
+  const Failure malformed{FailureKind::kMalformedMessage, "feed page",
+                          "not a valid page"};
+  wire::FeedPage read;
+  if (!read.ParseFromArray(message.data(), static_cast<int>(message.size())) ||
+      read.age_ms() < 0 || read.age_ms() > kMaxTimeMs) {
+    return malformed;
+  }
+  FeedPage page;
+  page.epoch = read.epoch();
+  page.sequence = read.sequence();
+  page.complete = read.complete();
+  page.age = milliseconds(read.age_ms());
+  page.searchers_revision = read.searchers_revision();
+  for (const wire::FeedObject& object : read.objects()) {
+    std::optional<FeedObject> decoded = Read(object);
+    if (!decoded) {
+      return malformed;
+    }
+    page.objects.push_back(*std::move(decoded));
+  }
+  return page;
+}
+
+}  // namespace greengage
--- a/src/protocol/instance_settings.cc
+++ b/src/protocol/instance_settings.cc
@@ -24,7 +24,10 @@
             "Data centre that this instance runs in.")
       .Integer("threads", &S::threads,
                {.minimum = 1, .maximum = 64, .default_value = 2},
-               "Threads that serve requests.");
+               "Threads that serve requests.")
+      .Decimal("capacity", &S::capacity, 0.001, 1024, "1",
+               "Processor cores that this instance may use. Instances with "
+               "more serve their peers; only with dialect objects.");
   table.Section("listen")
       .Address("http", &S::http, std::nullopt,
                "Where callers and operators connect to (TCP).")
--- a/src/routed_instance.cc
+++ b/src/routed_instance.cc
@@ -34,10 +34,38 @@
           [this](const std::string& service) {
             return MaxConnectionsPerSearcher(service);
           })),
+      feed_cache_(RandomBase()),
+      feed_source_(SelfRecord(), FeedSourceOptions{.max_age = MaxFeedAge()}),
+      feed_client_(std::make_shared<FeedClient>(context)),
+      gatherers_(settings.id),
       stop_timer_(context),
       housekeeping_timer_(context),
-      instance_count_timer_(context) {
+      instances_timer_(context),
+      feed_timer_(context) {
   AssumeMaxInstances();
+  forwarder_ = std::make_shared<GatherForwarder>(
+      context, &gatherers_, &plan_context_.random,
+      GatherForwarder::Hooks{
+          [this](const std::string& request_id, const std::string& gatherer,
+                 unsigned status, Duration took) {
+            OnForwarded(request_id, gatherer, status, took);
+          },
+          [this](const std::string& request_id, const std::string& gatherer,
+                 const std::string& detail) {
+            LogLine(DecisionEvent::kGathererFailed)
+                .Add("request_id", request_id)
+                .Add("gatherer", gatherer)
+                .Add("detail", detail)
+                .Write();
+          }});
+  feed_server_ = std::make_shared<FeedServer>(
+      context, &feed_cache_,
+      FeedServerHooks{[this] {
+                        return searcher_watcher_ != nullptr &&
+                               feed_cache_.AgeAt(NowWithSuspension()) <
+                                   MaxFeedAge();
+                      },
+                      &NowWithSuspension});
   plan_context_.random.seed(
       static_cast<std::minstd_rand::result_type>(RandomBase()));
 }
@@ -49,10 +77,17 @@
       &metrics_,
       RequestRouter::Hooks{[this] { return route_table_; },
                            [this] { return rejecting_; },
-                           [this] { return RegistryAge(); }});
+                           [this] { return RegistryAge(); },
+                           [this] { return !gatherers_.gathers_itself(); },
+                           [this](ForwardedQuery query, const auto& exchange,
+                                  GatherForwarder::GatherHere gather_here) {
+                             forwarder_->Forward(std::move(query), exchange,
+                                                 std::move(gather_here));
+                           }});
   for (const auto& step : {&RoutedInstanceImpl::ListenForCallers,
                            &RoutedInstanceImpl::ListenForReadinessChecks,
-                           &RoutedInstanceImpl::ListenForMetrics}) {
+                           &RoutedInstanceImpl::ListenForMetrics,
+                           &RoutedInstanceImpl::ListenForPeers}) {
     Result<Done> result = (this->*step)();
     if (!result) {
       return result;
@@ -62,9 +97,7 @@
       .Add("version", GREENGAGE_VERSION)
       .Add("data_centre", settings_.data_centre)
       .Write();
-  StartStoreWatches();
-  RegisterInstance();
-  CountInstances();
+  JoinInstances();
   ScheduleHousekeeping();
   return Done{};
 }
@@ -135,6 +168,38 @@
   return Done{};
 }
 
+// A forwarded query has the path of the caller's request and is known by its
+// headers.
+void RoutedInstanceImpl::HandlePeer(
+    const HttpRequest& request,
+    const std::shared_ptr<HttpExchange>& exchange) {
+  if (HasForwardInfo(request.headers)) {
+    router_->HandleForwarded(request, exchange);
+  } else if (request.path == kFeedPath) {
+    feed_server_->Handle(request, exchange);
+  } else {
+    exchange->Reply(
+        HttpResponse{.status = request.path == kAlivePath ? 200U : 404U});
+  }
+}
+
+Result<Done> RoutedInstanceImpl::ListenForPeers() {
+  HttpServerLimits limits;
+  limits.body_bytes = settings_.http_body_bytes;
+  limits.header_bytes = settings_.http_header_bytes;
+  Result<std::shared_ptr<HttpServer>> server =
+      HttpServer::Listen(context_, settings_.peer, limits,
+                         [this](const HttpRequest& request,
+                                const std::shared_ptr<HttpExchange>& exchange) {
+                           HandlePeer(request, exchange);
+                         });
+  if (!server) {
+    return server.last_reason();
+  }
+  peer_server_ = *server;
+  return Done{};
+}
+
 HttpResponse RoutedInstanceImpl::MakeReadinessResponse() const {
   std::string_view reason;
   if (stopping_) {
--- a/src/routed_instance_impl.h
+++ b/src/routed_instance_impl.h
@@ -8,25 +8,33 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_set>
 #include <vector>
 
+#include "greengage/coordination/feed_cache.h"
+#include "greengage/coordination/feed_source.h"
+#include "greengage/coordination/gatherers.h"
 #include "greengage/coordination/stop_sequence.h"
 #include "greengage/routed_instance.h"
 #include "greengage/state/routed_metrics.h"
+#include "greengage/transport/feed_client.h"
+#include "greengage/transport/feed_server.h"
 #include "greengage/transport/http_server.h"
 #include "greengage/transport/request_router.h"
 #include "transport/clock.h"
 
 namespace greengage {
 
-// The member functions are in three files: routed_instance.cc creates the
-// components and listens, routed_instance_store.cc processes the data of the
-// store, routed_instance_stop.cc handles reload and shutdown. All of them run
-// on one thread.
+// The member functions are in four files: routed_instance.cc creates the
+// components and listens, routed_instance_feed.cc chooses whether to read the
+// store or a peer, routed_instance_store.cc processes the data of either,
+// routed_instance_stop.cc handles reload and shutdown. All of them run on one
+// thread.
 class RoutedInstanceImpl
     : public RoutedInstance,
       public std::enable_shared_from_this<RoutedInstanceImpl> {
@@ -48,20 +56,52 @@
   Result<Done> ListenForCallers();
   Result<Done> ListenForReadinessChecks();
   Result<Done> ListenForMetrics();
+  Result<Done> ListenForPeers();
+  void HandlePeer(const HttpRequest& request,
+                  const std::shared_ptr<HttpExchange>& exchange);
   HttpResponse MakeReadinessResponse() const;
+
+  // Registers this instance and reads the registry, so that it knows its peers,
+  // and then chooses where to read from.
+  void JoinInstances();
+  void RegisterInstance(std::function<void(Registration)> done);
+  void ReadInstancesAfter(Duration delay);
+  void ReadInstances();
+  void OnInstances(const std::vector<InstanceRecord>& instances);
+  // Reads the store or a peer, as `feed_source_` decides.
+  void UpdateFeed();
+  void ScheduleFeedUpdate(Duration delay);
+  void FetchFromPeer(const InstanceRecord& peer);
+  // Chooses the gatherers after a change of the instances or the configuration.
+  void UpdateGatherers();
+  void OnForwarded(const std::string& request_id,
+                   const std::string& gatherer,
+                   unsigned status,
+                   Duration took);
+  void OnPeerPage(const FeedPage& page);
+  InstanceRecord SelfRecord() const;
+  Duration MaxFeedAge() const;
+  Duration RegistryReadInterval() const;
+
   void StartStoreWatches();
-  void OnConfigurationObjects(
-      const std::vector<StoreItem<RouteTablePtr>>& items);
-  void OnSearcherObjects(std::vector<StoreItem<SearcherEntry>> items,
+  void StopStoreWatches();
+  void OnStoredConfigurations(
+      const std::vector<StoreItem<StoredConfiguration>>& items,
+      uint64_t revision,
+      bool is_snapshot);
+  void OnStoredSearchers(std::vector<StoreItem<SearcherEntry>> items,
+                         uint64_t revision,
                          bool is_snapshot);
+  void UseConfiguration(const RouteTablePtr& table, uint64_t revision);
+  void UseSearchers(const std::vector<SearcherChange>& changes,
+                    bool is_snapshot);
   void OnSearcherAdded(const RoutedSearcher& searcher);
   void OnSearcherLeaving(const RoutedSearcher& searcher,
                          std::string_view cause);
+  // Returns whether a route gathers parts from the service.
+  bool IsShard(const std::string& service) const;
   size_t MaxConnectionsPerSearcher(const std::string& service) const;
   void AssumeMaxInstances();
-  void RegisterInstance();
-  void CountInstances();
-  void ScheduleInstanceCount(Duration delay);
   void SetInstanceCount(size_t count);
   Duration RegistryAge() const { return Now() - registry_read_at_; }
   void ScheduleHousekeeping();
@@ -84,9 +124,28 @@
   std::shared_ptr<HttpServer> caller_server_;
   std::shared_ptr<HttpServer> readiness_server_;
   std::shared_ptr<HttpServer> metrics_server_;
-  std::shared_ptr<ListWatcher<RouteTablePtr>> configuration_watcher_;
+  std::shared_ptr<HttpServer> peer_server_;
+  // Running only while this instance reads the store itself.
+  std::shared_ptr<ListWatcher<StoredConfiguration>> configuration_watcher_;
   std::shared_ptr<ListWatcher<SearcherEntry>> searcher_watcher_;
+  Duration watch_delay_{};  // Of the running `searcher_watcher_`.
+  uint64_t searchers_revision_ = 0;
+  FeedCache feed_cache_;
+  FeedSource feed_source_;
+  std::shared_ptr<FeedServer> feed_server_;
+  std::shared_ptr<FeedClient> feed_client_;
+  GathererChooser gatherers_;
+  size_t gatherer_count_ = 0;  // In all data centres.
+  std::shared_ptr<GatherForwarder> forwarder_;
+  uint64_t forwarded_answers_ = 0;
+  // Time at which the known state of the searchers was current. Before the
+  // first state, the time until which peers may take to provide it.
+  TimePoint state_known_at_;
+  std::map<std::string, InstanceRecord> instances_;  // As peers reported them.
+  std::vector<InstanceRecord> known_instances_;
+  bool instances_read_ = false;  // The first read of the registry has ended.
   RouteTablePtr route_table_;
+  std::unordered_set<std::string> shards_;  // Of all routes of the table.
   uint64_t route_table_revision_ = 0;
   bool searchers_known_ = false;
   TimePoint registry_read_at_;
@@ -96,7 +155,8 @@
   std::function<void()> on_stopped_;
   boost::asio::steady_timer stop_timer_;
   boost::asio::steady_timer housekeeping_timer_;
-  boost::asio::steady_timer instance_count_timer_;
+  boost::asio::steady_timer instances_timer_;
+  boost::asio::steady_timer feed_timer_;
   size_t instance_count_ = 1;
   bool registration_failed_ = false;
 };
--- a/src/routed_instance_stop.cc
+++ b/src/routed_instance_stop.cc
@@ -64,7 +64,7 @@
       .Add("in_flight", router_->in_flight())
       .Write();
   caller_server_->DisableKeepAlive();
-  instance_count_timer_.cancel();
+  instances_timer_.cancel();
   platform_.instances.remove(settings_.id, [](const Result<Done>&) {
     // If the removal fails, the other instances count one instance too many
     // and use smaller shares of the common limits.
@@ -76,8 +76,9 @@
 }
 
 void RoutedInstanceImpl::AdvanceStop() {
-  const bool has_work =
-      router_->in_flight() > 0 || caller_server_->connections() > 0;
+  const bool has_work = router_->in_flight() > 0 ||
+                        forwarder_->in_flight() > 0 ||
+                        caller_server_->connections() > 0;
   const StopStep step =
       stop_sequence_->Next(Now(), router_->last_request(), has_work);
   if (step != StopStep::kServe && !std::exchange(rejecting_, true)) {
@@ -93,8 +94,9 @@
 }
 
 void RoutedInstanceImpl::FinishStop() {
-  configuration_watcher_->Stop();
-  searcher_watcher_->Stop();
+  feed_timer_.cancel();
+  StopStoreWatches();
+  peer_server_->StopAccepting();
   housekeeping_timer_.cancel();
   clients_->CloseAll();
   LogLine(DecisionEvent::kInstanceStopped)
--- a/src/routed_instance_store.cc
+++ b/src/routed_instance_store.cc
@@ -1,5 +1,5 @@
-// The parts of a routed instance that use the store: the configuration, the
-// searchers and the registry of instances.
+// The parts of a routed instance that process the configuration and the
+// searchers, and that read them from the store.
 #include <algorithm>
 #include <chrono>
 #include <utility>
@@ -15,30 +15,59 @@
 // that all instances share must also hold in the largest expected deployment.
 constexpr size_t kMaxExpectedInstances = 1000;
 
-// Interval between two counts of the instances, and the delay before the retry
-// of a failed count.
-constexpr std::chrono::seconds kCountInterval{10};
-constexpr std::chrono::milliseconds kCountRetryDelay{500};
-
 // A searcher runs only a few requests concurrently, so further connections to
 // it would stay unused.
 constexpr size_t kMaxConnectionsPerSearcher = 8;
 
+// Part of the allowance for extra arrivals that only the gatherers use. The
+// rest is for requests that no gatherer handles.
+constexpr double kGatherersAllowanceShare = 0.35;
+
 // Maximum wait of a watch of the searchers. Some searcher updates its
-// registration every second.
+// registration every second. An instance that passes its state on waits for a
+// percentage of leave_time at most, since only the answer proves that the state
+// is current.
 constexpr std::chrono::milliseconds kSearcherWatchTimeout{1500};
+constexpr int kSearcherWatchPercent = 15;
 
-// Interval between two reads of the searcher registry, as a percentage of
-// leave_time, the time in which a leaving searcher may still get requests. The
-// rest covers a slow or retried read and the requests that are already sent.
-constexpr int kRegistryReadPeriodPercent = 45;
+FeedObject MakeFeedObject(const StoreItem<StoredConfiguration>& item) {
+  FeedObject object{
+      FeedKind::kConfiguration, item.name, item.revision, item.removed, {}};
+  if (item.value) {
+    object.value = ConfigurationText{item.value->text};
+  }
+  return object;
+}
 
-void LogRegistryFailure(std::string_view call, const Failure& reason) {
-  LogLine(DecisionEvent::kInstanceListFailed)
-      .Add("call", call)
-      .Add("cause", FailureKindName(reason.kind))
-      .Add("detail", reason.detail)
-      .Write();
+FeedObject MakeFeedObject(const StoreItem<SearcherEntry>& item) {
+  FeedObject object{
+      FeedKind::kSearcher, item.name, item.revision, item.removed, {}};
+  if (item.value) {
+    object.value = *item.value;
+  }
+  return object;
+}
+
+// Passes objects of the store on to the cache for peers. Objects that cannot be
+// decoded do not exist for peers either.
+template <typename Item>
+void UpdateCache(FeedCache& cache,
+                 FeedKind kind,
+                 const std::vector<StoreItem<Item>>& items,
+                 uint64_t revision,
+                 bool is_snapshot) {
+  std::vector<FeedObject> objects;
+  for (const StoreItem<Item>& item : items) {
+    if (item.value || !is_snapshot) {
+      objects.push_back(MakeFeedObject(item));
+    }
+  }
+  const TimePoint now = NowWithSuspension();
+  if (is_snapshot) {
+    cache.Replace(now, kind, revision, std::move(objects));
+  } else {
+    cache.Apply(now, kind, revision, std::move(objects));
+  }
 }
 
 }  // namespace
@@ -73,73 +102,115 @@
 void RoutedInstanceImpl::StartStoreWatches() {
   ListWatchOptions options;
   options.seed = RandomBase();
-  auto configuration_hooks =
-      ListWatchHooks<RouteTablePtr>("configuration", platform_.configuration);
-  configuration_hooks.on_snapshot = [this](auto items) {
-    OnConfigurationObjects(items);
+  auto configuration_hooks = ListWatchHooks<StoredConfiguration>(
+      "configuration", platform_.configuration);
+  configuration_hooks.on_snapshot = [this](auto items, uint64_t revision) {
+    OnStoredConfigurations(items, revision, true);
+  };
+  configuration_hooks.on_changes = [this](auto items, uint64_t revision) {
+    OnStoredConfigurations(items, revision, false);
   };
-  configuration_hooks.on_changes = configuration_hooks.on_snapshot;
-  configuration_watcher_ = std::make_shared<ListWatcher<RouteTablePtr>>(
+  configuration_watcher_ = std::make_shared<ListWatcher<StoredConfiguration>>(
       context_, options, std::move(configuration_hooks));
   configuration_watcher_->Start();
 
   // Searchers update their registrations all the time, so a watch that returns
   // no change points to a lost connection.
+  watch_delay_ = RegistryReadInterval();
   options.watch_timeout = kSearcherWatchTimeout;
-  options.watch_delay = settings_.leave_time * kRegistryReadPeriodPercent / 100;
+  if (feed_source_.has_clients()) {
+    options.watch_timeout =
+        std::min(options.watch_timeout,
+                 settings_.leave_time * kSearcherWatchPercent / 100);
+  }
+  options.watch_delay = ToMilliseconds(watch_delay_);
   options.seed = RandomBase();
   auto searcher_hooks =
       ListWatchHooks<SearcherEntry>("searchers", platform_.searchers);
-  searcher_hooks.on_snapshot = [this](auto items) {
-    OnSearcherObjects(std::move(items), true);
+  searcher_hooks.on_snapshot = [this](auto items, uint64_t revision) {
+    OnStoredSearchers(std::move(items), revision, true);
   };
-  searcher_hooks.on_changes = [this](auto items) {
-    OnSearcherObjects(std::move(items), false);
+  searcher_hooks.on_changes = [this](auto items, uint64_t revision) {
+    OnStoredSearchers(std::move(items), revision, false);
   };
   searcher_watcher_ = std::make_shared<ListWatcher<SearcherEntry>>(
       context_, options, std::move(searcher_hooks));
   searcher_watcher_->Start();
 }
 
-void RoutedInstanceImpl::OnConfigurationObjects(
-    const std::vector<StoreItem<RouteTablePtr>>& items) {
-  for (const StoreItem<RouteTablePtr>& item : items) {
-    if (!item.value || item.revision <= route_table_revision_) {
-      continue;
+void RoutedInstanceImpl::StopStoreWatches() {
+  if (searcher_watcher_) {
+    configuration_watcher_->Stop();
+    searcher_watcher_->Stop();
+    configuration_watcher_.reset();
+    searcher_watcher_.reset();
+  }
+}
+
+void RoutedInstanceImpl::OnStoredConfigurations(
+    const std::vector<StoreItem<StoredConfiguration>>& items,
+    uint64_t revision,
+    bool is_snapshot) {
+  for (const StoreItem<StoredConfiguration>& item : items) {
+    if (item.value) {
+      UseConfiguration(item.value->table, item.revision);
     }
-    route_table_ = *item.value;
-    route_table_revision_ = item.revision;
-    caller_server_->SetLimits(ActiveServerLimits());
-    LogLine(DecisionEvent::kConfigurationInForce)
-        .Add("configuration", route_table_->version())
-        .Add("revision", route_table_revision_)
-        .Add("routes", route_table_->routes().size())
-        .Write();
   }
+  UpdateCache(feed_cache_, FeedKind::kConfiguration, items, revision,
+              is_snapshot);
+  feed_server_->OnCacheChanged();
 }
 
-void RoutedInstanceImpl::OnSearcherObjects(
+void RoutedInstanceImpl::UseConfiguration(const RouteTablePtr& table,
+                                          uint64_t revision) {
+  if (revision <= route_table_revision_) {
+    return;
+  }
+  route_table_ = table;
+  route_table_revision_ = revision;
+  UpdateGatherers();
+  caller_server_->SetLimits(ActiveServerLimits());
+  LogLine(DecisionEvent::kConfigurationInForce)
+      .Add("configuration", route_table_->version())
+      .Add("revision", route_table_revision_)
+      .Add("routes", route_table_->routes().size())
+      .Write();
+}
+
+void RoutedInstanceImpl::OnStoredSearchers(
     std::vector<StoreItem<SearcherEntry>> items,
+    uint64_t revision,
     bool is_snapshot) {
-  const TimePoint now = Now();
-  registry_read_at_ = now;
-  searchers_known_ = true;
-  std::vector<SearcherEntry> entries;
+  UpdateCache(feed_cache_, FeedKind::kSearcher, items, revision, is_snapshot);
+  searchers_revision_ = std::max(searchers_revision_, revision);
+  state_known_at_ = Now();
   std::vector<SearcherChange> changes;
   for (StoreItem<SearcherEntry>& item : items) {
-    // An entry without a value could not be decoded. A snapshot omits it; a
-    // change removes the searcher.
-    if (is_snapshot && item.value) {
-      entries.push_back(*std::move(item.value));
-    } else if (!is_snapshot) {
-      changes.push_back({std::move(item.name), std::move(item.value)});
-    }
+    changes.push_back({std::move(item.name), std::move(item.value)});
   }
-  if (is_snapshot) {
-    plan_context_.searchers.Replace(now, entries);
-  } else {
+  UseSearchers(changes, is_snapshot);
+  feed_server_->OnCacheChanged();
+}
+
+// An entry without a value could not be decoded. A snapshot omits it; a change
+// removes the searcher.
+void RoutedInstanceImpl::UseSearchers(
+    const std::vector<SearcherChange>& changes,
+    bool is_snapshot) {
+  const TimePoint now = Now();
+  registry_read_at_ = state_known_at_;
+  searchers_known_ = true;
+  if (!is_snapshot) {
     plan_context_.searchers.Apply(now, changes);
+    return;
   }
+  std::vector<SearcherEntry> entries;
+  for (const SearcherChange& change : changes) {
+    if (change.entry) {
+      entries.push_back(*change.entry);
+    }
+  }
+  plan_context_.searchers.Replace(now, entries);
 }
 
 void RoutedInstanceImpl::OnSearcherAdded(const RoutedSearcher& searcher) {
@@ -162,14 +233,21 @@
   clients_->Close(searcher);
 }
 
+bool RoutedInstanceImpl::IsShard(const std::string& service) const {
+  return shards_.contains(service);
+}
+
 size_t RoutedInstanceImpl::MaxConnectionsPerSearcher(
     const std::string& name) const {
   const RoutedService* const service =
       route_table_ ? route_table_->FindService(name) : nullptr;
   const double total = service == nullptr ? 1 : service->max_connections;
-  return std::clamp<size_t>(
-      static_cast<size_t>(InstanceShare(total, instance_count_)), 1,
-      kMaxConnectionsPerSearcher);
+  // Only gatherers open connections to shards, except while none is available.
+  const bool is_gatherer =
+      gatherer_count_ > 0 && gatherers_.gathers_itself() && IsShard(name);
+  const size_t sharers = is_gatherer ? gatherer_count_ : instance_count_;
+  return std::clamp<size_t>(static_cast<size_t>(InstanceShare(total, sharers)),
+                            1, kMaxConnectionsPerSearcher);
 }
 
 void RoutedInstanceImpl::SetInstanceCount(size_t count) {
@@ -178,54 +256,16 @@
       settings_.extra_arrivals_ratio,
       static_cast<double>(settings_.extra_arrivals_allowance),
       std::chrono::duration_cast<Duration>(settings_.extra_arrivals_window)};
-  plan_context_.extra_arrivals.set_limits(
-      InstanceLimits(total, instance_count_));
-}
-
-void RoutedInstanceImpl::RegisterInstance() {
-  platform_.instances.add(
-      settings_.id, [weak = weak_from_this()](const Result<Done>& added) {
-        const auto self = weak.lock();
-        if (!self || added || self->stopping_) {
-          return;
-        }
-        LogRegistryFailure("enter", added.last_reason());
-        self->registration_failed_ = true;  // The next count retries it.
-      });
-}
-
-void RoutedInstanceImpl::CountInstances() {
-  if (std::exchange(registration_failed_, false)) {
-    RegisterInstance();
-  }
-  platform_.instances.count(
-      [weak = weak_from_this()](const Result<size_t>& counted) {
-        const auto self = weak.lock();
-        if (!self || self->stopping_) {
-          return;
-        }
-        if (counted && *counted != self->instance_count_) {
-          self->SetInstanceCount(*counted);
-          LogLine(DecisionEvent::kInstancesCounted)
-              .Add("instances", self->instance_count_)
-              .Write();
-        }
-        if (!counted) {
-          LogRegistryFailure("count", counted.last_reason());
-        }
-        self->ScheduleInstanceCount(counted ? Duration(kCountInterval)
-                                            : Duration(kCountRetryDelay));
-      });
-}
-
-void RoutedInstanceImpl::ScheduleInstanceCount(Duration delay) {
-  instance_count_timer_.expires_after(delay);
-  instance_count_timer_.async_wait([weak = weak_from_this()](auto error) {
-    const auto self = weak.lock();
-    if (!error && self) {
-      self->CountInstances();
+  ExtraArrivalLimits limits = InstanceLimits(total, instance_count_);
+  if (gatherer_count_ > 0) {
+    // The gatherers share a part of the allowance among them.
+    limits.allowance *= 1 - kGatherersAllowanceShare;
+    if (gatherers_.gathers_itself()) {
+      limits.allowance += InstanceLimits(total, gatherer_count_).allowance *
+                          kGatherersAllowanceShare;
     }
-  });
+  }
+  plan_context_.extra_arrivals.set_limits(limits);
 }
 
 }  // namespace greengage
--- a/src/state/decision_event.cc
+++ b/src/state/decision_event.cc
@@ -24,6 +24,21 @@
        "call, cause, detail",
        "The instance was not entered on the roll of instances, or the roll not "
        "read; both are tried again."},
+      {kFeedSourceChosen, "feed_source_chosen", LogLevel::kInfo, "source",
+       "The configuration and the searchers are now read from the store, or "
+       "from the peer of this id."},
+      {kFeedPeerFailed, "feed_peer_failed", LogLevel::kWarning,
+       "peer, cause, detail",
+       "A peer that reads the store could not be read; another peer or the "
+       "store takes its place."},
+      {kQueryForwarded, "query_forwarded", LogLevel::kInfo,
+       "request_id, gatherer, status, took_ms",
+       "Another instance gathered the query; its log has the request's end. "
+       "All "
+       "that failed are logged, and one in 32 of the others."},
+      {kGathererFailed, "gatherer_failed", LogLevel::kWarning,
+       "request_id, gatherer, detail",
+       "An instance did not gather a forwarded query; another one does."},
       {kStoreFailing, "store_lost", LogLevel::kWarning, "feed, cause, detail",
        "A call to the store failed after others had not; what was known of "
        "the feed stays in use."},
--- /dev/null
+++ b/src/transport/gather_forwarder.cc
@@ -0,0 +1,317 @@
+#include "greengage/transport/gather_forwarder.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <chrono>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "transport/clock.h"
+
+namespace greengage {
+namespace {
+
+constexpr char kConfigurationHeader[] = "Greengage-Configuration";
+constexpr char kRepeatedHeader[] = "Greengage-Repeated";
+
+// Gatherers that are tried before the instance gathers the query itself.
+constexpr size_t kMaxGatherers = 2;
+
+// A peer that does not answer a small request in this time counts as lost.
+constexpr std::chrono::milliseconds kAliveTimeout{200};
+constexpr std::chrono::milliseconds kAliveInterval{400};
+
+constexpr std::chrono::milliseconds kConnectTimeout{200};
+constexpr std::chrono::milliseconds kIdleTimeout{30000};
+constexpr size_t kMaxConnections = 64;
+
+// An answer has a signature for each of the parts in its headers.
+constexpr uint32_t kMaxHeaderBytes = 256 * 1024;
+constexpr size_t kMaxAnswerBytes = size_t{4} << 20;
+
+enum HttpStatus : unsigned {
+  kBadGateway = 502,
+  kGatewayTimeout = 504,
+};
+
+// Passes a caller's exchange on to a local plan. The hook for the caller's
+// disconnection must be set before the handler of the exchange returns, so the
+// forwarder sets one of its own and calls the hook that the plan sets later.
+class RelayedExchange : public HttpExchange {
+ public:
+  explicit RelayedExchange(std::shared_ptr<HttpExchange> caller)
+      : caller_(std::move(caller)) {}
+
+  void Reply(HttpResponse response) override {
+    caller_->Reply(std::move(response));
+  }
+  uint64_t connection() const override { return caller_->connection(); }
+  void Abort() override { caller_->Abort(); }
+  void OnClientDisconnected(std::function<void()> hook) override {
+    hook_ = std::move(hook);
+    if (disconnected_) {
+      RunHook();
+    }
+  }
+
+  void SetDisconnected() {
+    disconnected_ = true;
+    RunHook();
+  }
+
+ private:
+  void RunHook() {
+    if (const auto hook = std::exchange(hook_, nullptr)) {
+      hook();
+    }
+  }
+
+  const std::shared_ptr<HttpExchange> caller_;
+  std::function<void()> hook_;
+  bool disconnected_ = false;
+};
+
+}  // namespace
+
+void AddForwardInfo(const ForwardInfo& info, HeaderList& headers) {
+  headers.emplace_back(kConfigurationHeader,
+                       std::to_string(info.configuration));
+  headers.emplace_back(kRepeatedHeader, info.repeated ? "1" : "0");
+}
+
+bool HasForwardInfo(const HeaderList& headers) {
+  return FindHeader(headers, kConfigurationHeader).has_value();
+}
+
+std::optional<ForwardInfo> TakeForwardInfo(HeaderList& headers) {
+  const auto version = FindHeader(headers, kConfigurationHeader);
+  const auto repeated = FindHeader(headers, kRepeatedHeader);
+  if (!version || !repeated) {
+    return std::nullopt;
+  }
+  ForwardInfo info;
+  const auto parsed = std::from_chars(
+      version->data(), version->data() + version->size(), info.configuration);
+  if (parsed.ec != std::errc() ||
+      parsed.ptr != version->data() + version->size()) {
+    return std::nullopt;
+  }
+  info.repeated = *repeated != "0";
+  std::erase_if(headers, [](const auto& header) {
+    return IsSameHeader(header.first, kConfigurationHeader) ||
+           IsSameHeader(header.first, kRepeatedHeader);
+  });
+  return info;
+}
+
+// A query on its way to a gatherer.
+class GatherForwarder::Query
+    : public std::enable_shared_from_this<GatherForwarder::Query> {
+ public:
+  Query(std::shared_ptr<GatherForwarder> forwarder,
+        ForwardedQuery query,
+        std::shared_ptr<HttpExchange> exchange,
+        GatherHere gather_here)
+      : forwarder_(std::move(forwarder)),
+        query_(std::move(query)),
+        exchange_(std::make_shared<RelayedExchange>(exchange)),
+        gather_here_(std::move(gather_here)),
+        started_(Now()),
+        timer_(forwarder_->context_) {
+    ++forwarder_->in_flight_;
+  }
+
+  void Start(HttpExchange& caller) {
+    caller.OnClientDisconnected(
+        [weak = weak_from_this(),
+         relayed = std::weak_ptr<RelayedExchange>(exchange_)] {
+          const auto self = weak.lock();
+          if (self && !self->ended_) {
+            self->OnCallerLeft();
+          } else if (const auto exchange = relayed.lock()) {
+            exchange->SetDisconnected();
+          }
+        });
+    SendToNext();
+  }
+
+ private:
+  void SendToNext() {
+    const TimePoint now = Now();
+    const InstanceRecord* const gatherer =
+        tried_.size() >= kMaxGatherers
+            ? nullptr
+            : forwarder_->chooser_->Choose(now, tried_, *forwarder_->random_);
+    if (gatherer == nullptr) {
+      GatherHere();
+      return;
+    }
+    tried_.push_back(gatherer->id);
+    peer_ = gatherer->peer;
+    forwarder_->chooser_->OnSent(gatherer->id);
+    HttpCall call = query_.call;
+    AddForwardInfo({query_.configuration, repeated_}, call.headers);
+    call.check = [id = query_.request_id](const HttpResponse& response) {
+      const auto answered =
+          FindHeader(response.headers, kAnsweredRequestHeader);
+      return !answered || *answered == id ? HttpResponseMatch::kMatch
+                                          : HttpResponseMatch::kMismatch;
+    };
+    client_ = forwarder_->ClientFor(peer_);
+    const size_t attempt = tried_.size();
+    call_ = client_->Start(
+        std::move(call),
+        [self = shared_from_this(), attempt](const HttpCallResult& result) {
+          self->OnResult(attempt, result);
+        });
+    ScheduleCheck(std::max(Duration::zero(), query_.expected_by - now));
+  }
+
+  void OnResult(size_t attempt, const HttpCallResult& result) {
+    if (ended_ || attempt != tried_.size()) {
+      return;
+    }
+    timer_.cancel();
+    const TimePoint now = Now();
+    const std::string gatherer = tried_.back();
+    GathererChooser& chooser = *forwarder_->chooser_;
+    if (result.response && result.response->status != kForwardRefusedStatus) {
+      chooser.OnAnswered(gatherer);
+      Reply(*result.response, now);
+      return;
+    }
+    chooser.OnFailed(
+        now, gatherer,
+        result.response ? PeerFailure::kRefused : PeerFailure::kNoAnswer);
+    forwarder_->hooks_.on_failed(
+        query_.request_id, gatherer,
+        result.response ? "refused" : Describe(result.response.last_reason()));
+    repeated_ = repeated_ || (!result.response && result.sent);
+    if (now >= query_.call.deadline) {
+      Fail(kGatewayTimeout, now);
+    } else if (repeated_ && !query_.may_repeat) {
+      Fail(kBadGateway, now);
+    } else {
+      SendToNext();
+    }
+  }
+
+  void Reply(HttpResponse response, TimePoint now) {
+    std::erase_if(response.headers, [](const auto& header) {
+      return IsSameHeader(header.first, kAnsweredRequestHeader) ||
+             IsSameHeader(header.first, "Content-Length") ||
+             IsSameHeader(header.first, "Content-Type") ||
+             IsSameHeader(header.first, "Connection") ||
+             IsSameHeader(header.first, "Server") ||
+             IsSameHeader(header.first, "Keep-Alive");
+    });
+    forwarder_->hooks_.on_answered(query_.request_id, tried_.back(),
+                                   response.status, now - started_);
+    exchange_->Reply(std::move(response));
+    End();
+  }
+
+  void Fail(unsigned status, TimePoint now) {
+    forwarder_->hooks_.on_answered(query_.request_id, tried_.back(), status,
+                                   now - started_);
+    exchange_->Reply(HttpResponse{.status = status});
+    End();
+  }
+
+  void GatherHere() {
+    End();
+    gather_here_(exchange_, repeated_);
+  }
+
+  // A gatherer that is slow still answers other requests; a lost one does not.
+  void ScheduleCheck(Duration delay) {
+    timer_.expires_after(delay);
+    timer_.async_wait([weak = weak_from_this()](auto error) {
+      const auto self = weak.lock();
+      if (!error && self && !self->ended_) {
+        self->Check();
+      }
+    });
+  }
+
+  void Check() {
+    HttpCall probe;
+    probe.target = kAlivePath;
+    probe.deadline = Now() + kAliveTimeout;
+    const size_t attempt = tried_.size();
+    client_->Start(std::move(probe), [weak = weak_from_this(),
+                                      attempt](const HttpCallResult& result) {
+      const auto self = weak.lock();
+      if (!self || self->ended_ || attempt != self->tried_.size()) {
+        return;
+      }
+      if (result.response) {
+        self->ScheduleCheck(kAliveInterval);
+      } else {
+        self->client_->Cancel(self->call_);
+      }
+    });
+  }
+
+  void OnCallerLeft() {
+    forwarder_->chooser_->OnAbandoned(tried_.back());
+    client_->Cancel(call_);
+    End();
+  }
+
+  void End() {
+    ended_ = true;
+    timer_.cancel();
+    --forwarder_->in_flight_;
+  }
+
+  const std::shared_ptr<GatherForwarder> forwarder_;
+  const ForwardedQuery query_;
+  const std::shared_ptr<RelayedExchange> exchange_;
+  const GatherForwarder::GatherHere gather_here_;
+  const TimePoint started_;
+  boost::asio::steady_timer timer_;
+  std::vector<std::string> tried_;
+  Endpoint peer_;
+  std::shared_ptr<HttpClient> client_;
+  HttpClient::CallId call_ = 0;
+  bool repeated_ = false;
+  bool ended_ = false;
+};
+
+GatherForwarder::GatherForwarder(boost::asio::io_context& context,
+                                 GathererChooser* chooser,
+                                 std::minstd_rand* random,
+                                 Hooks hooks)
+    : context_(context),
+      chooser_(chooser),
+      random_(random),
+      hooks_(std::move(hooks)) {}
+
+void GatherForwarder::Forward(ForwardedQuery query,
+                              const std::shared_ptr<HttpExchange>& exchange,
+                              GatherHere gather_here) {
+  const auto forwarded = std::make_shared<Query>(
+      shared_from_this(), std::move(query), exchange, std::move(gather_here));
+  forwarded->Start(*exchange);
+}
+
+std::shared_ptr<HttpClient> GatherForwarder::ClientFor(
+    const Endpoint& endpoint) {
+  std::shared_ptr<HttpClient>& client = clients_[endpoint];
+  if (!client) {
+    HttpClientLimits limits;
+    limits.connections = kMaxConnections;
+    limits.header_bytes = kMaxHeaderBytes;
+    limits.body_bytes = kMaxAnswerBytes;
+    limits.connect_timeout = kConnectTimeout;
+    limits.idle_timeout = kIdleTimeout;
+    client = HttpClient::Create(context_, endpoint, limits);
+  }
+  return client;
+}
+
+}  // namespace greengage
--- a/src/transport/http_client_connection.cc
+++ b/src/transport/http_client_connection.cc
@@ -18,7 +18,6 @@
 namespace http = boost::beast::http;
 
 constexpr size_t kReadBytes = 4096;
-constexpr uint32_t kMaxHeaderBytes = 8 * 1024;
 constexpr unsigned kHttp11 = 11;
 // TCP_USER_TIMEOUT: the connection is closed if the kernel of the peer does not
 // acknowledge sent bytes for this time. The searcher process has no influence.
@@ -144,7 +143,7 @@
 void HttpClientConnection::ExpectResponse() {
   parser_.emplace();
   parser_->eager(true);
-  parser_->header_limit(kMaxHeaderBytes);
+  parser_->header_limit(limits_.header_bytes);
   parser_->body_limit(limits_.body_bytes);
   parser_->skip(skip_body_);
 }
--- a/src/transport/request_router.cc
+++ b/src/transport/request_router.cc
@@ -117,6 +117,7 @@
   TimePoint arrived;
   TimePoint deadline;
   Duration registry_age{};
+  bool from_peer = false;  // Another instance forwarded it.
   size_t attempts = 0;
   size_t extra_attempts = 0;
   std::vector<AttemptRecord> attempt_records;
@@ -179,7 +180,69 @@
                    "too many requests at once"});
     return;
   }
-  StartRequest(std::move(request), *std::move(caller), exchange, table, route);
+  if (route->gather && hooks_.forwards_gathers && hooks_.forwards_gathers()) {
+    ForwardGather(std::move(request), *std::move(caller), exchange, table,
+                  route);
+    return;
+  }
+  StartRequest(std::move(request), *std::move(caller), exchange, table, route,
+               Origin::kCaller);
+}
+
+void RequestRouter::HandleForwarded(
+    HttpRequest request,
+    const std::shared_ptr<HttpExchange>& exchange) {
+  last_request_ = Now();
+  const std::optional<ForwardInfo> info = TakeForwardInfo(request.headers);
+  Result<CallerRequest> caller = ParseCallerRequest(dialect_, request.headers);
+  const RouteTablePtr table = hooks_.active_routes();
+  const Route* const route =
+      caller && table ? table->Find(caller->host, request.path) : nullptr;
+  if (!info || route == nullptr || !route->gather || hooks_.rejecting() ||
+      table->version() < info->configuration ||
+      in_flight_ >= limits_.in_flight) {
+    exchange->Reply(HttpResponse{.status = kForwardRefusedStatus});
+    return;
+  }
+  StartRequest(std::move(request), *std::move(caller), exchange, table, route,
+               info->repeated ? Origin::kRepeatedPeer : Origin::kPeer);
+}
+
+void RequestRouter::ForwardGather(HttpRequest request,
+                                  CallerRequest caller,
+                                  const std::shared_ptr<HttpExchange>& exchange,
+                                  const RouteTablePtr& table,
+                                  const Route* route) {
+  const TimePoint now = Now();
+  const Duration time_left =
+      caller.time_left.count() > 0 ? caller.time_left : route->timeout;
+  ForwardedQuery query;
+  query.request_id = caller.id;
+  query.configuration = table->version();
+  query.may_repeat = route->max_attempts > 1;
+  query.expected_by = now + route->target_latency;
+  query.call.method = request.method;
+  query.call.target = request.target;
+  query.call.body = request.body;
+  query.call.deadline = now + time_left;
+  query.call.headers = ForwardedHeaders(dialect_, request.headers);
+  query.call.headers.emplace_back(
+      dialect_.time_left, std::to_string(ToMilliseconds(time_left).count()));
+  hooks_.forward(
+      std::move(query), exchange,
+      [weak = weak_from_this(), request = std::move(request),
+       caller = std::move(caller), table, route, now, time_left](
+          const std::shared_ptr<HttpExchange>& returned, bool repeated) {
+        const auto self = weak.lock();
+        if (!self) {
+          return;
+        }
+        CallerRequest late = caller;
+        late.time_left = std::max(std::chrono::milliseconds(1),
+                                  ToMilliseconds(now + time_left - Now()));
+        self->StartRequest(request, std::move(late), returned, table, route,
+                           repeated ? Origin::kRepeated : Origin::kReturned);
+      });
 }
 
 void RequestRouter::Reject(const std::string& request_id,
@@ -210,7 +273,8 @@
                                  CallerRequest caller,
                                  const std::shared_ptr<HttpExchange>& exchange,
                                  RouteTablePtr table,
-                                 const Route* route) {
+                                 const Route* route,
+                                 Origin origin) {
   const TimePoint now = Now();
   auto active = std::make_shared<ActiveRequest>();
   active->number = ++last_number_;
@@ -224,6 +288,11 @@
   active->registry_age = hooks_.registry_age();
   active->plan.emplace(now, std::move(table), route, active->deadline, plans_,
                        [this] { return ++last_attempt_id_; });
+  active->from_peer =
+      origin == Origin::kPeer || origin == Origin::kRepeatedPeer;
+  if (origin == Origin::kRepeatedPeer || origin == Origin::kRepeated) {
+    active->plan->SetRepeated();
+  }
   exchange->OnClientDisconnected(
       [weak = weak_from_this(), number = active->number] {
         if (const auto self = weak.lock()) {
@@ -341,6 +410,9 @@
   metrics_->request_time[route.name].Record(now - active.arrived);
   HttpResponse response = ToResponse(route, result);
   LogRequestEnd(active, result, response.status, now);
+  if (active.from_peer) {
+    response.headers.emplace_back(kAnsweredRequestHeader, active.caller.id);
+  }
   active.exchange->Reply(std::move(response));
 }
 
--- /dev/null
+++ b/tests/gatherers_test.cc
@@ -0,0 +1,113 @@
+#include "greengage/coordination/gatherers.h"
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+#include "greengage/coordination/instance_share.h"
+
+namespace greengage {
+namespace {
+
+constexpr TimePoint kStart{std::chrono::seconds(100)};
+
+// Instances in six data centres. One in `large_every` has four times the
+// capacity of the others.
+std::vector<InstanceRecord> MakeInstances(size_t count, size_t large_every) {
+  std::vector<InstanceRecord> instances;
+  for (size_t i = 0; i < count; ++i) {
+    instances.push_back({std::to_string(i),
+                         std::string(1, "abcdef"[i % 6]),
+                         {"10.0.0.1", 80},
+                         i / 6 % large_every == 0 ? 0.5 : 0.125});
+  }
+  return instances;
+}
+
+}  // namespace
+
+Test(Gatherers, SmallDeploymentsGatherTheirOwnQueries) {
+  cr_assert(SelectGatherers(MakeInstances(9, 1), "a", 26).total == 0);
+  cr_assert(SelectGatherers({}, "a", 26).total == 0);
+}
+
+// Connections to a searcher must not grow with the number of instances.
+Test(Gatherers, TheirConnectionsToASearcherFitAtEverySize) {
+  for (const size_t count : {100, 300, 940, 3000}) {
+    const GathererSet set = SelectGatherers(MakeInstances(count, 17), "a", 175);
+    cr_assert(!set.local.empty());
+    cr_assert(set.total >= 6);
+    cr_assert(InstanceShare(175, set.total) >= 4);
+  }
+}
+
+Test(Gatherers, AreLargeInstancesOfTheSameDataCentre) {
+  for (const InstanceRecord& gatherer :
+       SelectGatherers(MakeInstances(300, 17), "b", 175).local) {
+    cr_assert(gatherer.data_centre == "b");
+    cr_assert(gatherer.capacity == 0.5);
+  }
+}
+
+// All instances must choose the same gatherers from the same registry.
+Test(Gatherers, DoNotDependOnTheOrderOfTheRegistry) {
+  std::vector<InstanceRecord> instances = MakeInstances(300, 1);
+  const auto before = SelectGatherers(instances, "c", 175).local;
+  std::shuffle(instances.begin(), instances.end(), std::minstd_rand(3));
+  cr_assert(SelectGatherers(instances, "c", 175).local == before);
+}
+
+Test(Gatherers, AJoiningSmallInstanceChangesNothing) {
+  std::vector<InstanceRecord> instances = MakeInstances(300, 17);
+  const auto before = SelectGatherers(instances, "a", 175).local;
+  instances.push_back({"new", "a", {"10.0.0.1", 80}, 0.125});
+  cr_assert(SelectGatherers(instances, "a", 175).local == before);
+}
+
+Test(GathererChooser, AGathererGathersItself) {
+  const auto gatherers = MakeInstances(3, 1);
+  GathererChooser chooser("1");
+  cr_assert(chooser.gathers_itself());
+  chooser.SetGatherers(gatherers);
+  cr_assert(chooser.gathers_itself());
+  GathererChooser other("7");
+  other.SetGatherers(gatherers);
+  cr_assert(!other.gathers_itself());
+}
+
+// One gatherer answers slowly: its calls stay in flight.
+Test(GathererChooser, SpreadsQueriesAndAvoidsBusyGatherers) {
+  GathererChooser chooser("7");
+  chooser.SetGatherers(MakeInstances(3, 1));
+  std::minstd_rand random(5);
+  std::map<std::string, int> chosen;
+  for (int i = 0; i < 300; ++i) {
+    const std::string id = chooser.Choose(kStart, {}, random)->id;
+    ++chosen[id];
+    chooser.OnSent(id);
+    if (id != "0") {
+      chooser.OnAnswered(id);
+    }
+  }
+  cr_assert(chosen["0"] < 5);
+  cr_assert(chosen["1"] > 100 && chosen["2"] > 100);
+}
+
+Test(GathererChooser, LeavesOutLostGatherers) {
+  GathererChooser chooser("7");
+  chooser.SetGatherers(MakeInstances(2, 1));
+  std::minstd_rand random(5);
+  chooser.OnSent("0");
+  chooser.OnFailed(kStart, "0", PeerFailure::kNoAnswer);
+  cr_assert(chooser.Choose(kStart, {}, random)->id == "1");
+  cr_assert(chooser.Choose(kStart, {"1"}, random) == nullptr);
+  const TimePoint later = kStart + std::chrono::seconds(3);
+  cr_assert(chooser.Choose(later, {"1"}, random)->id == "0");
+}
+
+}  // namespace greengage
--- a/tests/list_watcher_test.cc
+++ b/tests/list_watcher_test.cc
@@ -45,10 +45,12 @@
         store.pending = std::move(done);
       };
     }
-    hooks.on_snapshot = [this](auto items) {
+    hooks.on_snapshot = [this](auto items, uint64_t) {
       snapshots.push_back(items.size());
     };
-    hooks.on_changes = [this](auto items) { changes += items.size(); };
+    hooks.on_changes = [this](auto items, uint64_t) {
+      changes += items.size();
+    };
     hooks.on_failing = [this](const Failure&) { ++failing_calls; };
     hooks.on_recovered = [this] { ++recovered_calls; };
     watcher = std::make_shared<Watcher>(context, options, std::move(hooks));
@@ -149,6 +151,22 @@
   cr_assert(fixture.changes == 0);
 }
 
+// With many changes the store returns the oldest first, up to its page size.
+// With the usual delay after each page, the state falls behind for good.
+Test(ListWatcher, FetchesTheNextPageAtOnceAfterAFullOne) {
+  Fixture fixture({.watch_delay = Ms(300), .full_watch_items = 2});
+  fixture.store.Answer(PageOf(7, {"a"}, false));
+  fixture.RunUntilCall();
+  fixture.store.Answer(PageOf(9, {"a", "b"}, false));
+  fixture.context.run_for(Ms(100));
+  cr_assert(fixture.store.calls.back() == "watch 9");
+  cr_assert(fixture.store.pending);
+  fixture.context.restart();
+  fixture.store.Answer(PageOf(10, {"a"}, false));
+  fixture.context.run_for(Ms(100));
+  cr_assert(!fixture.store.pending);
+}
+
 Test(ListWatcher, IgnoresAPollWithoutChanges) {
   Fixture fixture({.watch_delay = Ms(0), .poll_interval = Ms(1)});
   fixture.store.Answer(PageOf(7, {"a"}, false));
--- a/tests/request_plan_test.cc
+++ b/tests/request_plan_test.cc
@@ -119,6 +119,42 @@
   cr_assert(extra == 1);
 }
 
+// Searchers that left at once let many first attempts miss their service. The
+// retries are the first arrivals there and must not exhaust the budget.
+Test(RequestPlan, RetriesWithoutBudgetWhatReachedNoSearcher) {
+  for (const AttemptEnd end :
+       {AttemptEnd::kMisdirected, AttemptEnd::kNotSent}) {
+    PlanFixture fixture(1, 3, 0);
+    RequestPlan plan =
+        fixture.Plan(SingleRoute(RequestKind::kIdempotent), kDeadline);
+    const RequestActions started = plan.Start(kPlanStart);
+    const RequestActions second =
+        plan.OnAttemptEnded(kPlanStart, started.sends[0].id, Ended(end));
+    cr_assert(second.sends.size() == 1);
+    // The second attempt arrived, so a third one is extra.
+    const RequestActions third = plan.OnAttemptEnded(
+        kPlanStart, second.sends[0].id, Ended(AttemptEnd::kLost));
+    cr_assert(third.sends.empty());
+  }
+}
+
+// A gatherer was lost with the query: its searchers may have run it, so the
+// repetition counts as extra arrivals and must not be rejected as not run.
+Test(RequestPlan, ARepeatedRequestUsesTheBudgetAndMayHaveRun) {
+  PlanFixture fixture(1, 2, 1);
+  RequestPlan first =
+      fixture.Plan(SingleRoute(RequestKind::kIdempotent), kDeadline);
+  first.SetRepeated();
+  cr_assert(first.Start(kPlanStart).sends.size() == 1);
+  RequestPlan second =
+      fixture.Plan(SingleRoute(RequestKind::kIdempotent), kDeadline);
+  second.SetRepeated();
+  const RequestActions actions = second.Start(kPlanStart);
+  cr_assert(actions.sends.empty());
+  cr_assert(actions.result);
+  cr_assert(actions.result->outcome == RequestOutcome::kUnknown);
+}
+
 // Two requests use the same failing searchers. The one that requires fewer
 // parts gets the extra arrival.
 Test(RequestPlan, SpendsScarceExtraArrivalsWhereFewPartsAreMissing) {
