--- a/include/greengage/protocol/instance_settings.h
+++ b/include/greengage/protocol/instance_settings.h
@@ -29,6 +29,8 @@
   std::string data_centre;
   uint32_t threads = 0;
   double capacity = 0;  // Processor cores that the instance may use.
+  // The whole deployment starts for the first time.
+  bool first_start = false;
 
   // Addresses that the instance listens on.
   Endpoint http;     // For callers and operators.
--- a/src/protocol/instance_settings.cc
+++ b/src/protocol/instance_settings.cc
@@ -27,7 +27,12 @@
                "Threads that serve requests.")
       .Decimal("capacity", &S::capacity, 0.001, 1024, "1",
                "Processor cores that this instance may use. Instances with "
-               "more serve their peers; only with dialect objects.");
+               "more serve their peers; only with dialect objects.")
+      .OneOf("first_start", &S::first_start, {{"true", true}, {"false", false}},
+             "false",
+             "Whether the whole deployment starts for the first time. The "
+             "instance then waits for its peers to register; only with dialect "
+             "objects.");
   table.Section("listen")
       .Address("http", &S::http, std::nullopt,
                "Where callers and operators connect to (TCP).")
--- a/src/routed_instance_feed.cc
+++ b/src/routed_instance_feed.cc
@@ -83,11 +83,11 @@
 void RoutedInstanceImpl::JoinInstances() {
   state_known_at_ = Now() + kFirstStateTime - MaxFeedAge();
   RegisterInstance([weak = weak_from_this()](Registration registration) {
-    // After a restart, the peers have registered already.
     if (const auto self = weak.lock()) {
-      self->ReadInstancesAfter(registration == Registration::kNew
-                                   ? Duration(kRegistrationTime)
-                                   : Duration::zero());
+      const bool peers_are_starting =
+          self->settings_.first_start && registration == Registration::kNew;
+      self->ReadInstancesAfter(peers_are_starting ? Duration(kRegistrationTime)
+                                                  : Duration::zero());
     }
   });
 }
