Bound the grace period of unlisted searchers by the leave time

Cause: an instance that changes the peer it reads from gets a complete listing; a searcher that the listing lacks was used for 2 s more, whatever the age of the state before. With a leave time of 3 s that exceeds it. The grace period now ends within 85 % of the leave time, counted from the replaced state; after an outage it stays 2 s. The new test fails with a fixed grace period of 2 s.

--- a/include/greengage/coordination/searcher_directory.h
+++ b/include/greengage/coordination/searcher_directory.h
@@ -2,6 +2,7 @@
 #ifndef GREENGAGE_COORDINATION_SEARCHER_DIRECTORY_H_
 #define GREENGAGE_COORDINATION_SEARCHER_DIRECTORY_H_
 
+#include <chrono>
 #include <cstddef>
 #include <functional>
 #include <optional>
@@ -26,6 +27,16 @@
   bool unlisted = false;
 };
 
+// Grace period after a listing that lacks a searcher. While the store is away,
+// the entries of live searchers may expire; they reappear within this time.
+inline constexpr Duration kListingGracePeriod = std::chrono::seconds(2);
+
+// Returns the grace period after a listing, given the age of the state that it
+// replaces. A searcher that left right after that state was current gets no
+// more requests within `leave_time`. A state older than `leave_time` means that
+// the store was away, and entries may have expired.
+Duration ListingGracePeriod(Duration replaced_state_age, Duration leave_time);
+
 // Not thread-safe.
 class SearcherDirectory {
  public:
@@ -42,8 +53,10 @@
   explicit SearcherDirectory(Hooks hooks) : hooks_(std::move(hooks)) {}
 
   // Applies a complete listing of the registry. Searchers that are not listed
-  // become missing.
-  void Replace(TimePoint now, const std::vector<SearcherEntry>& entries);
+  // become missing and are dropped after `grace`.
+  void Replace(TimePoint now,
+               const std::vector<SearcherEntry>& entries,
+               Duration grace = kListingGracePeriod);
 
   // Applies changes in the given order, which must be that of the registry.
   void Apply(TimePoint now, const std::vector<SearcherChange>& changes);
--- a/src/coordination/searcher_directory.cc
+++ b/src/coordination/searcher_directory.cc
@@ -8,9 +8,9 @@
 namespace greengage {
 namespace {
 
-// A listing follows a lost connection to the store, during which the entries of
-// live searchers may have expired; they reappear within 2 s.
-constexpr Duration kListingGracePeriod = std::chrono::seconds(2);
+// Part of the leave time, as a percentage, after which a searcher that left
+// gets no more requests. The rest covers requests on their way.
+constexpr int kLastUsePercent = 85;
 
 // The removal of an entry means that its searcher has left or no longer sends
 // heartbeats. The short grace period covers a searcher that renews its
@@ -19,8 +19,17 @@
 
 }  // namespace
 
+Duration ListingGracePeriod(Duration replaced_state_age, Duration leave_time) {
+  if (replaced_state_age >= leave_time) {
+    return kListingGracePeriod;
+  }
+  return std::clamp(leave_time * kLastUsePercent / 100 - replaced_state_age,
+                    kRemovalGracePeriod, kListingGracePeriod);
+}
+
 void SearcherDirectory::Replace(TimePoint now,
-                                const std::vector<SearcherEntry>& entries) {
+                                const std::vector<SearcherEntry>& entries,
+                                Duration grace) {
   std::unordered_set<std::string> listed;
   for (const SearcherEntry& entry : entries) {
     listed.insert(entry.id);
@@ -28,7 +37,7 @@
   }
   for (const auto& [id, searcher] : by_id_) {
     if (!listed.contains(id)) {
-      searcher->OnUnregistered(now, kListingGracePeriod);
+      searcher->OnUnregistered(now, grace);
     }
   }
 }
--- a/src/routed_instance.cc
+++ b/src/routed_instance.cc
@@ -79,7 +79,8 @@
                            [this] { return rejecting_; },
                            [this] { return RegistryAge(); },
                            [this] { return !gatherers_.gathers_itself(); },
-                           [this](ForwardedQuery query, const auto& exchange,
+                           [this](ForwardedQuery query,
+                                  const std::shared_ptr<HttpExchange>& exchange,
                                   GatherForwarder::GatherHere gather_here) {
                              forwarder_->Forward(std::move(query), exchange,
                                                  std::move(gather_here));
--- a/src/routed_instance_feed.cc
+++ b/src/routed_instance_feed.cc
@@ -155,6 +155,7 @@
 void RoutedInstanceImpl::OnInstances(
     const std::vector<InstanceRecord>& instances) {
   std::vector<FeedObject> objects;
+  objects.reserve(instances.size());
   for (const InstanceRecord& instance : instances) {
     objects.push_back({FeedKind::kInstance, instance.id, 0, false, instance});
   }
@@ -276,7 +277,6 @@
 }
 
 void RoutedInstanceImpl::OnPeerPage(const FeedPage& page) {
-  state_known_at_ = Now() - page.age;
   searchers_revision_ = page.searchers_revision;
   std::vector<SearcherChange> searchers;
   bool instances_changed = false;
@@ -303,9 +303,10 @@
       }
     }
   }
-  UseSearchers(searchers, page.complete);
+  UseSearchers(Now() - page.age, searchers, page.complete);
   if (instances_changed) {
     std::vector<InstanceRecord> instances;
+    instances.reserve(instances_.size());
     for (const auto& [id, record] : instances_) {
       instances.push_back(record);
     }
--- a/src/routed_instance_impl.h
+++ b/src/routed_instance_impl.h
@@ -93,7 +93,9 @@
                          uint64_t revision,
                          bool is_snapshot);
   void UseConfiguration(const RouteTablePtr& table, uint64_t revision);
-  void UseSearchers(const std::vector<SearcherChange>& changes,
+  // `current_at` is the time at which the state after the changes was current.
+  void UseSearchers(TimePoint current_at,
+                    const std::vector<SearcherChange>& changes,
                     bool is_snapshot);
   void OnSearcherAdded(const RoutedSearcher& searcher);
   void OnSearcherLeaving(const RoutedSearcher& searcher,
@@ -103,7 +105,7 @@
   size_t MaxConnectionsPerSearcher(const std::string& service) const;
   void AssumeMaxInstances();
   void SetInstanceCount(size_t count);
-  Duration RegistryAge() const { return Now() - registry_read_at_; }
+  Duration RegistryAge() const { return Now() - state_known_at_; }
   void ScheduleHousekeeping();
   void RunHousekeeping();
   void AdvanceStop();
@@ -148,7 +150,6 @@
   std::unordered_set<std::string> shards_;  // Of all routes of the table.
   uint64_t route_table_revision_ = 0;
   bool searchers_known_ = false;
-  TimePoint registry_read_at_;
   bool stopping_ = false;
   bool rejecting_ = false;
   std::optional<StopSequence> stop_sequence_;
--- a/src/routed_instance_store.cc
+++ b/src/routed_instance_store.cc
@@ -183,22 +183,24 @@
     bool is_snapshot) {
   UpdateCache(feed_cache_, FeedKind::kSearcher, items, revision, is_snapshot);
   searchers_revision_ = std::max(searchers_revision_, revision);
-  state_known_at_ = Now();
   std::vector<SearcherChange> changes;
+  changes.reserve(items.size());
   for (StoreItem<SearcherEntry>& item : items) {
     changes.push_back({std::move(item.name), std::move(item.value)});
   }
-  UseSearchers(changes, is_snapshot);
+  UseSearchers(Now(), changes, is_snapshot);
   feed_server_->OnCacheChanged();
 }
 
 // An entry without a value could not be decoded. A snapshot omits it; a change
 // removes the searcher.
 void RoutedInstanceImpl::UseSearchers(
+    TimePoint current_at,
     const std::vector<SearcherChange>& changes,
     bool is_snapshot) {
   const TimePoint now = Now();
-  registry_read_at_ = state_known_at_;
+  const Duration replaced_state_age =
+      now - std::exchange(state_known_at_, current_at);
   searchers_known_ = true;
   if (!is_snapshot) {
     plan_context_.searchers.Apply(now, changes);
@@ -210,7 +212,9 @@
       entries.push_back(*change.entry);
     }
   }
-  plan_context_.searchers.Replace(now, entries);
+  plan_context_.searchers.Replace(
+      now, entries,
+      ListingGracePeriod(replaced_state_age, settings_.leave_time));
 }
 
 void RoutedInstanceImpl::OnSearcherAdded(const RoutedSearcher& searcher) {
--- a/src/transport/gather_forwarder.cc
+++ b/src/transport/gather_forwarder.cc
@@ -113,7 +113,7 @@
  public:
   Query(std::shared_ptr<GatherForwarder> forwarder,
         ForwardedQuery query,
-        std::shared_ptr<HttpExchange> exchange,
+        const std::shared_ptr<HttpExchange>& exchange,
         GatherHere gather_here)
       : forwarder_(std::move(forwarder)),
         query_(std::move(query)),
--- a/tests/searcher_directory_test.cc
+++ b/tests/searcher_directory_test.cc
@@ -134,4 +134,18 @@
   cr_assert(later < 2 * kTypical);
 }
 
+// A searcher may leave right after the state that a listing replaces. With the
+// full grace period, a leave time of 3 s was exceeded by a change of the peer
+// that an instance reads from.
+Test(SearcherDirectory, ASearcherThatLeftIsDroppedWithinTheLeaveTime) {
+  constexpr Duration kLeaveTime = Ms(3000);
+  for (Duration age = Ms(0); age < kLeaveTime * 8 / 10; age += Ms(100)) {
+    const Duration grace = ListingGracePeriod(age, kLeaveTime);
+    cr_assert(age + grace < kLeaveTime);
+    cr_assert(grace > Ms(0));
+  }
+  // After an outage of the store, entries of live searchers may have expired.
+  cr_assert(ListingGracePeriod(kLeaveTime, kLeaveTime) == kListingGracePeriod);
+}
+
 }  // namespace greengage
