Keep callers' headers apart from those between instances

Cause: a query was forwarded with the caller's headers in front, so that a caller could have set the configuration or the repetition that a gatherer reads. The forwarding instance now replaces them. A query whose gatherer is lost and that may not be repeated gets the usual error body, and a configuration from a peer that cannot be decoded is logged. gatherers_test covers the headers.

--- a/include/greengage/transport/gather_forwarder.h
+++ b/include/greengage/transport/gather_forwarder.h
@@ -36,6 +36,7 @@
   bool repeated = false;
 };
 
+// Replaces headers of the same names.
 void AddForwardInfo(const ForwardInfo& info, HeaderList& headers);
 
 bool HasForwardInfo(const HeaderList& headers);
--- a/src/routed_instance_feed.cc
+++ b/src/routed_instance_feed.cc
@@ -288,6 +288,12 @@
       const auto decoded = platform_.decode_configuration(text->text);
       if (decoded) {
         UseConfiguration(decoded->table, object.revision);
+      } else {
+        LogLine(DecisionEvent::kObjectUnreadable)
+            .Add("object", object.name)
+            .Add("revision", object.revision)
+            .Add("detail", Describe(decoded.last_reason()))
+            .Write();
       }
     } else if (object.kind == FeedKind::kSearcher) {
       const auto* const entry = std::get_if<SearcherEntry>(&object.value);
--- a/src/transport/gather_forwarder.cc
+++ b/src/transport/gather_forwarder.cc
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "greengage/protocol/caller_codec.h"
 #include "transport/clock.h"
 
 namespace greengage {
@@ -74,9 +75,18 @@
   bool disconnected_ = false;
 };
 
+// Callers may send headers of the same names.
+void RemoveForwardInfo(HeaderList& headers) {
+  std::erase_if(headers, [](const auto& header) {
+    return IsSameHeader(header.first, kConfigurationHeader) ||
+           IsSameHeader(header.first, kRepeatedHeader);
+  });
+}
+
 }  // namespace
 
 void AddForwardInfo(const ForwardInfo& info, HeaderList& headers) {
+  RemoveForwardInfo(headers);
   headers.emplace_back(kConfigurationHeader,
                        std::to_string(info.configuration));
   headers.emplace_back(kRepeatedHeader, info.repeated ? "1" : "0");
@@ -100,10 +110,7 @@
     return std::nullopt;
   }
   info.repeated = *repeated != "0";
-  std::erase_if(headers, [](const auto& header) {
-    return IsSameHeader(header.first, kConfigurationHeader) ||
-           IsSameHeader(header.first, kRepeatedHeader);
-  });
+  RemoveForwardInfo(headers);
   return info;
 }
 
@@ -217,7 +224,12 @@
   void Fail(unsigned status, TimePoint now) {
     forwarder_->hooks_.on_answered(query_.request_id, tried_.back(), status,
                                    now - started_);
-    exchange_->Reply(HttpResponse{.status = status});
+    exchange_->Reply(HttpResponse{
+        .status = status,
+        .body = SerializeFailure(
+            {status == kGatewayTimeout ? FailureKind::kTimedOut
+                                       : FailureKind::kUnavailable,
+             "gatherer " + tried_.back(), "it did not answer the query"})});
     End();
   }
 
--- a/tests/gatherers_test.cc
+++ b/tests/gatherers_test.cc
@@ -7,9 +7,10 @@
 #include <string>
 #include <vector>
 
-#include <criterion/criterion.h>
-
 #include "greengage/coordination/instance_share.h"
+#include "greengage/transport/gather_forwarder.h"
+
+#include <criterion/criterion.h>
 
 namespace greengage {
 namespace {
@@ -110,4 +111,24 @@
   cr_assert(chooser.Choose(later, {"1"}, random)->id == "0");
 }
 
+// A caller's headers must not be taken for those of an instance.
+Test(ForwardInfo, ReplacesHeadersThatTheCallerSent) {
+  HeaderList headers;
+  AddForwardInfo({.configuration = 1, .repeated = true}, headers);
+  headers.emplace_back("Accept", "*/*");
+  AddForwardInfo({.configuration = 7, .repeated = false}, headers);
+  const auto info = TakeForwardInfo(headers);
+  cr_assert(info);
+  cr_assert(info->configuration == 7 && !info->repeated);
+  cr_assert(headers.size() == 1);
+}
+
+Test(ForwardInfo, RejectsMalformedHeaders) {
+  for (const std::string version : {"", "x", "7x", "-1"}) {
+    HeaderList headers{{"Greengage-Configuration", version},
+                       {"Greengage-Repeated", "0"}};
+    cr_assert(!TakeForwardInfo(headers));
+  }
+}
+
 }  // namespace greengage
