Leave the repetition of a lost query to its caller

A gatherer was lost with a query after it had hedged, and the instance repeated the query at another gatherer. The caller now gets 502 at once and tries again itself; queries that did not reach a gatherer still go to another one.

--- a/include/greengage/coordination/feed_source.h
+++ b/include/greengage/coordination/feed_source.h
@@ -69,6 +69,7 @@
   bool has_others_ = false;  // The data centre has more instances than these.
   PeerBackoff backoff_;
   TimePoint takeover_until_;
+  bool reads_store_ = false;  // The last choice was the store.
 };
 
 // Returns the instances of `data_centre` in the order in which they relay: by
--- a/include/greengage/coordination/request_plan.h
+++ b/include/greengage/coordination/request_plan.h
@@ -85,10 +85,6 @@
               RequestPlanContext* context,
               std::function<uint64_t()> next_attempt);
 
-  // Reports, before Start(), that another instance may have sent the request to
-  // searchers already. All arrivals count as extra then.
-  void SetRepeated() { repeated_ = true; }
-
   RequestActions Start(TimePoint now);
 
   RequestActions OnAttemptEnded(TimePoint now,
@@ -181,7 +177,6 @@
   bool target_missed_ = false;  // `target_deadline_` has passed.
   std::vector<Part> parts_;
   std::unordered_map<uint64_t, Attempt> attempts_;
-  bool repeated_ = false;
   bool finished_ = false;
 };
 
--- a/include/greengage/transport/gather_forwarder.h
+++ b/include/greengage/transport/gather_forwarder.h
@@ -29,11 +29,9 @@
 // it is shutting down or has an older configuration. The query has not run.
 inline constexpr unsigned kForwardRefusedStatus = 421;
 
-// What an instance tells the gatherer about a query, in headers.
+// What an instance tells the gatherer about a query, in a header.
 struct ForwardInfo {
   uint64_t configuration = 0;  // Oldest version that may be used.
-  // Another gatherer may have sent the query to searchers before.
-  bool repeated = false;
 };
 
 // Replaces headers of the same names.
@@ -52,19 +50,19 @@
   std::string request_id;
   HttpCall call;  // The request for the gatherer, without ForwardInfo.
   uint64_t configuration = 0;
-  bool may_repeat = false;  // The route allows more than one attempt.
   // Time at which a gatherer without an answer is checked.
   TimePoint expected_by;
 };
 
-// Each query is forwarded over one hop. If a gatherer is lost, the query goes
-// to another one, as repeated. A gatherer that is only slow keeps it. Not
-// thread-safe: runs on one thread.
+// Each query is forwarded over one hop. A query that did not reach its gatherer
+// goes to another one. If the gatherer is lost with the query, the caller gets
+// an error at once: the searchers may have received all attempts that the route
+// allows, so only the caller may try again. A gatherer that is only slow keeps
+// the query. Not thread-safe: runs on one thread.
 class GatherForwarder : public std::enable_shared_from_this<GatherForwarder> {
  public:
-  // `repeated` as in ForwardInfo. The exchange is that of the caller.
-  using GatherHere =
-      std::function<void(const std::shared_ptr<HttpExchange>&, bool repeated)>;
+  // The exchange is that of the caller.
+  using GatherHere = std::function<void(const std::shared_ptr<HttpExchange>&)>;
 
   struct Hooks {
     // Runs once for each forwarded query that does not come back.
--- a/include/greengage/transport/request_router.h
+++ b/include/greengage/transport/request_router.h
@@ -77,13 +77,9 @@
   struct ActiveRequest;
   class Timers;
 
-  // Where a request comes from.
   enum class Origin : uint8_t {
     kCaller,
-    kPeer,          // Another instance forwarded it.
-    kRepeatedPeer,  // As kPeer; searchers may have received it before.
-    kReturned,      // It could not be forwarded.
-    kRepeated,      // As kReturned; searchers may have received it before.
+    kPeer,  // Another instance forwarded it.
   };
 
   void StartRequest(HttpRequest request,
--- a/src/coordination/feed_source.cc
+++ b/src/coordination/feed_source.cc
@@ -53,10 +53,12 @@
 }
 
 const InstanceRecord* FeedSource::Choose(TimePoint now, TimePoint known_at) {
+  const bool read_store = std::exchange(reads_store_, true);
   if (is_relay_ || now < takeover_until_) {
     return nullptr;
   }
-  if (now - known_at >= options_.max_age) {
+  // The age of what this instance read itself says nothing about its peers.
+  if (!read_store && now - known_at >= options_.max_age) {
     takeover_until_ = now + options_.takeover_time;
     return nullptr;
   }
@@ -65,6 +67,7 @@
       return nullptr;
     }
     if (!backoff_.IsSkipped(now, instance.id)) {
+      reads_store_ = false;
       return &instance;
     }
   }
--- a/src/coordination/request_plan.cc
+++ b/src/coordination/request_plan.cc
@@ -112,10 +112,8 @@
 
 RequestActions RequestPlan::Start(TimePoint now) {
   RequestActions actions;
-  if (!repeated_) {
-    for (const Part& part : parts_) {
-      context_->extra_arrivals.OnRequest(now, part.service);
-    }
+  for (const Part& part : parts_) {
+    context_->extra_arrivals.OnRequest(now, part.service);
   }
   const RouteTiming timing = chooser_.TimingAt(now);
   if (route_->gather) {
@@ -207,7 +205,7 @@
     return false;
   }
   // The budget bounds the arrivals at the service beyond the first.
-  if ((repeated_ || part.sent_count > part.not_arrived_count) &&
+  if (part.sent_count > part.not_arrived_count &&
       !context_->extra_arrivals.TrySpend(now, part.service,
                                          BudgetReserve(now, reason))) {
     return false;
@@ -232,8 +230,7 @@
   if (!idempotent_ && (part.may_have_run || part.in_flight > 0)) {
     return false;
   }
-  const uint32_t elsewhere = repeated_ ? 1 : 0;
-  return part.may_have_run_count + elsewhere < route_->max_attempts &&
+  return part.may_have_run_count < route_->max_attempts &&
          part.sent_count < route_->max_attempts + kExtraRejectedAttempts;
 }
 
@@ -455,10 +452,9 @@
 }
 
 bool RequestPlan::MayHaveRun() const {
-  return repeated_ ||
-         std::any_of(parts_.begin(), parts_.end(), [](const Part& part) {
-           return part.may_have_run || part.in_flight > 0;
-         });
+  return std::any_of(parts_.begin(), parts_.end(), [](const Part& part) {
+    return part.may_have_run || part.in_flight > 0;
+  });
 }
 
 RequestResult RequestPlan::Merge() {
@@ -485,8 +481,7 @@
   std::uniform_real_distribution<double> spread(
       1 + rank * kRetryAfterSpread, 1 + (rank + 1) * kRetryAfterSpread);
   const Duration retry_after = std::clamp(wait, kMinRetryAfter, kMaxRetryAfter);
-  result.outcome =
-      repeated_ ? RequestOutcome::kUnknown : RequestOutcome::kNotRun;
+  result.outcome = RequestOutcome::kNotRun;
   result.retry_after = std::chrono::duration_cast<Duration>(
       retry_after * spread(context_->random));
   Finish(now, std::move(result), actions);
--- a/src/transport/gather_forwarder.cc
+++ b/src/transport/gather_forwarder.cc
@@ -16,7 +16,6 @@
 namespace {
 
 constexpr char kConfigurationHeader[] = "Greengage-Configuration";
-constexpr char kRepeatedHeader[] = "Greengage-Repeated";
 
 // Gatherers that are tried before the instance gathers the query itself.
 constexpr size_t kMaxGatherers = 2;
@@ -78,8 +77,7 @@
 // Callers may send headers of the same names.
 void RemoveForwardInfo(HeaderList& headers) {
   std::erase_if(headers, [](const auto& header) {
-    return IsSameHeader(header.first, kConfigurationHeader) ||
-           IsSameHeader(header.first, kRepeatedHeader);
+    return IsSameHeader(header.first, kConfigurationHeader);
   });
 }
 
@@ -89,7 +87,6 @@
   RemoveForwardInfo(headers);
   headers.emplace_back(kConfigurationHeader,
                        std::to_string(info.configuration));
-  headers.emplace_back(kRepeatedHeader, info.repeated ? "1" : "0");
 }
 
 bool HasForwardInfo(const HeaderList& headers) {
@@ -98,8 +95,7 @@
 
 std::optional<ForwardInfo> TakeForwardInfo(HeaderList& headers) {
   const auto version = FindHeader(headers, kConfigurationHeader);
-  const auto repeated = FindHeader(headers, kRepeatedHeader);
-  if (!version || !repeated) {
+  if (!version) {
     return std::nullopt;
   }
   ForwardInfo info;
@@ -109,7 +105,6 @@
       parsed.ptr != version->data() + version->size()) {
     return std::nullopt;
   }
-  info.repeated = *repeated != "0";
   RemoveForwardInfo(headers);
   return info;
 }
@@ -160,7 +155,7 @@
     peer_ = gatherer->peer;
     forwarder_->chooser_->OnSent(gatherer->id);
     HttpCall call = query_.call;
-    AddForwardInfo({query_.configuration, repeated_}, call.headers);
+    AddForwardInfo({query_.configuration}, call.headers);
     call.check = [id = query_.request_id](const HttpResponse& response) {
       const auto answered =
           FindHeader(response.headers, kAnsweredRequestHeader);
@@ -196,10 +191,9 @@
     forwarder_->hooks_.on_failed(
         query_.request_id, gatherer,
         result.response ? "refused" : Describe(result.response.last_reason()));
-    repeated_ = repeated_ || (!result.response && result.sent);
     if (now >= query_.call.deadline) {
       Fail(kGatewayTimeout, now);
-    } else if (repeated_ && !query_.may_repeat) {
+    } else if (!result.response && result.sent) {
       Fail(kBadGateway, now);
     } else {
       SendToNext();
@@ -235,7 +229,7 @@
 
   void GatherHere() {
     End();
-    gather_here_(exchange_, repeated_);
+    gather_here_(exchange_);
   }
 
   // A gatherer that is slow still answers other requests; a lost one does not.
@@ -290,7 +284,6 @@
   Endpoint peer_;
   std::shared_ptr<HttpClient> client_;
   HttpClient::CallId call_ = 0;
-  bool repeated_ = false;
   bool ended_ = false;
 };
 
--- a/src/transport/request_router.cc
+++ b/src/transport/request_router.cc
@@ -205,7 +205,7 @@
     return;
   }
   StartRequest(std::move(request), *std::move(caller), exchange, table, route,
-               info->repeated ? Origin::kRepeatedPeer : Origin::kPeer);
+               Origin::kPeer);
 }
 
 void RequestRouter::ForwardGather(HttpRequest request,
@@ -219,7 +219,6 @@
   ForwardedQuery query;
   query.request_id = caller.id;
   query.configuration = table->version();
-  query.may_repeat = route->max_attempts > 1;
   query.expected_by = now + route->target_latency;
   query.call.method = request.method;
   query.call.target = request.target;
@@ -228,21 +227,21 @@
   query.call.headers = ForwardedHeaders(dialect_, request.headers);
   query.call.headers.emplace_back(
       dialect_.time_left, std::to_string(ToMilliseconds(time_left).count()));
-  hooks_.forward(
-      std::move(query), exchange,
-      [weak = weak_from_this(), request = std::move(request),
-       caller = std::move(caller), table, route, now, time_left](
-          const std::shared_ptr<HttpExchange>& returned, bool repeated) {
-        const auto self = weak.lock();
-        if (!self) {
-          return;
-        }
-        CallerRequest late = caller;
-        late.time_left = std::max(std::chrono::milliseconds(1),
-                                  ToMilliseconds(now + time_left - Now()));
-        self->StartRequest(request, std::move(late), returned, table, route,
-                           repeated ? Origin::kRepeated : Origin::kReturned);
-      });
+  hooks_.forward(std::move(query), exchange,
+                 [weak = weak_from_this(), request = std::move(request),
+                  caller = std::move(caller), table, route, now,
+                  time_left](const std::shared_ptr<HttpExchange>& returned) {
+                   const auto self = weak.lock();
+                   if (!self) {
+                     return;
+                   }
+                   CallerRequest late = caller;
+                   late.time_left =
+                       std::max(std::chrono::milliseconds(1),
+                                ToMilliseconds(now + time_left - Now()));
+                   self->StartRequest(request, std::move(late), returned, table,
+                                      route, Origin::kCaller);
+                 });
 }
 
 void RequestRouter::Reject(const std::string& request_id,
@@ -288,11 +287,7 @@
   active->registry_age = hooks_.registry_age();
   active->plan.emplace(now, std::move(table), route, active->deadline, plans_,
                        [this] { return ++last_attempt_id_; });
-  active->from_peer =
-      origin == Origin::kPeer || origin == Origin::kRepeatedPeer;
-  if (origin == Origin::kRepeatedPeer || origin == Origin::kRepeated) {
-    active->plan->SetRepeated();
-  }
+  active->from_peer = origin == Origin::kPeer;
   exchange->OnClientDisconnected(
       [weak = weak_from_this(), number = active->number] {
         if (const auto self = weak.lock()) {
--- a/tests/feed_source_test.cc
+++ b/tests/feed_source_test.cc
@@ -142,4 +142,14 @@
   cr_assert(source.Choose(kStart, kStart) != nullptr);
 }
 
+// An instance reads the store less often than a relay does. The age of its own
+// state used to keep it from ever returning to its peers.
+Test(FeedSource, AnInstanceThatReadTheStoreReturnsToItsPeers) {
+  FeedSource source({"new", "a", {"10.0.0.1", 80}, 0.125}, kOptions);
+  source.SetInstances({});
+  cr_assert(source.Choose(kStart, kStart) == nullptr);
+  source.SetInstances(MakeInstances(100));
+  cr_assert(source.Choose(kStart, kStart - 2 * kOptions.max_age) != nullptr);
+}
+
 }  // namespace greengage
