Share what the readers of the store and the gatherers wrote again

End points are encoded by one pair of functions (datagram_codec, feed_codec and the writing side of peer_codec), numeric parameters of a request are read by one template, and an unreadable object of the store is logged by one function.

Removed: state of a forwarded query that nothing needs since a query is no longer repeated, a branch of ReadInstances that could not be taken, a wrapper with one caller, and a copy of each forwarded request.

No behaviour changes; no test does.

--- a/include/greengage/coordination/feed_cache.h
+++ b/include/greengage/coordination/feed_cache.h
@@ -24,9 +24,6 @@
 // The text of a configuration, as the platform encodes it.
 struct ConfigurationText {
   std::string text;
-
-  friend bool operator==(const ConfigurationText&,
-                         const ConfigurationText&) = default;
 };
 
 // An object of the store. Without a value it is gone: `removed` says whether
--- a/include/greengage/transport/gather_forwarder.h
+++ b/include/greengage/transport/gather_forwarder.h
@@ -34,12 +34,12 @@
   uint64_t configuration = 0;  // Oldest version that may be used.
 };
 
-// Replaces headers of the same names.
+// Replaces a header of the same name.
 void AddForwardInfo(const ForwardInfo& info, HeaderList& headers);
 
 bool HasForwardInfo(const HeaderList& headers);
 
-// Removes the headers that AddForwardInfo() adds. Returns nothing if they are
+// Removes the header that AddForwardInfo() adds. Returns nothing if it is
 // missing or malformed.
 std::optional<ForwardInfo> TakeForwardInfo(HeaderList& headers);
 
@@ -65,12 +65,14 @@
   using GatherHere = std::function<void(const std::shared_ptr<HttpExchange>&)>;
 
   struct Hooks {
-    // Runs once for each forwarded query that does not come back.
+    // Runs once for each query that is answered after it was forwarded, whether
+    // by a gatherer or with an error because the gatherer was lost.
     std::function<void(const std::string& request_id,
                        const std::string& gatherer,
                        unsigned status,
                        Duration took)>
         on_answered;
+    // Runs for each gatherer that refused a query or did not answer it.
     std::function<void(const std::string& request_id,
                        const std::string& gatherer,
                        const std::string& detail)>
--- a/include/greengage/transport/log_line.h
+++ b/include/greengage/transport/log_line.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "greengage/state/decision_event.h"
+#include "greengage/state/failure.h"
 #include "greengage/state/log_level.h"
 #include "greengage/state/time.h"
 
@@ -46,6 +47,11 @@
   std::string members_;  // JSON members without the braces.
 };
 
+// Logs that an object of the store is left out because it cannot be decoded.
+void LogUnreadableObject(std::string_view name,
+                         uint64_t revision,
+                         const Failure& reason);
+
 }  // namespace greengage
 
 #endif  // GREENGAGE_TRANSPORT_LOG_LINE_H_
--- a/src/coordination/feed_cache.cc
+++ b/src/coordination/feed_cache.cc
@@ -39,21 +39,16 @@
                         uint64_t revision,
                         std::vector<FeedObject> objects) {
   std::set<std::string> listed;
-  for (FeedObject& object : objects) {
+  for (const FeedObject& object : objects) {
     listed.insert(object.name);
-    Update(now, std::move(object));
   }
-  std::vector<FeedObject> unlisted;
   for (const auto& [key, entry] : entries_) {
     if (key.first == kind && entry.object.is_present() &&
         !listed.contains(key.second)) {
-      unlisted.push_back({kind, key.second, revision, false, {}});
+      objects.push_back({kind, key.second, revision, false, {}});
     }
   }
-  for (FeedObject& object : unlisted) {
-    Update(now, std::move(object));
-  }
-  MarkCurrent(now, kind, revision);
+  Apply(now, kind, revision, std::move(objects));
 }
 
 void FeedCache::Apply(TimePoint now,
--- a/src/protocol/datagram_codec.cc
+++ b/src/protocol/datagram_codec.cc
@@ -1,21 +1,16 @@
 #include "greengage/protocol/datagram_codec.h"
 
 #include <cstdint>
-#include <limits>
 #include <optional>
 #include <utility>
 
+#include "protocol/endpoint_codec.h"
 #include "protocol/peer.pb.h"
 
 namespace greengage {
 
 namespace {
 
-void Encode(const Endpoint& endpoint, wire::Endpoint* message) {
-  message->set_host(endpoint.host);
-  message->set_port(endpoint.port);
-}
-
 // Omits the end points if they are unknown.
 void Encode(const Instance& instance, wire::Member* message) {
   message->set_id(instance.id);
@@ -23,24 +18,16 @@
   message->set_state(static_cast<uint32_t>(instance.state));
   message->set_incarnation(instance.incarnation);
   if (!instance.gossip.host.empty()) {
-    Encode(instance.gossip, message->mutable_gossip());
-    Encode(instance.peer, message->mutable_peer());
-    Encode(instance.http, message->mutable_http());
-  }
-}
-
-std::optional<Endpoint> Decode(const wire::Endpoint& message) {
-  if (message.port() > std::numeric_limits<uint16_t>::max()) {
-    return std::nullopt;
+    EncodeEndpoint(instance.gossip, message->mutable_gossip());
+    EncodeEndpoint(instance.peer, message->mutable_peer());
+    EncodeEndpoint(instance.http, message->mutable_http());
   }
-  return Endpoint{.host = message.host(),
-                  .port = static_cast<uint16_t>(message.port())};
 }
 
 std::optional<Instance> Decode(const wire::Member& message) {
-  const std::optional<Endpoint> gossip = Decode(message.gossip());
-  const std::optional<Endpoint> peer = Decode(message.peer());
-  const std::optional<Endpoint> http = Decode(message.http());
+  const std::optional<Endpoint> gossip = DecodeEndpoint(message.gossip());
+  const std::optional<Endpoint> peer = DecodeEndpoint(message.peer());
+  const std::optional<Endpoint> http = DecodeEndpoint(message.http());
   const bool known_state =
       message.state() <= static_cast<uint32_t>(InstanceState::kGone);
   if (!gossip || !peer || !http || !known_state || message.id().empty()) {
--- a/src/protocol/feed_codec.cc
+++ b/src/protocol/feed_codec.cc
@@ -4,6 +4,7 @@
 #include <optional>
 #include <utility>
 
+#include "protocol/endpoint_codec.h"
 #include "protocol/peer.pb.h"
 
 namespace greengage {
@@ -14,13 +15,6 @@
 // Longest time on a page; larger values could overflow a time point.
 constexpr int64_t kMaxTimeMs = int64_t{24} * 3600 * 1000;
 
-constexpr uint32_t kMaxPort = 65535;
-
-void Write(const Endpoint& endpoint, wire::Endpoint* written) {
-  written->set_host(endpoint.host);
-  written->set_port(endpoint.port);
-}
-
 void Write(const FeedObject& object, wire::FeedObject* written) {
   written->set_kind(static_cast<uint32_t>(object.kind));
   written->set_name(object.name);
@@ -31,7 +25,7 @@
   } else if (const auto* entry = std::get_if<SearcherEntry>(&object.value)) {
     wire::FeedSearcher* const searcher = written->mutable_searcher();
     searcher->set_service(entry->service);
-    Write(entry->endpoint, searcher->mutable_endpoint());
+    EncodeEndpoint(entry->endpoint, searcher->mutable_endpoint());
     searcher->set_data_centre(entry->data_centre);
     searcher->set_slots(entry->slots);
     searcher->set_draining(entry->draining);
@@ -40,17 +34,17 @@
   } else if (const auto* record = std::get_if<InstanceRecord>(&object.value)) {
     wire::FeedInstance* const instance = written->mutable_instance();
     instance->set_data_centre(record->data_centre);
-    Write(record->peer, instance->mutable_peer());
+    EncodeEndpoint(record->peer, instance->mutable_peer());
     instance->set_capacity(record->capacity);
   }
 }
 
+// Returns nothing for an end point that nobody can connect to.
 std::optional<Endpoint> Read(const wire::Endpoint& message) {
-  if (message.host().empty() || message.port() == 0 ||
-      message.port() > kMaxPort) {
-    return std::nullopt;
-  }
-  return Endpoint{message.host(), static_cast<uint16_t>(message.port())};
+  const std::optional<Endpoint> endpoint = DecodeEndpoint(message);
+  return endpoint && !endpoint->host.empty() && endpoint->port != 0
+             ? endpoint
+             : std::nullopt;
 }
 
 std::optional<SearcherEntry> Read(const std::string& id,
--- a/src/protocol/peer_codec.cc
+++ b/src/protocol/peer_codec.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "protocol/endpoint_codec.h"
 #include "protocol/peer.pb.h"
 
 namespace greengage {
@@ -23,11 +24,6 @@
   return HybridTime{stamp.milliseconds(), stamp.counter()};
 }
 
-void WriteEndpoint(const Endpoint& endpoint, wire::Endpoint* written) {
-  written->set_host(endpoint.host);
-  written->set_port(endpoint.port);
-}
-
 Endpoint ReadEndpoint(const wire::Endpoint& endpoint) {
   return Endpoint{endpoint.host(), static_cast<uint16_t>(endpoint.port())};
 }
@@ -90,7 +86,7 @@
     wire::SubItem* item = message.add_items();
     item->set_id(request.id);
     item->set_shard(request.shard);
-    WriteEndpoint(request.searcher, item->mutable_searcher());
+    EncodeEndpoint(request.searcher, item->mutable_searcher());
     item->set_range_begin(request.range.begin);
     item->set_range_end(request.range.end);
   }
@@ -122,7 +118,7 @@
   WriteStamp(stamp, message.mutable_stamp());
   message.set_id(answer.id);
   message.set_request_id(answer.request_id);
-  WriteEndpoint(answer.searcher, message.mutable_searcher());
+  EncodeEndpoint(answer.searcher, message.mutable_searcher());
   message.set_outcome(static_cast<uint32_t>(answer.outcome));
   message.set_refusal(static_cast<uint32_t>(answer.refusal));
   message.set_range_begin(answer.range.begin);
@@ -179,7 +175,7 @@
   wire::LeavingSearchers message;
   WriteStamp(stamp, message.mutable_stamp());
   for (const Endpoint& searcher : searchers) {
-    WriteEndpoint(searcher, message.add_searchers());
+    EncodeEndpoint(searcher, message.add_searchers());
   }
   return message.SerializeAsString();
 }
--- a/src/routed_instance.cc
+++ b/src/routed_instance.cc
@@ -172,10 +172,10 @@
 // A forwarded query has the path of the caller's request and is known by its
 // headers.
 void RoutedInstanceImpl::HandlePeer(
-    const HttpRequest& request,
+    HttpRequest request,
     const std::shared_ptr<HttpExchange>& exchange) {
   if (HasForwardInfo(request.headers)) {
-    router_->HandleForwarded(request, exchange);
+    router_->HandleForwarded(std::move(request), exchange);
   } else if (request.path == kFeedPath) {
     feed_server_->Handle(request, exchange);
   } else {
@@ -190,9 +190,9 @@
   limits.header_bytes = settings_.http_header_bytes;
   Result<std::shared_ptr<HttpServer>> server =
       HttpServer::Listen(context_, settings_.peer, limits,
-                         [this](const HttpRequest& request,
+                         [this](HttpRequest request,
                                 const std::shared_ptr<HttpExchange>& exchange) {
-                           HandlePeer(request, exchange);
+                           HandlePeer(std::move(request), exchange);
                          });
   if (!server) {
     return server.last_reason();
--- a/src/routed_instance_feed.cc
+++ b/src/routed_instance_feed.cc
@@ -125,8 +125,7 @@
     RegisterInstance([](Registration) {});
   }
   if (instances_read_ && !searcher_watcher_) {
-    ReadInstancesAfter(registration_failed_ ? Duration(kInstancesRetryDelay)
-                                            : Duration(kInstancesReadInterval));
+    ReadInstancesAfter(kInstancesReadInterval);
     return;
   }
   platform_.instances.list(
@@ -289,11 +288,8 @@
       if (decoded) {
         UseConfiguration(decoded->table, object.revision);
       } else {
-        LogLine(DecisionEvent::kObjectUnreadable)
-            .Add("object", object.name)
-            .Add("revision", object.revision)
-            .Add("detail", Describe(decoded.last_reason()))
-            .Write();
+        LogUnreadableObject(object.name, object.revision,
+                            decoded.last_reason());
       }
     } else if (object.kind == FeedKind::kSearcher) {
       const auto* const entry = std::get_if<SearcherEntry>(&object.value);
--- a/src/routed_instance_impl.h
+++ b/src/routed_instance_impl.h
@@ -57,7 +57,7 @@
   Result<Done> ListenForReadinessChecks();
   Result<Done> ListenForMetrics();
   Result<Done> ListenForPeers();
-  void HandlePeer(const HttpRequest& request,
+  void HandlePeer(HttpRequest request,
                   const std::shared_ptr<HttpExchange>& exchange);
   HttpResponse MakeReadinessResponse() const;
 
@@ -100,8 +100,6 @@
   void OnSearcherAdded(const RoutedSearcher& searcher);
   void OnSearcherLeaving(const RoutedSearcher& searcher,
                          std::string_view cause);
-  // Returns whether a route gathers parts from the service.
-  bool IsShard(const std::string& service) const;
   size_t MaxConnectionsPerSearcher(const std::string& service) const;
   void AssumeMaxInstances();
   void SetInstanceCount(size_t count);
@@ -147,7 +145,8 @@
   std::vector<InstanceRecord> known_instances_;
   bool instances_read_ = false;  // The first read of the registry has ended.
   RouteTablePtr route_table_;
-  std::unordered_set<std::string> shards_;  // Of all routes of the table.
+  // Services from which a route of the table gathers parts.
+  std::unordered_set<std::string> shards_;
   uint64_t route_table_revision_ = 0;
   bool searchers_known_ = false;
   bool stopping_ = false;
--- a/src/routed_instance_store.cc
+++ b/src/routed_instance_store.cc
@@ -237,18 +237,14 @@
   clients_->Close(searcher);
 }
 
-bool RoutedInstanceImpl::IsShard(const std::string& service) const {
-  return shards_.contains(service);
-}
-
 size_t RoutedInstanceImpl::MaxConnectionsPerSearcher(
     const std::string& name) const {
   const RoutedService* const service =
       route_table_ ? route_table_->FindService(name) : nullptr;
   const double total = service == nullptr ? 1 : service->max_connections;
   // Only gatherers open connections to shards, except while none is available.
-  const bool is_gatherer =
-      gatherer_count_ > 0 && gatherers_.gathers_itself() && IsShard(name);
+  const bool is_gatherer = gatherer_count_ > 0 && gatherers_.gathers_itself() &&
+                           shards_.contains(name);
   const size_t sharers = is_gatherer ? gatherer_count_ : instance_count_;
   return std::clamp<size_t>(static_cast<size_t>(InstanceShare(total, sharers)),
                             1, kMaxConnectionsPerSearcher);
--- a/src/state/decision_event.cc
+++ b/src/state/decision_event.cc
@@ -34,8 +34,7 @@
       {kQueryForwarded, "query_forwarded", LogLevel::kInfo,
        "request_id, gatherer, status, took_ms",
        "Another instance gathered the query; its log has the request's end. "
-       "All "
-       "that failed are logged, and one in 32 of the others."},
+       "All that failed are logged, and one in 32 of the others."},
       {kGathererFailed, "gatherer_failed", LogLevel::kWarning,
        "request_id, gatherer, detail",
        "An instance did not gather a forwarded query; another one does."},
--- a/src/transport/feed_server.cc
+++ b/src/transport/feed_server.cc
@@ -1,12 +1,12 @@
 #include "greengage/transport/feed_server.h"
 
 #include <algorithm>
-#include <charconv>
 #include <chrono>
 #include <utility>
 
 #include "greengage/protocol/feed_codec.h"
 #include "transport/clock.h"
+#include "transport/request_parameter.h"
 
 namespace greengage {
 namespace {
@@ -18,16 +18,6 @@
 // Longest wait that a client may ask for.
 constexpr milliseconds kMaxWait{10000};
 
-uint64_t NumericParameter(const HttpRequest& request, const char* name) {
-  const auto found = request.parameters.find(name);
-  uint64_t number = 0;
-  if (found != request.parameters.end()) {
-    const std::string& text = found->second;
-    std::from_chars(text.data(), text.data() + text.size(), number);
-  }
-  return number;
-}
-
 }  // namespace
 
 FeedServer::FeedServer(boost::asio::io_context& context,
@@ -38,9 +28,10 @@
 void FeedServer::Handle(const HttpRequest& request,
                         const std::shared_ptr<HttpExchange>& exchange) {
   const milliseconds wait(std::min<uint64_t>(
-      NumericParameter(request, "wait_ms"), kMaxWait.count()));
-  const Waiting client{exchange, NumericParameter(request, "epoch"),
-                       NumericParameter(request, "after"), Now() + wait};
+      NumericParameter<uint64_t>(request, "wait_ms"), kMaxWait.count()));
+  const Waiting client{exchange, NumericParameter<uint64_t>(request, "epoch"),
+                       NumericParameter<uint64_t>(request, "after"),
+                       Now() + wait};
   waiting_.push_back(client);
   AnswerDue();
 }
--- a/src/transport/gather_forwarder.cc
+++ b/src/transport/gather_forwarder.cc
@@ -52,26 +52,17 @@
   void Abort() override { caller_->Abort(); }
   void OnClientDisconnected(std::function<void()> hook) override {
     hook_ = std::move(hook);
-    if (disconnected_) {
-      RunHook();
-    }
   }
 
   void SetDisconnected() {
-    disconnected_ = true;
-    RunHook();
-  }
-
- private:
-  void RunHook() {
     if (const auto hook = std::exchange(hook_, nullptr)) {
       hook();
     }
   }
 
+ private:
   const std::shared_ptr<HttpExchange> caller_;
   std::function<void()> hook_;
-  bool disconnected_ = false;
 };
 
 // Callers may send headers of the same names.
@@ -152,7 +143,6 @@
       return;
     }
     tried_.push_back(gatherer->id);
-    peer_ = gatherer->peer;
     forwarder_->chooser_->OnSent(gatherer->id);
     HttpCall call = query_.call;
     AddForwardInfo({query_.configuration}, call.headers);
@@ -162,18 +152,16 @@
       return !answered || *answered == id ? HttpResponseMatch::kMatch
                                           : HttpResponseMatch::kMismatch;
     };
-    client_ = forwarder_->ClientFor(peer_);
-    const size_t attempt = tried_.size();
-    call_ = client_->Start(
-        std::move(call),
-        [self = shared_from_this(), attempt](const HttpCallResult& result) {
-          self->OnResult(attempt, result);
-        });
+    client_ = forwarder_->ClientFor(gatherer->peer);
+    call_ = client_->Start(std::move(call), [self = shared_from_this()](
+                                                const HttpCallResult& result) {
+      self->OnResult(result);
+    });
     ScheduleCheck(std::max(Duration::zero(), query_.expected_by - now));
   }
 
-  void OnResult(size_t attempt, const HttpCallResult& result) {
-    if (ended_ || attempt != tried_.size()) {
+  void OnResult(const HttpCallResult& result) {
+    if (ended_) {
       return;
     }
     timer_.cancel();
@@ -281,7 +269,6 @@
   const TimePoint started_;
   boost::asio::steady_timer timer_;
   std::vector<std::string> tried_;
-  Endpoint peer_;
   std::shared_ptr<HttpClient> client_;
   HttpClient::CallId call_ = 0;
   bool ended_ = false;
--- a/src/transport/http_api_service.cc
+++ b/src/transport/http_api_service.cc
@@ -1,10 +1,9 @@
 #include "greengage/transport/http_api_service.h"
 
-#include <charconv>
-
 #include "greengage/protocol/caller_codec.h"
 #include "greengage/protocol/event_codec.h"
 #include "transport/clock.h"
+#include "transport/request_parameter.h"
 
 namespace greengage {
 namespace {
@@ -54,16 +53,6 @@
   return response;
 }
 
-int64_t ReadInteger(const HttpRequest& request, const std::string& name) {
-  const auto found = request.parameters.find(name);
-  int64_t value = 0;
-  if (found != request.parameters.end()) {
-    const std::string& text = found->second;
-    std::from_chars(text.data(), text.data() + text.size(), value);
-  }
-  return value;
-}
-
 }  // namespace
 
 HttpApiService::HttpApiService(std::string instance,
@@ -117,7 +106,7 @@
   if (found != request.parameters.end()) {
     request_id = found->second;
   }
-  const HybridTime since{ReadInteger(request, "since_ms"), 0};
+  const HybridTime since{NumericParameter<int64_t>(request, "since_ms"), 0};
   return HttpResponse{.body = SerializeEvents(
                           events_->Read(since, request_id, kMaxEventsServed))};
 }
--- a/src/transport/log_line.cc
+++ b/src/transport/log_line.cc
@@ -45,4 +45,14 @@
   }
 }
 
+void LogUnreadableObject(std::string_view name,
+                         uint64_t revision,
+                         const Failure& reason) {
+  LogLine(DecisionEvent::kObjectUnreadable)
+      .Add("object", name)
+      .Add("revision", revision)
+      .Add("detail", Describe(reason))
+      .Write();
+}
+
 }  // namespace greengage
--- a/src/transport/request_router.cc
+++ b/src/transport/request_router.cc
@@ -57,6 +57,11 @@
   return {text.data(), end.ptr};
 }
 
+std::chrono::milliseconds TimeLeft(const CallerRequest& caller,
+                                   const Route& route) {
+  return caller.time_left.count() > 0 ? caller.time_left : route.timeout;
+}
+
 HttpResponse ErrorResponse(unsigned status, const Failure& failure) {
   HttpResponse response;
   response.status = status;
@@ -180,7 +185,7 @@
                    "too many requests at once"});
     return;
   }
-  if (route->gather && hooks_.forwards_gathers && hooks_.forwards_gathers()) {
+  if (route->gather && hooks_.forwards_gathers()) {
     ForwardGather(std::move(request), *std::move(caller), exchange, table,
                   route);
     return;
@@ -214,8 +219,7 @@
                                   const RouteTablePtr& table,
                                   const Route* route) {
   const TimePoint now = Now();
-  const Duration time_left =
-      caller.time_left.count() > 0 ? caller.time_left : route->timeout;
+  const std::chrono::milliseconds time_left = TimeLeft(caller, *route);
   ForwardedQuery query;
   query.request_id = caller.id;
   query.configuration = table->version();
@@ -225,8 +229,8 @@
   query.call.body = request.body;
   query.call.deadline = now + time_left;
   query.call.headers = ForwardedHeaders(dialect_, request.headers);
-  query.call.headers.emplace_back(
-      dialect_.time_left, std::to_string(ToMilliseconds(time_left).count()));
+  query.call.headers.emplace_back(dialect_.time_left,
+                                  std::to_string(time_left.count()));
   hooks_.forward(std::move(query), exchange,
                  [weak = weak_from_this(), request = std::move(request),
                   caller = std::move(caller), table, route, now,
@@ -278,8 +282,7 @@
   auto active = std::make_shared<ActiveRequest>();
   active->number = ++last_number_;
   active->arrived = now;
-  active->deadline =
-      now + (caller.time_left.count() > 0 ? caller.time_left : route->timeout);
+  active->deadline = now + TimeLeft(caller, *route);
   active->headers = ForwardedHeaders(dialect_, request.headers);
   active->caller = std::move(caller);
   active->request = std::move(request);
