Log the request limits that searchers name

The limit is decoded (AttemptOutcome::request_limit), kept with its searcher, and logged as searcher_limit when it is named, changed or lifted and each 4 s between, with the number of requests sent since. greengage_limited_attempts_total counts attempts at limited searchers by service and reason. Nothing is decided by it.

--- a/include/greengage/coordination/routed_searcher.h
+++ b/include/greengage/coordination/routed_searcher.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "greengage/coordination/decayed_mean.h"
+#include "greengage/coordination/searcher_rate_limit.h"
 #include "greengage/state/searcher_answer.h"
 #include "greengage/state/searcher_entry.h"
 #include "greengage/state/time.h"
@@ -72,6 +73,10 @@
   // none is outstanding, or the last one is older than the probe interval.
   bool AllowsProbe(TimePoint now) const;
 
+  // The limit that the searcher names on the requests of all instances.
+  const SearcherRateLimit& rate_limit() const { return rate_limit_; }
+  SearcherRateLimit& rate_limit() { return rate_limit_; }
+
   size_t outstanding() const { return outstanding_.size(); }
 
   // Returns true if the searcher can be dropped: it has stopped, or it has been
@@ -103,6 +108,7 @@
   // not answer at all. Reset once it answers.
   DecayedMean unanswered_latency_ratio_;
   DecayedMean error_rate_;
+  SearcherRateLimit rate_limit_;
   ReportedLoad load_;
   TimePoint load_received_at_;
 };
--- a/include/greengage/coordination/searcher_directory.h
+++ b/include/greengage/coordination/searcher_directory.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "greengage/coordination/data_centre_distance.h"
@@ -68,6 +69,11 @@
   const std::vector<RoutedSearcherPtr>& ForService(
       const std::string& service) const;
 
+  // Returns a report for each searcher that names a limit on its requests, or
+  // no longer does, and for which one is due.
+  std::vector<std::pair<RoutedSearcherPtr, RateLimitReport>>
+  TakeRateLimitReports(TimePoint now) const;
+
   size_t size() const { return by_id_.size(); }
 
  private:
--- a/include/greengage/protocol/call_dialect.h
+++ b/include/greengage/protocol/call_dialect.h
@@ -19,6 +19,8 @@
   std::string signature = "Greengage-Signature";
   // Load of a searcher as "running, waiting, slots".
   std::string load = "Greengage-Load";
+  // Requests per second that a searcher takes from all instances together.
+  std::string request_limit = "Greengage-Request-Limit";
   // Present in an answer if the searcher did not execute the request.
   std::string not_run = "Greengage-Not-Run";
   // Comma-separated signatures of the partial answers that were merged.
--- a/include/greengage/state/decision_event.h
+++ b/include/greengage/state/decision_event.h
@@ -28,6 +28,7 @@
   kObjectUnreadable,
   kSearcherAdded,
   kSearcherLeaving,
+  kSearcherLimit,
   kRequestRefused,
   kAttempt,
   kRequestEnded,
--- a/include/greengage/state/routed_metrics.h
+++ b/include/greengage/state/routed_metrics.h
@@ -19,6 +19,7 @@
   std::map<Labels, Counter> requests;                // By route and end.
   std::map<std::string, Distribution> request_time;  // By route.
   std::map<Labels, Counter> attempts;                // By reason and end.
+  std::map<Labels, Counter> limited_attempts;        // By service and reason.
   std::map<Labels, Counter> store_changes;           // By feed and change.
   Counter searchers_added;
   Counter searchers_left;
--- a/include/greengage/state/searcher_answer.h
+++ b/include/greengage/state/searcher_answer.h
@@ -45,6 +45,9 @@
   AttemptEnd end = AttemptEnd::kLost;
   SearcherAnswer answer;  // With kAnswered and kFailed.
   std::optional<ReportedLoad> load;
+  // Requests per second that the searcher takes from all instances together.
+  // Empty if the answer names no limit.
+  std::optional<double> request_limit;
   std::string detail;  // Reason for the lack of an answer, for people.
 };
 
--- a/include/greengage/transport/log_line.h
+++ b/include/greengage/transport/log_line.h
@@ -31,6 +31,9 @@
     return AddJson(name, std::to_string(value));
   }
 
+  // Adds a finite number with six significant digits.
+  LogLine& Add(std::string_view name, double value);
+
   // Adds a duration in milliseconds with one decimal. `name` should end with
   // "_ms".
   LogLine& Add(std::string_view name, Duration value);
--- a/src/coordination/routed_searcher.cc
+++ b/src/coordination/routed_searcher.cc
@@ -43,6 +43,12 @@
 // Cost of a failure in typical latencies: the retry at another searcher.
 constexpr double kErrorPenalty = 4;
 
+// Returns whether the attempt ended with an answer of the searcher itself.
+bool IsOwnAnswer(AttemptEnd end) {
+  return end == AttemptEnd::kAnswered || end == AttemptEnd::kFailed ||
+         end == AttemptEnd::kRejected;
+}
+
 }  // namespace
 
 RoutedSearcher::RoutedSearcher(TimePoint now, SearcherEntry entry)
@@ -50,7 +56,8 @@
       warm_at_(now + entry_.warm_up_left),
       latency_ratio_(now, 1, kEstimateHalfLife),
       unanswered_latency_ratio_(now, 1, kEstimateHalfLife),
-      error_rate_(now, 0, kEstimateHalfLife) {}
+      error_rate_(now, 0, kEstimateHalfLife),
+      rate_limit_(now) {}
 
 void RoutedSearcher::UpdateEntry(TimePoint now, SearcherEntry entry) {
   // A process that is draining never becomes available again.
@@ -72,6 +79,7 @@
 
 void RoutedSearcher::OnSent(TimePoint now, AttemptId attempt) {
   outstanding_.emplace_back(attempt, now);
+  rate_limit_.OnSent();
 }
 
 void RoutedSearcher::OnEnded(TimePoint now,
@@ -92,6 +100,9 @@
     load_ = *outcome.load;
     load_received_at_ = now;
   }
+  if (IsOwnAnswer(outcome.end)) {
+    rate_limit_.OnAnswer(outcome.request_limit);
+  }
   switch (outcome.end) {
     case AttemptEnd::kAnswered:
       OnSuccess(now);
--- a/src/coordination/searcher_directory.cc
+++ b/src/coordination/searcher_directory.cc
@@ -88,6 +88,17 @@
   }
 }
 
+std::vector<std::pair<RoutedSearcherPtr, RateLimitReport>>
+SearcherDirectory::TakeRateLimitReports(TimePoint now) const {
+  std::vector<std::pair<RoutedSearcherPtr, RateLimitReport>> reports;
+  for (const auto& [id, searcher] : by_id_) {
+    if (const auto report = searcher->rate_limit().TakeReport(now)) {
+      reports.emplace_back(searcher, *report);
+    }
+  }
+  return reports;
+}
+
 const std::vector<RoutedSearcherPtr>& SearcherDirectory::ForService(
     const std::string& service) const {
   static const std::vector<RoutedSearcherPtr> none;
--- a/src/protocol/routed_call_codec.cc
+++ b/src/protocol/routed_call_codec.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <optional>
 
 namespace greengage {
@@ -39,7 +40,7 @@
 }
 
 template <typename Number>
-std::optional<Number> ParseInteger(std::string_view text) {
+std::optional<Number> ParseNumber(std::string_view text) {
   Number number = 0;
   const auto parsed =
       std::from_chars(text.data(), text.data() + text.size(), number);
@@ -87,15 +88,23 @@
   if (parts.size() != 3) {
     return std::nullopt;
   }
-  const auto running = ParseInteger<uint32_t>(parts[0]);
-  const auto waiting = ParseInteger<uint32_t>(parts[1]);
-  const auto slots = ParseInteger<uint32_t>(parts[2]);
+  const auto running = ParseNumber<uint32_t>(parts[0]);
+  const auto waiting = ParseNumber<uint32_t>(parts[1]);
+  const auto slots = ParseNumber<uint32_t>(parts[2]);
   if (!running || !waiting || !slots) {
     return std::nullopt;
   }
   return ReportedLoad{*running, *waiting, *slots};
 }
 
+// Returns nothing for a header that is not a number of requests per second.
+std::optional<double> ReadRequestLimit(const CallDialect& dialect,
+                                       const HeaderList& headers) {
+  const auto header = FindHeader(headers, dialect.request_limit);
+  const auto limit = header ? ParseNumber<double>(Trim(*header)) : std::nullopt;
+  return limit && std::isfinite(*limit) && *limit >= 0 ? limit : std::nullopt;
+}
+
 bool IsSuccess(unsigned status) {
   return status >= 200 && status < 300;
 }
@@ -115,7 +124,7 @@
   request.id = *id;
   request.host = *host;
   if (const auto time_left = FindHeader(headers, dialect.time_left)) {
-    const auto milliseconds = ParseInteger<uint32_t>(Trim(*time_left));
+    const auto milliseconds = ParseNumber<uint32_t>(Trim(*time_left));
     if (!milliseconds) {
       return Failure{FailureKind::kInvalidSyntax, dialect.time_left,
                      "want a whole number of milliseconds"};
@@ -160,6 +169,7 @@
                                    std::string body) {
   AttemptOutcome outcome;
   outcome.load = ReadLoad(dialect, headers);
+  outcome.request_limit = ReadRequestLimit(dialect, headers);
   if (status == kMisdirectedStatus) {
     outcome.end = AttemptEnd::kMisdirected;
     outcome.detail = "another searcher has the address";
--- a/src/routed_instance_impl.h
+++ b/src/routed_instance_impl.h
@@ -106,6 +106,7 @@
   Duration RegistryAge() const { return Now() - state_known_at_; }
   void ScheduleHousekeeping();
   void RunHousekeeping();
+  void LogRateLimits();
   void AdvanceStop();
   void FinishStop();
 
--- a/src/routed_instance_stop.cc
+++ b/src/routed_instance_stop.cc
@@ -29,10 +29,24 @@
 
 void RoutedInstanceImpl::RunHousekeeping() {
   plan_context_.searchers.Expire(Now());
+  LogRateLimits();
   FlushLog();
   ScheduleHousekeeping();
 }
 
+void RoutedInstanceImpl::LogRateLimits() {
+  for (const auto& [searcher, report] :
+       plan_context_.searchers.TakeRateLimitReports(Now())) {
+    LogLine line(DecisionEvent::kSearcherLimit);
+    line.Add("searcher", searcher->entry().id)
+        .Add("service", searcher->entry().service);
+    if (report.limit) {
+      line.Add("limit_per_s", *report.limit);
+    }
+    line.Add("sent", report.sent).Add("interval_ms", report.interval).Write();
+  }
+}
+
 // Leaves the addresses and limits of open sockets as they are.
 void RoutedInstanceImpl::Reload(const InstanceSettings& settings) {
   const bool needs_restart = settings.id != settings_.id ||
--- a/src/state/decision_event.cc
+++ b/src/state/decision_event.cc
@@ -54,6 +54,11 @@
       {kSearcherLeaving, "searcher_leaving", LogLevel::kInfo,
        "searcher, service, cause",
        "A searcher gets no more work: it drains, has gone or has restarted."},
+      {kSearcherLimit, "searcher_limit", LogLevel::kInfo,
+       "searcher, service, limit_per_s, sent, interval_ms",
+       "A searcher names a limit on the requests of all instances together, or "
+       "no longer does; and how many this instance sent since the last such "
+       "line of the searcher."},
       {kRequestRefused, "request_refused", LogLevel::kInfo,
        "request_id, cause, subject, detail",
        "A request was refused before any searcher was asked."},
--- a/src/state/routed_metrics.cc
+++ b/src/state/routed_metrics.cc
@@ -18,6 +18,10 @@
     "greengage_attempts_total", "counter",
     "Attempts at searchers by reason and end; beyond the first of a service "
     "they are extra load."};
+constexpr MetricInfo kLimitedAttempts{
+    "greengage_limited_attempts_total", "counter",
+    "Attempts at searchers that name a limit on their requests, by service and "
+    "reason."};
 constexpr MetricInfo kStoreChanges{
     "greengage_store_changes_total", "counter",
     "Times that a feed of the store was lost or regained."};
@@ -45,8 +49,8 @@
 
 const std::vector<MetricInfo>& AllRoutedMetrics() {
   static const std::vector<MetricInfo> metrics{
-      kRequests, kRequestTime, kAttempts,   kStoreChanges,
-      kAdded,    kLeft,        kCallersLeft};
+      kRequests,     kRequestTime, kAttempts, kLimitedAttempts,
+      kStoreChanges, kAdded,       kLeft,     kCallersLeft};
   return metrics;
 }
 
@@ -59,6 +63,8 @@
     WriteSummary(out, kRequestTime, "route=\"" + route + "\"", distribution);
   }
   WriteLabelled(out, kAttempts, "reason", "end", metrics.attempts);
+  WriteLabelled(out, kLimitedAttempts, "service", "reason",
+                metrics.limited_attempts);
   WriteLabelled(out, kStoreChanges, "feed", "change", metrics.store_changes);
   WriteCounter(out, kAdded, metrics.searchers_added);
   WriteCounter(out, kLeft, metrics.searchers_left);
--- a/src/transport/log_line.cc
+++ b/src/transport/log_line.cc
@@ -29,6 +29,12 @@
   return AddJson(name, text.data());
 }
 
+LogLine& LogLine::Add(std::string_view name, double value) {
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%.6g", value);
+  return AddJson(name, text.data());
+}
+
 LogLine& LogLine::AddJson(std::string_view name, std::string_view value) {
   if (enabled_) {
     members_ += members_.empty() ? "\"" : ",\"";
--- a/src/transport/request_router.cc
+++ b/src/transport/request_router.cc
@@ -338,6 +338,12 @@
                                     searcher.id, now - active.arrived,
                                     send.expected, std::nullopt,
                                     Duration::zero(), ""});
+  if (send.searcher->rate_limit().limit()) {
+    metrics_
+        ->limited_attempts[{searcher.service,
+                            std::string(AttemptReasonName(send.reason))}]
+        .Add();
+  }
   HttpCall call;
   call.method = active.request.method;
   call.target = active.request.target;
--- a/tests/routed_call_codec_test.cc
+++ b/tests/routed_call_codec_test.cc
@@ -44,6 +44,17 @@
   cr_assert(!ParseAnswer(200, {{"Greengage-Load", "a,b,c"}}).load);
 }
 
+Test(RoutedCallCodec, ParsesTheRequestLimitOfASearcher) {
+  cr_assert(
+      ParseAnswer(200, {{"Greengage-Request-Limit", "23.8"}}).request_limit ==
+      23.8);
+  for (const char* const malformed : {"", "many", "nan", "inf", "-1", "2;3"}) {
+    cr_assert(!ParseAnswer(200, {{"Greengage-Request-Limit", malformed}})
+                   .request_limit);
+  }
+  cr_assert(!ParseAnswer(200, {}).request_limit);
+}
+
 Test(RoutedCallCodec, AnswerWithDifferentIdIsMismatched) {
   const HeaderList headers{{"greengage-request-id", "one"}};
   cr_assert(!IsMismatchedAnswer(kDialect, headers, "one"));
