Test the limit that a searcher names for all instances

The simulated fleet can name limits and counts what its searchers get from the instances that know them.

--- a/tests/routed_load_test.cc
+++ b/tests/routed_load_test.cc
@@ -79,4 +79,23 @@
   }
 }
 
+// Each instance alone may send only its share of the limit that a searcher
+// names for all of them together.
+Test(RoutedLoad, AllInstancesTogetherKeepTheLimitThatASearcherNames) {
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    for (FleetShape shape : {KettlebrookFleet(), UmukonjeFleet()}) {
+      for (const size_t instances : {shape.instances, size_t{60}}) {
+        shape.instances = instances;
+        for (const bool all_replicas : {false, true}) {
+          const FleetResult result =
+              Simulate(shape, seed, [all_replicas](RoutedFleet& fleet) {
+                MakeSearchersNameLimits(fleet, all_replicas);
+              });
+          cr_assert(result.max_limit_use <= 1);
+        }
+      }
+    }
+  }
+}
+
 }  // namespace greengage::bench
--- a/tools/bench/routed_faults.cc
+++ b/tools/bench/routed_faults.cc
@@ -12,17 +12,18 @@
 constexpr Duration kFaultLength = std::chrono::seconds(6);
 
 // Applies `begin` at kFaultStart to the searchers that `is_affected` selects,
-// and clears their faults after kFaultLength.
+// and clears their faults after `length`.
 void ApplyTemporarily(RoutedFleet& fleet,
                       const std::function<bool(size_t)>& is_affected,
-                      const std::function<void(FleetSearcherFaults&)>& begin) {
+                      const std::function<void(FleetSearcherFaults&)>& begin,
+                      Duration length = kFaultLength) {
   const TimePoint from = fleet.MeasurementStart() + kFaultStart;
   for (size_t i = 0; i < fleet.searchers(); ++i) {
     if (!is_affected(i)) {
       continue;
     }
     fleet.events().At(from, [&fleet, i, begin] { begin(fleet.faults(i)); });
-    fleet.events().At(from + kFaultLength,
+    fleet.events().At(from + length,
                       [&fleet, i] { fleet.faults(i) = FleetSearcherFaults{}; });
   }
 }
@@ -64,4 +65,21 @@
       [](FleetSearcherFaults& faults) { faults.slowdown = kSlowdown; });
 }
 
+void MakeSearchersNameLimits(RoutedFleet& fleet, bool all_replicas) {
+  constexpr Duration kLength = std::chrono::seconds(15);
+  const size_t replicas = fleet.shape().replicas;
+  double requests_per_second = 0;
+  for (const FleetLoad& load : fleet.shape().loads) {
+    requests_per_second += load.requests_per_second;
+  }
+  const double limit = requests_per_second / static_cast<double>(replicas) / 2;
+  ApplyTemporarily(
+      fleet,
+      [replicas, all_replicas](size_t i) {
+        return all_replicas || i % replicas == 0;
+      },
+      [limit](FleetSearcherFaults& faults) { faults.request_limit = limit; },
+      kLength);
+}
+
 }  // namespace greengage::bench
--- a/tools/bench/routed_faults.h
+++ b/tools/bench/routed_faults.h
@@ -22,6 +22,10 @@
 // seconds.
 void MakeManySearchersSlow(RoutedFleet& fleet);
 
+// For fifteen seconds, one searcher of each shard, or all if `all_replicas` is
+// true, takes half of its usual requests.
+void MakeSearchersNameLimits(RoutedFleet& fleet, bool all_replicas);
+
 }  // namespace greengage::bench
 
 #endif  // TOOLS_BENCH_ROUTED_FAULTS_H_
--- a/tools/bench/routed_fleet.cc
+++ b/tools/bench/routed_fleet.cc
@@ -61,6 +61,12 @@
   std::vector<uint64_t> running;
   std::deque<uint64_t> waiting;
   TimePoint paused_until;
+  // Since the searcher has named its limit: when it first did, and from when on
+  // the requests of an instance count.
+  std::optional<TimePoint> limit_named_at;
+  std::unordered_map<size_t, TimePoint> instance_counts_from;
+  std::vector<TimePoint> limited_arrivals;
+  double named_limit = 0;
 };
 
 struct RoutedFleet::Request {
@@ -151,6 +157,7 @@
   }
   events_.RunUntil(MeasurementStart() + scenario_.measured + longest);
   result_.max_allowance_use = MaxAllowanceUse();
+  RecordLimitUse();
   return std::move(result_);
 }
 
@@ -266,6 +273,7 @@
   if (searcher.faults.unresponsive) {
     return;
   }
+  RecordLimitedArrival(searcher, requests_.at(found->second.request)->instance);
   std::uniform_real_distribution<double> chance(0, 1);
   if (chance(random_) < searcher.faults.reject_share) {
     Reply(id, AttemptEnd::kRejected);
@@ -317,18 +325,27 @@
 
 void RoutedFleet::Reply(uint64_t id, AttemptEnd end) {
   const Attempt& attempt = attempts_.at(id);
-  const Searcher& searcher = *searchers_[attempt.searcher];
+  Searcher& searcher = *searchers_[attempt.searcher];
   const Request& request = *requests_.at(attempt.request);
+  const Duration latency =
+      OneWayLatency(*instances_[request.instance], searcher);
   AttemptOutcome outcome;
+  outcome.request_limit = searcher.faults.request_limit;
+  if (outcome.request_limit) {
+    searcher.named_limit = *outcome.request_limit;
+    searcher.limit_named_at = searcher.limit_named_at.value_or(events_.now());
+    searcher.instance_counts_from.try_emplace(
+        request.instance,
+        events_.now() + latency + FleetLimitRule().instance_delay);
+  }
   outcome.end = end;
   outcome.answer.status = end == AttemptEnd::kAnswered ? 200 : 503;
   outcome.load = ReportedLoad{static_cast<uint32_t>(searcher.running.size()),
                               static_cast<uint32_t>(searcher.waiting.size()),
                               scenario_.shape.slots};
-  events_.After(OneWayLatency(*instances_[request.instance], searcher),
-                [this, id, outcome = std::move(outcome)]() mutable {
-                  Deliver(id, std::move(outcome));
-                });
+  events_.After(latency, [this, id, outcome = std::move(outcome)]() mutable {
+    Deliver(id, std::move(outcome));
+  });
 }
 
 void RoutedFleet::Deliver(uint64_t id, AttemptOutcome outcome) {
@@ -420,6 +437,46 @@
   (extra ? seconds[second].extra : seconds[second].first) += 1;
 }
 
+void RoutedFleet::RecordLimitedArrival(Searcher& searcher, size_t instance) {
+  const auto counts_from = searcher.instance_counts_from.find(instance);
+  if (searcher.faults.request_limit &&
+      counts_from != searcher.instance_counts_from.end() &&
+      events_.now() >= counts_from->second &&
+      events_.now() >=
+          *searcher.limit_named_at + FleetLimitRule().settling_time) {
+    searcher.limited_arrivals.push_back(events_.now());
+  }
+}
+
+void RoutedFleet::RecordLimitUse() {
+  const FleetLimitRule rule;
+  const double window = std::chrono::duration<double>(rule.window).count();
+  double arrivals = 0;
+  double permitted = 0;
+  for (const auto& searcher : searchers_) {
+    const std::vector<TimePoint>& times = searcher->limited_arrivals;
+    if (times.empty()) {
+      continue;
+    }
+    const double allowed =
+        rule.tolerance * window * searcher->named_limit + rule.allowance;
+    for (size_t first = 0, next = 0; first < times.size(); ++first) {
+      while (next < times.size() && times[next] - times[first] < rule.window) {
+        ++next;
+      }
+      result_.max_limit_use = std::max(
+          result_.max_limit_use, static_cast<double>(next - first) / allowed);
+    }
+    arrivals += static_cast<double>(times.size());
+    permitted +=
+        searcher->named_limit *
+        std::chrono::duration<double>(times.back() - *searcher->limit_named_at -
+                                      rule.settling_time)
+            .count();
+  }
+  result_.mean_limit_use = permitted > 0 ? arrivals / permitted : 0;
+}
+
 double RoutedFleet::MaxAllowanceUse() const {
   const FleetShape& shape = scenario_.shape;
   const auto window =
--- a/tools/bench/routed_fleet.h
+++ b/tools/bench/routed_fleet.h
@@ -26,6 +26,18 @@
   double reject_share = 0;  // Share of arriving attempts.
   double slowdown = 1;
   bool unresponsive = false;
+  // Named in each answer: requests per second from all instances together.
+  std::optional<double> request_limit;
+};
+
+// How the requests at a searcher that names a limit are judged: those of the
+// instances that know the limit, in any window.
+struct FleetLimitRule {
+  Duration settling_time = std::chrono::seconds(5);  // After it is first named.
+  Duration instance_delay = std::chrono::milliseconds(500);
+  std::chrono::seconds window{4};
+  double tolerance = 1.5;
+  double allowance = 5;  // Requests per window.
 };
 
 // Results of the requests of one load that arrived during the measurement.
@@ -52,6 +64,12 @@
   // The highest ratio of extra arrivals to allowed extra arrivals over all
   // services and windows.
   double max_allowance_use = 0;
+  // The highest ratio of requests at a searcher that names a limit to those
+  // allowed, over all windows, as FleetLimitRule counts them.
+  double max_limit_use = 0;
+  // Requests at searchers that name a limit over what their limits permit, on
+  // average, once the rule applies.
+  double mean_limit_use = 0;
 
   double ExtraPercent() const;
 };
@@ -113,6 +131,8 @@
   Duration SampleServiceTime(const Attempt& attempt);
   void CountArrival(const std::string& service, bool extra);
   double MaxAllowanceUse() const;
+  void RecordLimitedArrival(Searcher& searcher, size_t instance);
+  void RecordLimitUse();
 
   const FleetScenario scenario_;
   EventQueue events_;
