Keep the requests of all instances within the limit that a searcher names

What callers saw: nothing; a searcher in need got 47 requests a second after it had asked for 25.9 from all instances together, until it no longer asked.

Cause: no instance read the limit. Class of fault: a bound on the sum over all instances that each must keep by its share, as with connections and extra arrivals.

Evidence: the log line searcher_limit showed that each instance sent as much after the limit was named as before (57 requests in 4 s at one of nine), first attempts and extra ones alike.

Change: SearcherRateLimit, a token bucket for each searcher, with the instance's share of the limit: 0.8 divided by the instances that send to the service. An attempt goes to a searcher only if its bucket allows it. If no searcher of the parts that a request needs has room, the request is rejected at once as not run, with the time until the next token. Urgent requests need fewer tokens and may use all that are saved; hedges count as one rank less urgent. Where a share is below one request a second, a random fraction of a token is enough, so that the limit is used by hundreds of instances and kept on average.

Why it works: the sum of the shares is below the limit, and the savings of idle instances are bounded by the tokens of one second.

--- a/include/greengage/coordination/request_plan.h
+++ b/include/greengage/coordination/request_plan.h
@@ -141,6 +141,7 @@
                         Duration typical,
                         RequestActions& actions);
   double BudgetReserve(TimePoint now, AttemptReason reason) const;
+  TokenDemand TokensFor(AttemptReason reason) const;
   // Expected number of answered parts, including those in flight.
   double ExpectedParts(TimePoint now) const;
   bool MayRetry(const Part& part) const;
@@ -152,11 +153,8 @@
   void FinishIfDone(TimePoint now, RequestActions& actions);
   void FinishSingleIfDone(TimePoint now, RequestActions& actions);
   void FinishGatherIfDone(TimePoint now, RequestActions& actions);
-  void Finish(TimePoint now, RequestResult result, RequestActions& actions);
-  void Reject(TimePoint now,
-              Duration wait,
-              RequestResult result,
-              RequestActions& actions);
+  void Finish(RequestResult result, RequestActions& actions);
+  void Reject(Duration wait, RequestResult result, RequestActions& actions);
   void FinishWithoutAnswer(TimePoint now, RequestActions& actions);
   RequestResult Merge();
   size_t RequiredParts() const;
@@ -170,6 +168,10 @@
   SearcherChooser chooser_;
   const std::function<uint64_t()> next_attempt_;
   const bool idempotent_;
+  // Random number (0 to 1) that decides what attempts need at a searcher with a
+  // limit. Drawn once, so that all parts of a query are likely to be sent, or
+  // none.
+  const double token_draw_;
   TimePoint response_deadline_;  // Latest time for a result of any kind.
   // Latest time to wait for further parts if the required ones are answered.
   TimePoint target_deadline_;
--- a/include/greengage/coordination/request_plan_context.h
+++ b/include/greengage/coordination/request_plan_context.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <functional>
 #include <random>
 #include <string>
 #include <utility>
@@ -49,6 +50,10 @@
   ExtraArrivalBudget extra_arrivals;
   DataCentreDistance distances;
   ServiceSplit split;
+  // Returns the fraction (0 to 1) of a limit that a searcher of the service
+  // names for all instances, which this instance may use.
+  std::function<double(const std::string& service)> limit_share =
+      [](const std::string&) { return 1.0; };
   std::minstd_rand random;
 };
 
--- a/include/greengage/coordination/routed_searcher.h
+++ b/include/greengage/coordination/routed_searcher.h
@@ -44,7 +44,12 @@
   // Reports that the process has stopped or accepts no more requests.
   void OnGone() { gone_ = true; }
 
-  void OnSent(TimePoint now, AttemptId attempt);
+  // `limit_share` is the fraction (0 to 1) of a limit of the searcher that this
+  // instance may use.
+  void OnSent(TimePoint now, AttemptId attempt, double limit_share = 1);
+
+  // Withdraws an attempt that was not sent after all.
+  void OnWithdrawn(AttemptId attempt);
 
   // `typical` is the usual latency of such requests at other searchers;
   // `distance` is the extra network latency to the searcher's data centre.
--- a/include/greengage/coordination/searcher_chooser.h
+++ b/include/greengage/coordination/searcher_chooser.h
@@ -22,6 +22,12 @@
   Duration distance{};         // Extra network latency to its data centre.
 };
 
+// What an attempt requires of its searcher.
+struct AttemptRequirements {
+  bool only_healthy = false;  // Excludes unhealthy and unregistered searchers.
+  TokenDemand tokens;
+};
+
 // Current latencies of the attempts of a route. One value serves all decisions
 // that are made at the same time.
 struct RouteTiming {
@@ -40,13 +46,13 @@
 
   Duration TypicalLatency(TimePoint now) const;
 
-  // Returns the best usable searcher of `service` that is not among `tried`. If
-  // `only_healthy` is true, unhealthy and unregistered ones are excluded.
+  // Returns the best usable searcher of `service` that is not among `tried`.
+  // Excludes those whose limit leaves no request to this instance now.
   SearcherChoice Choose(TimePoint now,
                         Duration typical,
                         const std::string& service,
                         const std::vector<RoutedSearcherPtr>& tried,
-                        bool only_healthy);
+                        const AttemptRequirements& requirements);
 
   // Returns the estimated time until a searcher of `service` can answer in time
   // again: zero if a request that is sent now is likely to be answered by
@@ -54,7 +60,16 @@
   std::optional<Duration> EstimateWait(TimePoint now,
                                        Duration typical,
                                        const std::string& service,
-                                       TimePoint answer_by) const;
+                                       TimePoint answer_by,
+                                       const TokenDemand& tokens) const;
+
+  // Returns the time until the limits of the usable searchers of `service`
+  // leave a request to this instance: zero if one of them does now,
+  // kMaxRetryAfter at most.
+  Duration EstimateLimitWait(TimePoint now,
+                             Duration typical,
+                             const std::string& service,
+                             const TokenDemand& tokens) const;
 
  private:
   Duration EstimateSearcherWait(TimePoint now,
--- a/src/coordination/request_plan.cc
+++ b/src/coordination/request_plan.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <random>
 #include <utility>
 
 namespace greengage {
@@ -32,6 +33,10 @@
 // leaves to more urgent ones, per rank.
 constexpr double kReservePerRank = 0.2;
 
+// Fraction of the saved tokens of a limited searcher that a request leaves to
+// more urgent ones, per rank. A hedge leaves as much again.
+constexpr double kTokenReservePerRank = 0.9;
+
 // A searcher that has not answered for this long counts as lost rather than
 // paused. A request that needs it ends then, or at its target latency if that
 // is later.
@@ -45,6 +50,11 @@
 // Fraction of the retry delay over which the callers of one rank are spread.
 constexpr double kRetryAfterSpread = 0.2;
 
+// Returns a random number greater than 0 and at most 1.
+double DrawFraction(std::minstd_rand& random) {
+  return 1 - std::uniform_real_distribution<double>(0, 1)(random);
+}
+
 }  // namespace
 
 std::string_view AttemptReasonName(AttemptReason reason) {
@@ -89,6 +99,7 @@
       chooser_(context, route),
       next_attempt_(std::move(next_attempt)),
       idempotent_(route->kind == RequestKind::kIdempotent),
+      token_draw_(DrawFraction(context->random)),
       response_deadline_(std::min<TimePoint>(deadline - kResponseMargin,
                                              now + route->timeout)),
       target_deadline_(std::min<TimePoint>(
@@ -144,7 +155,8 @@
   RequestResult rejection;
   for (const Part& part : parts_) {
     const std::optional<Duration> wait =
-        chooser_.EstimateWait(now, typical, part.service, answer_by);
+        chooser_.EstimateWait(now, typical, part.service, answer_by,
+                              TokensFor(AttemptReason::kFirst));
     waits.push_back(wait.value_or(kMaxRetryAfter));
     rejection.unlikely_parts += wait && *wait > Duration::zero() ? 1 : 0;
   }
@@ -154,7 +166,7 @@
   std::nth_element(waits.begin(), last_required, waits.end());
   if (*last_required > Duration::zero()) {
     rejection.cause = "too few shards are likely to answer in time";
-    Reject(now, *last_required, std::move(rejection), actions);
+    Reject(*last_required, std::move(rejection), actions);
   }
 }
 
@@ -175,6 +187,16 @@
                kReservePerRank * static_cast<double>(IndexOf(RankOf(*route_))));
 }
 
+TokenDemand RequestPlan::TokensFor(AttemptReason reason) const {
+  const size_t rank =
+      std::min(IndexOf(RankOf(*route_)) +
+                   (reason == AttemptReason::kHedge ? size_t{1} : 0),
+               kRankCount - 1);
+  const auto position = static_cast<double>(rank);
+  return {(position + token_draw_) / static_cast<double>(kRankCount),
+          std::min(1.0, kTokenReservePerRank * position)};
+}
+
 double RequestPlan::ExpectedParts(TimePoint now) const {
   double expected = 0;
   for (const Part& part : parts_) {
@@ -199,7 +221,7 @@
   // searcher.
   const SearcherChoice choice =
       chooser_.Choose(now, timing.typical, part.service, part.tried,
-                      reason == AttemptReason::kHedge);
+                      {reason == AttemptReason::kHedge, TokensFor(reason)});
   const RoutedSearcherPtr& searcher = choice.searcher;
   if (!searcher) {
     return false;
@@ -218,7 +240,7 @@
   ++part.sent_count;
   part.hedge_at = now + timing.hedge_delay + choice.distance;
   part.retry_at.reset();
-  searcher->OnSent(now, id);
+  searcher->OnSent(now, id, context_->limit_share(part.service));
   actions.sends.push_back({id, searcher, reason,
                            response_deadline_ + kResponseMargin,
                            choice.expected});
@@ -352,13 +374,13 @@
   return actions;
 }
 
-RequestActions RequestPlan::OnCallerLeft(TimePoint now) {
+RequestActions RequestPlan::OnCallerLeft(TimePoint /*now*/) {
   RequestActions actions;
   if (!finished_) {
     RequestResult result;
     result.outcome = RequestOutcome::kCallerLeft;
     result.cause = "the caller closed its connection";
-    Finish(now, std::move(result), actions);
+    Finish(std::move(result), actions);
   }
   return actions;
 }
@@ -403,7 +425,7 @@
     result.outcome = RequestOutcome::kForwarded;
     result.cause = part.answer ? "" : "the searcher answered with a failure";
     result.answer = std::move(part.answer ? *part.answer : *part.failure);
-    Finish(now, std::move(result), actions);
+    Finish(std::move(result), actions);
   } else if (part.closed || now >= response_deadline_) {
     FinishWithoutAnswer(now, actions);
   }
@@ -421,7 +443,7 @@
   target_missed_ = now >= target_deadline_;
   recheck_at_ = now + kRecheckInterval;
   if (enough && (pending == 0 || target_missed_)) {
-    Finish(now, Merge(), actions);
+    Finish(Merge(), actions);
   } else if (answered + pending < required || now >= response_deadline_ ||
              (target_missed_ && ObtainableParts(now) < required)) {
     FinishWithoutAnswer(now, actions);
@@ -473,8 +495,7 @@
 
 // Spreads the retry delays so that the callers of more urgent ranks retry
 // first.
-void RequestPlan::Reject(TimePoint now,
-                         Duration wait,
+void RequestPlan::Reject(Duration wait,
                          RequestResult result,
                          RequestActions& actions) {
   const auto rank = static_cast<double>(IndexOf(RankOf(*route_)));
@@ -484,35 +505,38 @@
   result.outcome = RequestOutcome::kNotRun;
   result.retry_after = std::chrono::duration_cast<Duration>(
       retry_after * spread(context_->random));
-  Finish(now, std::move(result), actions);
+  Finish(std::move(result), actions);
 }
 
 void RequestPlan::FinishWithoutAnswer(TimePoint now, RequestActions& actions) {
   RequestResult result;
   if (!MayHaveRun()) {
-    result.cause = "no searcher could take it";
-    Reject(now, chooser_.TypicalLatency(now) * 2, std::move(result), actions);
+    const Duration typical = chooser_.TypicalLatency(now);
+    const Duration limit_wait =
+        route_->gather
+            ? Duration::zero()
+            : chooser_.EstimateLimitWait(now, typical, parts_.front().service,
+                                         TokensFor(AttemptReason::kFirst));
+    result.cause = limit_wait > Duration::zero()
+                       ? "the request limits of the searchers are used up"
+                       : "no searcher could take it";
+    Reject(std::max(typical * 2, limit_wait), std::move(result), actions);
     return;
   }
   const bool timed_out = now >= response_deadline_;
   result.outcome =
       timed_out ? RequestOutcome::kTimedOut : RequestOutcome::kUnknown;
   result.cause = timed_out ? "its time was over" : "attempts were lost";
-  Finish(now, std::move(result), actions);
+  Finish(std::move(result), actions);
 }
 
-void RequestPlan::Finish(TimePoint now,
-                         RequestResult result,
-                         RequestActions& actions) {
+void RequestPlan::Finish(RequestResult result, RequestActions& actions) {
   finished_ = true;
   actions.result = std::move(result);
   // Attempts that were to be sent in the same step are no longer needed.
   for (const AttemptToSend& send : actions.sends) {
     const auto found = attempts_.find(send.id);
-    AttemptOutcome unsent;
-    unsent.end = AttemptEnd::kAbandoned;
-    found->second.searcher->OnEnded(now, send.id, unsent, Duration::zero(),
-                                    Duration::zero());
+    found->second.searcher->OnWithdrawn(send.id);
     --parts_[found->second.part].in_flight;
     attempts_.erase(found);
   }
--- a/src/coordination/routed_searcher.cc
+++ b/src/coordination/routed_searcher.cc
@@ -77,9 +77,18 @@
   return gone_ || (expires_at_ && now >= *expires_at_);
 }
 
-void RoutedSearcher::OnSent(TimePoint now, AttemptId attempt) {
+void RoutedSearcher::OnSent(TimePoint now,
+                            AttemptId attempt,
+                            double limit_share) {
   outstanding_.emplace_back(attempt, now);
-  rate_limit_.OnSent();
+  rate_limit_.OnSent(now, limit_share);
+}
+
+void RoutedSearcher::OnWithdrawn(AttemptId attempt) {
+  std::erase_if(outstanding_, [attempt](const auto& entry) {
+    return entry.first == attempt;
+  });
+  rate_limit_.OnNotSent();
 }
 
 void RoutedSearcher::OnEnded(TimePoint now,
@@ -101,7 +110,7 @@
     load_received_at_ = now;
   }
   if (IsOwnAnswer(outcome.end)) {
-    rate_limit_.OnAnswer(outcome.request_limit);
+    rate_limit_.OnAnswer(now, outcome.request_limit);
   }
   switch (outcome.end) {
     case AttemptEnd::kAnswered:
@@ -123,6 +132,7 @@
       break;
     case AttemptEnd::kNotSent:
       OnFailure(now, true);
+      rate_limit_.OnNotSent();
       break;
     case AttemptEnd::kAbandoned:
       RecordLatency(
--- a/src/coordination/searcher_chooser.cc
+++ b/src/coordination/searcher_chooser.cc
@@ -32,7 +32,8 @@
     Duration typical,
     const std::string& service,
     const std::vector<RoutedSearcherPtr>& tried,
-    bool only_healthy) {
+    const AttemptRequirements& requirements) {
+  const double limit_share = context_->limit_share(service);
   std::uniform_real_distribution<double> jitter(1.0, 1.1);
   SearcherChoice best;
   Usability best_usability = Usability::kUnusable;
@@ -42,7 +43,9 @@
     const bool was_tried =
         std::find(tried.begin(), tried.end(), searcher) != tried.end();
     if (usability == Usability::kUnusable || was_tried ||
-        (only_healthy && usability != Usability::kHealthy)) {
+        (requirements.only_healthy && usability != Usability::kHealthy) ||
+        searcher->rate_limit().WaitFor(now, limit_share, requirements.tokens) >
+            Duration::zero()) {
       continue;
     }
     const Duration distance = DistanceOf(*searcher);
@@ -62,20 +65,42 @@
     TimePoint now,
     Duration typical,
     const std::string& service,
-    TimePoint answer_by) const {
+    TimePoint answer_by,
+    const TokenDemand& tokens) const {
   const std::vector<RoutedSearcherPtr>& searchers =
       context_->searchers.ForService(service);
   if (searchers.empty()) {
     return std::nullopt;
   }
+  const double limit_share = context_->limit_share(service);
   Duration min_wait = kMaxRetryAfter;
   for (const RoutedSearcherPtr& searcher : searchers) {
     min_wait = std::min(
-        min_wait, EstimateSearcherWait(now, typical, *searcher, answer_by));
+        min_wait,
+        std::max(EstimateSearcherWait(now, typical, *searcher, answer_by),
+                 searcher->rate_limit().WaitFor(now, limit_share, tokens)));
   }
   return min_wait;
 }
 
+Duration SearcherChooser::EstimateLimitWait(TimePoint now,
+                                            Duration typical,
+                                            const std::string& service,
+                                            const TokenDemand& tokens) const {
+  const double limit_share = context_->limit_share(service);
+  Duration min_wait = kMaxRetryAfter;
+  bool has_usable = false;
+  for (const RoutedSearcherPtr& searcher :
+       context_->searchers.ForService(service)) {
+    if (searcher->UsabilityAt(now, typical) != Usability::kUnusable) {
+      has_usable = true;
+      min_wait = std::min(
+          min_wait, searcher->rate_limit().WaitFor(now, limit_share, tokens));
+    }
+  }
+  return has_usable ? min_wait : Duration::zero();
+}
+
 Duration SearcherChooser::EstimateSearcherWait(TimePoint now,
                                                Duration typical,
                                                const RoutedSearcher& searcher,
--- a/src/coordination/searcher_rate_limit.cc
+++ b/src/coordination/searcher_rate_limit.cc
@@ -1,15 +1,76 @@
 #include "greengage/coordination/searcher_rate_limit.h"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
 namespace greengage {
 namespace {
 
+using Seconds = std::chrono::duration<double>;
+
 constexpr Duration kReportInterval = std::chrono::seconds(4);
 
+// An idle instance saves the tokens of this time. If all instances used their
+// savings at once, the searcher would get that much more than its limit.
+constexpr Seconds kSavingTime{1};
+
 }  // namespace
 
+void SearcherRateLimit::OnAnswer(TimePoint now, std::optional<double> limit) {
+  if (limit && !limit_) {
+    tokens_ = 0;
+    updated_at_ = now;
+  }
+  limit_ = limit;
+}
+
+double SearcherRateLimit::SavedTokens(double share) const {
+  return *limit_ * share * kSavingTime.count();
+}
+
+double SearcherRateLimit::TokensAt(TimePoint now, double share) const {
+  return std::min(
+      std::max(1.0, SavedTokens(share)),
+      tokens_ + *limit_ * share * Seconds(now - updated_at_).count());
+}
+
+void SearcherRateLimit::OnSent(TimePoint now, double share) {
+  ++sent_;
+  if (limit_) {
+    tokens_ = TokensAt(now, share) - 1;
+  }
+  updated_at_ = now;
+}
+
+void SearcherRateLimit::OnNotSent() {
+  tokens_ += 1;
+}
+
+Duration SearcherRateLimit::WaitFor(TimePoint now,
+                                    double share,
+                                    const TokenDemand& demand) const {
+  if (!limit_) {
+    return Duration::zero();
+  }
+  const double saved = SavedTokens(share);
+  double needed = demand.tokens + demand.reserve * std::max(0.0, saved - 1);
+  if (needed > saved) {
+    // A fraction counts only if it accrues within the saving time. Otherwise
+    // hundreds of idle instances could send a request each at once.
+    needed = std::max(1.0, needed);
+  }
+  const double missing = needed - TokensAt(now, share);
+  if (missing <= 0) {
+    return Duration::zero();
+  }
+  constexpr Seconds kForeseeable{3600};
+  const double rate = *limit_ * share;
+  return missing < rate * kForeseeable.count()
+             ? std::chrono::duration_cast<Duration>(Seconds(missing / rate))
+             : Duration::max();
+}
+
 std::optional<RateLimitReport> SearcherRateLimit::TakeReport(TimePoint now) {
   const bool changed = limit_ != reported_limit_;
   if (!changed && (!limit_ || now - reported_at_ < kReportInterval)) {
--- a/src/routed_instance.cc
+++ b/src/routed_instance.cc
@@ -43,6 +43,9 @@
       instances_timer_(context),
       feed_timer_(context) {
   AssumeMaxInstances();
+  plan_context_.limit_share = [this](const std::string& service) {
+    return InstanceShare(1, SharersOf(service));
+  };
   forwarder_ = std::make_shared<GatherForwarder>(
       context, &gatherers_, &plan_context_.random,
       GatherForwarder::Hooks{
--- a/src/routed_instance_impl.h
+++ b/src/routed_instance_impl.h
@@ -101,6 +101,8 @@
   void OnSearcherLeaving(const RoutedSearcher& searcher,
                          std::string_view cause);
   size_t MaxConnectionsPerSearcher(const std::string& service) const;
+  // Number of instances that send requests to the searchers of `service`.
+  size_t SharersOf(const std::string& service) const;
   void AssumeMaxInstances();
   void SetInstanceCount(size_t count);
   Duration RegistryAge() const { return Now() - state_known_at_; }
--- a/src/routed_instance_store.cc
+++ b/src/routed_instance_store.cc
@@ -242,12 +242,16 @@
   const RoutedService* const service =
       route_table_ ? route_table_->FindService(name) : nullptr;
   const double total = service == nullptr ? 1 : service->max_connections;
-  // Only gatherers open connections to shards, except while none is available.
+  return std::clamp<size_t>(
+      static_cast<size_t>(InstanceShare(total, SharersOf(name))), 1,
+      kMaxConnectionsPerSearcher);
+}
+
+// Only gatherers send to shards, except while none is available.
+size_t RoutedInstanceImpl::SharersOf(const std::string& service) const {
   const bool is_gatherer = gatherer_count_ > 0 && gatherers_.gathers_itself() &&
-                           shards_.contains(name);
-  const size_t sharers = is_gatherer ? gatherer_count_ : instance_count_;
-  return std::clamp<size_t>(static_cast<size_t>(InstanceShare(total, sharers)),
-                            1, kMaxConnectionsPerSearcher);
+                           shards_.contains(service);
+  return is_gatherer ? gatherer_count_ : instance_count_;
 }
 
 void RoutedInstanceImpl::SetInstanceCount(size_t count) {
--- a/tests/request_plan_test.cc
+++ b/tests/request_plan_test.cc
@@ -50,6 +50,34 @@
   cr_assert(lost.result->outcome == RequestOutcome::kUnknown);
 }
 
+Test(RequestPlan, RejectsAtOnceWhenTheLimitsOfAllSearchersAreUsedUp) {
+  PlanFixture fixture(1, 2);
+  for (const RoutedSearcherPtr& searcher :
+       fixture.context.searchers.ForService("s0")) {
+    searcher->rate_limit().OnAnswer(kPlanStart, 2.0);
+  }
+  RequestPlan plan =
+      fixture.Plan(SingleRoute(RequestKind::kNonIdempotent), kDeadline);
+  const RequestActions started = plan.Start(kPlanStart);
+  cr_assert(started.sends.empty());
+  cr_assert(started.result->outcome == RequestOutcome::kNotRun);
+  cr_assert(started.result->retry_after > Duration::zero());
+}
+
+Test(RequestPlan, SendsToTheSearcherWhoseLimitAllowsIt) {
+  PlanFixture fixture(1, 2);
+  const RoutedSearcherPtr limited =
+      fixture.context.searchers.ForService("s0").front();
+  limited->rate_limit().OnAnswer(kPlanStart, 2.0);
+  for (int i = 0; i < 20; ++i) {
+    RequestPlan plan =
+        fixture.Plan(SingleRoute(RequestKind::kIdempotent), kDeadline);
+    const RequestActions started = plan.Start(kPlanStart);
+    cr_assert(started.sends.size() == 1);
+    cr_assert(started.sends[0].searcher != limited);
+  }
+}
+
 Test(RequestPlan, NeverHedgesANonIdempotentRequest) {
   PlanFixture fixture(1, 2);
   RequestPlan plan =
--- a/tests/routed_load_test.cc
+++ b/tests/routed_load_test.cc
@@ -98,4 +98,35 @@
   }
 }
 
+// If a searcher of each shard names a limit, the others take over; if all do,
+// urgent requests are served first and the rest is rejected at once.
+Test(RoutedLoad, AnswersUrgentRequestsFirstWithinNamedLimits) {
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    for (FleetShape shape : {KettlebrookFleet(), UmukonjeFleet()}) {
+      for (const size_t instances : {shape.instances, size_t{60}}) {
+        shape.instances = instances;
+        for (const bool all_replicas : {false, true}) {
+          FleetScenario scenario;
+          scenario.shape = shape;
+          scenario.prepare = [all_replicas](RoutedFleet& fleet) {
+            MakeSearchersNameLimits(fleet, all_replicas);
+          };
+          const FleetResult result = RoutedFleet(scenario, seed).Run();
+          scenario.naive = true;
+          const FleetResult naive = RoutedFleet(scenario, seed).Run();
+          const FleetLoadResult& urgent = result.loads[1];
+          cr_assert(urgent.CreditShare() > naive.loads[1].CreditShare());
+          cr_assert(result.max_limit_use <= 1);
+          if (all_replicas) {
+            cr_assert(urgent.CreditShare() > result.loads[0].CreditShare());
+          } else {
+            cr_assert(result.loads[0].CreditShare() >
+                      naive.loads[0].CreditShare());
+          }
+        }
+      }
+    }
+  }
+}
+
 }  // namespace greengage::bench
--- a/tools/bench/experiments_routed.cc
+++ b/tools/bench/experiments_routed.cc
@@ -16,6 +16,9 @@
 // Bound on the ratio of extra arrivals to allowed extra arrivals.
 constexpr Bound kWithinAllowance{BoundOn::kPolicy, BoundKind::kAtMost, 1};
 
+// Bound on the ratio of requests at limited searchers to those allowed.
+constexpr Bound kWithinLimits{BoundOn::kPolicy, BoundKind::kAtMost, 1};
+
 // Derives a figure from the results of one kind of request.
 using LoadFigure = std::function<double(const FleetLoadResult&)>;
 
@@ -63,6 +66,14 @@
   out.push_back({shape.name, "extra arrivals over allowed", "",
                  baseline.max_allowance_use, policy.max_allowance_use,
                  kWithinAllowance});
+  if (baseline.max_limit_use > 0) {
+    out.push_back({shape.name, "requests over allowed at limited searchers", "",
+                   baseline.max_limit_use, policy.max_limit_use,
+                   kWithinLimits});
+    out.push_back({shape.name, "requests over the limits, on average", "",
+                   baseline.mean_limit_use, policy.mean_limit_use,
+                   std::nullopt});
+  }
 }
 
 Measurements CompareFleets(uint64_t seed, const FleetFault& fault) {
@@ -107,5 +118,22 @@
     {"routed-many-slow", "half of the searchers turn slow",
      [](uint64_t seed) { return CompareFleets(seed, MakeManySearchersSlow); }});
 
+const Registration kSomeLimited(
+    {"routed-some-limited",
+     "one searcher of each shard takes half of its usual requests",
+     [](uint64_t seed) {
+       return CompareFleets(seed, [](RoutedFleet& fleet) {
+         MakeSearchersNameLimits(fleet, false);
+       });
+     }});
+
+const Registration kAllLimited(
+    {"routed-all-limited", "all searchers take half of their usual requests",
+     [](uint64_t seed) {
+       return CompareFleets(seed, [](RoutedFleet& fleet) {
+         MakeSearchersNameLimits(fleet, true);
+       });
+     }});
+
 }  // namespace
 }  // namespace greengage::bench
--- a/tools/bench/routed_fleet.cc
+++ b/tools/bench/routed_fleet.cc
@@ -49,6 +49,9 @@
                 data_centre) {
     context.extra_arrivals.set_limits(
         InstanceLimits(shape.extra_arrivals, shape.instances));
+    context.limit_share = [instances = shape.instances](const std::string&) {
+      return InstanceShare(1, instances);
+    };
   }
 
   const std::string data_centre;
