Log the era of the store and the configurations that are not used

store_restored is logged when an answer of the store has another era than the one before, with the store's revision and the known one; configuration_ignored when a configuration that was read is older than the active one. Nothing is decided by the era.

--- a/include/greengage/transport/list_watcher.h
+++ b/include/greengage/transport/list_watcher.h
@@ -33,6 +33,9 @@
 
 template <typename Item>
 struct StorePage {
+  // Number of times that the store was restored from a copy, from 1; 0 if the
+  // store does not tell.
+  uint64_t era = 0;
   uint64_t revision = 0;  // Revision of the store at the time of the answer.
   bool more = false;      // The listing continues after the last item.
   std::vector<StoreItem<Item>> items;
@@ -95,6 +98,10 @@
     std::function<void(const Failure&)> on_failing;
     // Runs on the first successful call after a failed one.
     std::function<void()> on_recovered;
+    // Runs when an answer is from another era than the one before. `known` is
+    // the revision up to which changes were read. Optional.
+    std::function<void(uint64_t era, uint64_t revision, uint64_t known)>
+        on_era_changed;
   };
 
   ListWatcher(boost::asio::io_context& context,
@@ -205,6 +212,13 @@
     }
   }
 
+  void CheckEra(const Page& page) {
+    const uint64_t previous = std::exchange(era_, page.era);
+    if (previous != 0 && previous != page.era && hooks_.on_era_changed) {
+      hooks_.on_era_changed(page.era, page.revision, revision_);
+    }
+  }
+
   void OnListed(Result<Page> page) {
     if (!page) {
       OnCallFailed(page.last_reason());
@@ -212,6 +226,7 @@
       return;
     }
     OnCallSucceeded();
+    CheckEra(*page);
     // The watch starts from the revision of the first page, so that it reports
     // changes made while the remaining pages are read.
     if (partial_listing_.empty()) {
@@ -233,6 +248,7 @@
   void OnWatched(Result<Page> page) {
     if (page) {
       OnCallSucceeded();
+      CheckEra(*page);
       revision_ = std::max(revision_, page->revision);
       UpdateNewestRevision(page->items);
       const bool may_be_cut_off =
@@ -286,6 +302,7 @@
   CancelWatch cancel_watch_;  // Of the latest watch; may have ended.
   // Highest revision of the items delivered so far.
   uint64_t newest_revision_ = 0;
+  uint64_t era_ = 0;  // Of the latest answer.
   uint64_t revision_ = 0;
   uint64_t listed_revision_ = 0;
   std::vector<StoreItem<Item>> partial_listing_;
--- a/src/routed_instance_store.cc
+++ b/src/routed_instance_store.cc
@@ -96,6 +96,16 @@
     LogLine(DecisionEvent::kStoreRecovered).Add("feed", feed).Write();
     metrics_.store_changes[{feed, "regained"}].Add();
   };
+  hooks.on_era_changed = [this, feed](uint64_t era, uint64_t revision,
+                                      uint64_t known) {
+    LogLine(DecisionEvent::kStoreRestored)
+        .Add("feed", feed)
+        .Add("era", era)
+        .Add("revision", revision)
+        .Add("known_revision", known)
+        .Write();
+    metrics_.store_changes[{feed, "restored"}].Add();
+  };
   return hooks;
 }
 
@@ -164,6 +174,14 @@
 void RoutedInstanceImpl::UseConfiguration(const RouteTablePtr& table,
                                           uint64_t revision) {
   if (revision <= route_table_revision_) {
+    if (table->version() != route_table_->version()) {
+      LogLine(DecisionEvent::kConfigurationIgnored)
+          .Add("configuration", table->version())
+          .Add("revision", revision)
+          .Add("active", route_table_->version())
+          .Add("active_revision", route_table_revision_)
+          .Write();
+    }
     return;
   }
   route_table_ = table;
--- a/src/state/routed_metrics.cc
+++ b/src/state/routed_metrics.cc
@@ -24,7 +24,7 @@
     "reason."};
 constexpr MetricInfo kStoreChanges{
     "greengage_store_changes_total", "counter",
-    "Times that a feed of the store was lost or regained."};
+    "Times that a feed of the store was lost, regained or restored."};
 constexpr MetricInfo kAdded{"greengage_searchers_added_total", "counter",
                             "Searchers that came into the registry."};
 constexpr MetricInfo kLeft{"greengage_searchers_left_total", "counter",
