Order configurations by their version and the store's era

What callers saw: after the store had come back from a copy, a route that was added and confirmed got 404 at every instance, and requests of a moved route went to the old service, for good.

Cause: an instance accepted a configuration only at a higher revision of the store than the active one. A restored store gives revisions out again: configuration 12 had revision 76, that of configuration 10 before. Class of fault: an order that relies on a counter whose keeper may take it back.

Evidence: configuration_ignored at all nine instances when 12 was written (configuration 12, revision 76, active 10, active_revision 76).

Change: configurations are ordered by the operators' version, then by revision (ConfigurationVersion), and revisions by the store's era first (StoreRevision), also between instances. So the older configuration of the copy is not used, and the next one is. A watch that is answered in another era is followed by a listing, since the changes after its revision are then other ones: an instance that was frozen or cut off may find its old revision again. Peers get the active configuration instead of that of the copy, and refuse searchers of an earlier era.

Why it works: versions are written by the operators and do not go back, the era rises with each restore.

ListWatcher.ListsAgainWhenTheStoreWasRestoredDuringAWatch is new. Pages between instances have new field numbers; an instance of an earlier version reads the store instead.

--- a/include/greengage/coordination/feed_cache.h
+++ b/include/greengage/coordination/feed_cache.h
@@ -14,6 +14,7 @@
 
 #include "greengage/state/instance_record.h"
 #include "greengage/state/searcher_entry.h"
+#include "greengage/state/store_revision.h"
 #include "greengage/state/time.h"
 
 namespace greengage {
@@ -31,7 +32,7 @@
 struct FeedObject {
   FeedKind kind = FeedKind::kConfiguration;
   std::string name;
-  uint64_t revision = 0;
+  StoreRevision revision;
   bool removed = false;
   std::variant<std::monostate, ConfigurationText, SearcherEntry, InstanceRecord>
       value;
@@ -45,7 +46,7 @@
   uint64_t sequence = 0;  // Of the last change.
   bool complete = false;  // Objects that are not on the page do not exist.
   Duration age{};         // Time since the state was current.
-  uint64_t searchers_revision = 0;  // Store revision of the searchers' state.
+  StoreRevision searchers_revision;  // Of the searchers' state.
   std::vector<FeedObject> objects;
 };
 
@@ -62,13 +63,13 @@
   // at which they were requested.
   void Replace(TimePoint now,
                FeedKind kind,
-               uint64_t revision,
+               StoreRevision revision,
                std::vector<FeedObject> objects);
 
   // Applies changes of objects of `kind`.
   void Apply(TimePoint now,
              FeedKind kind,
-             uint64_t revision,
+             StoreRevision revision,
              std::vector<FeedObject> objects);
 
   // Returns true once the configuration and the searchers are known.
@@ -92,14 +93,14 @@
   using Key = std::pair<FeedKind, std::string>;
 
   void Update(TimePoint now, FeedObject object);
-  void MarkCurrent(TimePoint now, FeedKind kind, uint64_t revision);
+  void MarkCurrent(TimePoint now, FeedKind kind, StoreRevision revision);
   void ForgetOldRemovals(TimePoint now);
 
   const uint64_t epoch_;
   uint64_t sequence_ = 0;
   // Removals up to this sequence number are no longer known.
   uint64_t forgotten_sequence_ = 0;
-  uint64_t searchers_revision_ = 0;
+  StoreRevision searchers_revision_;
   std::map<Key, Entry> entries_;
   std::optional<TimePoint> current_at_[kFeedKinds];
 };
--- a/include/greengage/transport/feed_client.h
+++ b/include/greengage/transport/feed_client.h
@@ -36,7 +36,7 @@
 
   // Makes the next page complete and accepts it only if its searchers are as of
   // `searchers_revision` or later, because the state was read elsewhere.
-  void Reset(uint64_t searchers_revision);
+  void Reset(StoreRevision searchers_revision);
 
  private:
   Result<FeedPage> Accept(const HttpCallResult& result);
@@ -46,7 +46,7 @@
   std::shared_ptr<HttpClient> http_;
   uint64_t epoch_ = 0;
   uint64_t sequence_ = 0;
-  uint64_t searchers_revision_ = 0;
+  StoreRevision searchers_revision_;
 };
 
 }  // namespace greengage
--- a/include/greengage/transport/list_watcher.h
+++ b/include/greengage/transport/list_watcher.h
@@ -17,6 +17,7 @@
 
 #include "greengage/coordination/backoff.h"
 #include "greengage/state/result.h"
+#include "greengage/state/store_revision.h"
 #include "greengage/state/time.h"
 
 namespace greengage {
@@ -25,7 +26,7 @@
 template <typename Item>
 struct StoreItem {
   std::string name;
-  uint64_t revision = 0;  // Revision of the last change.
+  StoreRevision revision;  // Of the last change.
   bool removed = false;
   // Empty if the object was removed or cannot be decoded.
   std::optional<Item> value;
@@ -33,11 +34,8 @@
 
 template <typename Item>
 struct StorePage {
-  // Number of times that the store was restored from a copy, from 1; 0 if the
-  // store does not tell.
-  uint64_t era = 0;
-  uint64_t revision = 0;  // Revision of the store at the time of the answer.
-  bool more = false;      // The listing continues after the last item.
+  StoreRevision revision;  // Of the store at the time of the answer.
+  bool more = false;       // The listing continues after the last item.
   std::vector<StoreItem<Item>> items;
 };
 
@@ -67,6 +65,10 @@
 // a watch from the old revision would then wait for changes that the store can
 // no longer report. Failed calls are retried with exponential backoff.
 //
+// Also lists all objects again after an answer from another era of the store,
+// since the changes after a revision are then other ones. Listings of an
+// earlier era than a known one are ignored.
+//
 // Not thread-safe: all calls and callbacks must run on one thread.
 template <typename Item>
 class ListWatcher : public std::enable_shared_from_this<ListWatcher<Item>> {
@@ -77,8 +79,9 @@
   struct Hooks {
     // Reads one page of the listing, starting after the name `after`.
     std::function<void(const std::string& after, PageCallback)> list;
-    // Waits at most `timeout` for changes after `revision`. Fails with
-    // kStaleVersion if the store has discarded that part of its history.
+    // Waits at most `timeout` for changes after `revision` of the store's
+    // current era. Fails with kStaleVersion if the store does not have that
+    // part of its history, or no longer has it.
     // Returns a function that cancels the call and releases its connection.
     std::function<CancelWatch(uint64_t revision,
                               std::chrono::milliseconds timeout,
@@ -88,20 +91,20 @@
     // disabled if the hook is empty.
     std::function<void(PageCallback)> poll;
     // Receives a complete listing, as of the store's `revision`.
-    std::function<void(std::vector<StoreItem<Item>>, uint64_t revision)>
+    std::function<void(std::vector<StoreItem<Item>>, StoreRevision revision)>
         on_snapshot;
     // Receives the objects that changed since the last listing or watch; empty
     // if a watch ended without a change.
-    std::function<void(std::vector<StoreItem<Item>>, uint64_t revision)>
+    std::function<void(std::vector<StoreItem<Item>>, StoreRevision revision)>
         on_changes;
     // Runs on the first failed call after a successful one.
     std::function<void(const Failure&)> on_failing;
     // Runs on the first successful call after a failed one.
     std::function<void()> on_recovered;
-    // Runs when an answer is from another era than the one before. `known` is
-    // the revision up to which changes were read. Optional.
-    std::function<void(uint64_t era, uint64_t revision, uint64_t known)>
-        on_era_changed;
+    // Runs when a listing is from a later era of the store than `known`, the
+    // revision up to which changes were read. Optional.
+    std::function<void(StoreRevision revision, StoreRevision known)>
+        on_restored;
   };
 
   ListWatcher(boost::asio::io_context& context,
@@ -142,7 +145,7 @@
 
   void Watch() {
     cancel_watch_ =
-        hooks_.watch(revision_, options_.watch_timeout,
+        hooks_.watch(revision_.number, options_.watch_timeout,
                      IgnoringStaleResults([this](Result<Page> page) {
                        OnWatched(std::move(page));
                      }));
@@ -212,25 +215,26 @@
     }
   }
 
-  void CheckEra(const Page& page) {
-    const uint64_t previous = std::exchange(era_, page.era);
-    if (previous != 0 && previous != page.era && hooks_.on_era_changed) {
-      hooks_.on_era_changed(page.era, page.revision, revision_);
-    }
-  }
-
   void OnListed(Result<Page> page) {
     if (!page) {
       OnCallFailed(page.last_reason());
       RunAfter(backoff_.OnFailure(), [this] { List(); });
       return;
     }
+    if (page->revision.era < revision_.era) {
+      OnCallFailed({FailureKind::kStaleVersion, "listing",
+                    "it is from an earlier era of the store"});
+      RunAfter(backoff_.OnFailure(), [this] { List(); });
+      return;
+    }
     OnCallSucceeded();
-    CheckEra(*page);
     // The watch starts from the revision of the first page, so that it reports
     // changes made while the remaining pages are read.
     if (partial_listing_.empty()) {
       listed_revision_ = page->revision;
+    } else if (page->revision.era != listed_revision_.era) {
+      List();
+      return;
     }
     for (StoreItem<Item>& item : page->items) {
       partial_listing_.push_back(std::move(item));
@@ -239,6 +243,12 @@
       ListAfter(std::string(partial_listing_.back().name));
       return;
     }
+    const bool was_restored =
+        is_listed_ && listed_revision_.era > revision_.era;
+    if (was_restored && hooks_.on_restored) {
+      hooks_.on_restored(listed_revision_, revision_);
+    }
+    is_listed_ = true;
     revision_ = listed_revision_;
     UpdateNewestRevision(partial_listing_);
     hooks_.on_snapshot(std::exchange(partial_listing_, {}), revision_);
@@ -248,7 +258,10 @@
   void OnWatched(Result<Page> page) {
     if (page) {
       OnCallSucceeded();
-      CheckEra(*page);
+      if (page->revision.era != revision_.era) {
+        List();
+        return;
+      }
       revision_ = std::max(revision_, page->revision);
       UpdateNewestRevision(page->items);
       const bool may_be_cut_off =
@@ -301,10 +314,10 @@
   uint64_t latest_call_ = 0;
   CancelWatch cancel_watch_;  // Of the latest watch; may have ended.
   // Highest revision of the items delivered so far.
-  uint64_t newest_revision_ = 0;
-  uint64_t era_ = 0;  // Of the latest answer.
-  uint64_t revision_ = 0;
-  uint64_t listed_revision_ = 0;
+  StoreRevision newest_revision_;
+  StoreRevision revision_;  // Up to which changes are known.
+  StoreRevision listed_revision_;
+  bool is_listed_ = false;  // A listing was complete.
   std::vector<StoreItem<Item>> partial_listing_;
   bool failing_ = false;
   bool stopped_ = false;
--- a/src/coordination/feed_cache.cc
+++ b/src/coordination/feed_cache.cc
@@ -36,7 +36,7 @@
 
 void FeedCache::Replace(TimePoint now,
                         FeedKind kind,
-                        uint64_t revision,
+                        StoreRevision revision,
                         std::vector<FeedObject> objects) {
   std::set<std::string> listed;
   for (const FeedObject& object : objects) {
@@ -53,7 +53,7 @@
 
 void FeedCache::Apply(TimePoint now,
                       FeedKind kind,
-                      uint64_t revision,
+                      StoreRevision revision,
                       std::vector<FeedObject> objects) {
   for (FeedObject& object : objects) {
     Update(now, std::move(object));
@@ -72,7 +72,9 @@
   entry.gone_at = now;
 }
 
-void FeedCache::MarkCurrent(TimePoint now, FeedKind kind, uint64_t revision) {
+void FeedCache::MarkCurrent(TimePoint now,
+                            FeedKind kind,
+                            StoreRevision revision) {
   current_at_[IndexOf(kind)] = now;
   if (kind == FeedKind::kSearcher) {
     searchers_revision_ = std::max(searchers_revision_, revision);
--- a/src/protocol/feed_codec.cc
+++ b/src/protocol/feed_codec.cc
@@ -15,10 +15,19 @@
 // Longest time on a page; larger values could overflow a time point.
 constexpr int64_t kMaxTimeMs = int64_t{24} * 3600 * 1000;
 
+void Write(const StoreRevision& revision, wire::StoreRevision* written) {
+  written->set_era(revision.era);
+  written->set_number(revision.number);
+}
+
+StoreRevision Read(const wire::StoreRevision& message) {
+  return {message.era(), message.number()};
+}
+
 void Write(const FeedObject& object, wire::FeedObject* written) {
   written->set_kind(static_cast<uint32_t>(object.kind));
   written->set_name(object.name);
-  written->set_revision(object.revision);
+  Write(object.revision, written->mutable_revision());
   written->set_removed(object.removed);
   if (const auto* text = std::get_if<ConfigurationText>(&object.value)) {
     written->set_configuration(text->text);
@@ -82,7 +91,7 @@
   FeedObject object;
   object.kind = static_cast<FeedKind>(message.kind());
   object.name = message.name();
-  object.revision = message.revision();
+  object.revision = Read(message.revision());
   object.removed = message.removed();
   FeedKind kind_of_value = object.kind;
   switch (message.value_case()) {
@@ -123,7 +132,7 @@
   written.set_sequence(page.sequence);
   written.set_complete(page.complete);
   written.set_age_ms(ToMilliseconds(page.age).count());
-  written.set_searchers_revision(page.searchers_revision);
+  Write(page.searchers_revision, written.mutable_searchers_revision());
   for (const FeedObject& object : page.objects) {
     Write(object, written.add_objects());
   }
@@ -135,7 +144,8 @@
                           "not a valid page"};
   wire::FeedPage read;
   if (!read.ParseFromArray(message.data(), static_cast<int>(message.size())) ||
-      read.age_ms() < 0 || read.age_ms() > kMaxTimeMs) {
+      !read.has_searchers_revision() || read.age_ms() < 0 ||
+      read.age_ms() > kMaxTimeMs) {
     return malformed;
   }
   FeedPage page;
@@ -143,7 +153,7 @@
   page.sequence = read.sequence();
   page.complete = read.complete();
   page.age = milliseconds(read.age_ms());
-  page.searchers_revision = read.searchers_revision();
+  page.searchers_revision = Read(read.searchers_revision());
   for (const wire::FeedObject& object : read.objects()) {
     std::optional<FeedObject> decoded = Read(object);
     if (!decoded) {
--- a/src/routed_instance_feed.cc
+++ b/src/routed_instance_feed.cc
@@ -156,9 +156,9 @@
   std::vector<FeedObject> objects;
   objects.reserve(instances.size());
   for (const InstanceRecord& instance : instances) {
-    objects.push_back({FeedKind::kInstance, instance.id, 0, false, instance});
+    objects.push_back({FeedKind::kInstance, instance.id, {}, false, instance});
   }
-  feed_cache_.Replace(NowWithSuspension(), FeedKind::kInstance, 0,
+  feed_cache_.Replace(NowWithSuspension(), FeedKind::kInstance, {},
                       std::move(objects));
   feed_source_.SetInstances(instances);
   known_instances_ = instances;
@@ -286,9 +286,9 @@
     if (const auto* text = std::get_if<ConfigurationText>(&object.value)) {
       const auto decoded = platform_.decode_configuration(text->text);
       if (decoded) {
-        UseConfiguration(decoded->table, object.revision);
+        UseConfiguration(object.name, *decoded, object.revision);
       } else {
-        LogUnreadableObject(object.name, object.revision,
+        LogUnreadableObject(object.name, object.revision.number,
                             decoded.last_reason());
       }
     } else if (object.kind == FeedKind::kSearcher) {
--- a/src/routed_instance_impl.h
+++ b/src/routed_instance_impl.h
@@ -21,6 +21,7 @@
 #include "greengage/coordination/gatherers.h"
 #include "greengage/coordination/stop_sequence.h"
 #include "greengage/routed_instance.h"
+#include "greengage/state/configuration_version.h"
 #include "greengage/state/routed_metrics.h"
 #include "greengage/transport/feed_client.h"
 #include "greengage/transport/feed_server.h"
@@ -87,12 +88,14 @@
   void StopStoreWatches();
   void OnStoredConfigurations(
       const std::vector<StoreItem<StoredConfiguration>>& items,
-      uint64_t revision,
-      bool is_snapshot);
+      StoreRevision revision);
   void OnStoredSearchers(std::vector<StoreItem<SearcherEntry>> items,
-                         uint64_t revision,
+                         StoreRevision revision,
                          bool is_snapshot);
-  void UseConfiguration(const RouteTablePtr& table, uint64_t revision);
+  // Makes `configuration` the active one if it is newer.
+  void UseConfiguration(const std::string& name,
+                        const StoredConfiguration& configuration,
+                        StoreRevision revision);
   // `current_at` is the time at which the state after the changes was current.
   void UseSearchers(TimePoint current_at,
                     const std::vector<SearcherChange>& changes,
@@ -132,7 +135,7 @@
   std::shared_ptr<ListWatcher<StoredConfiguration>> configuration_watcher_;
   std::shared_ptr<ListWatcher<SearcherEntry>> searcher_watcher_;
   Duration watch_delay_{};  // Of the running `searcher_watcher_`.
-  uint64_t searchers_revision_ = 0;
+  StoreRevision searchers_revision_;
   FeedCache feed_cache_;
   FeedSource feed_source_;
   std::shared_ptr<FeedServer> feed_server_;
@@ -150,7 +153,10 @@
   RouteTablePtr route_table_;
   // Services from which a route of the table gathers parts.
   std::unordered_set<std::string> shards_;
-  uint64_t route_table_revision_ = 0;
+  // Of `route_table_`: its version, and name and text of its object.
+  ConfigurationVersion configuration_version_;
+  std::string configuration_name_;
+  std::string configuration_text_;
   bool searchers_known_ = false;
   bool stopping_ = false;
   bool rejecting_ = false;
--- a/src/routed_instance_store.cc
+++ b/src/routed_instance_store.cc
@@ -30,15 +30,6 @@
 constexpr std::chrono::milliseconds kSearcherWatchTimeout{1500};
 constexpr int kSearcherWatchPercent = 15;
 
-FeedObject MakeFeedObject(const StoreItem<StoredConfiguration>& item) {
-  FeedObject object{
-      FeedKind::kConfiguration, item.name, item.revision, item.removed, {}};
-  if (item.value) {
-    object.value = ConfigurationText{item.value->text};
-  }
-  return object;
-}
-
 FeedObject MakeFeedObject(const StoreItem<SearcherEntry>& item) {
   FeedObject object{
       FeedKind::kSearcher, item.name, item.revision, item.removed, {}};
@@ -48,25 +39,23 @@
   return object;
 }
 
-// Passes objects of the store on to the cache for peers. Objects that cannot be
+// Passes searchers of the store on to the cache for peers. Those that cannot be
 // decoded do not exist for peers either.
-template <typename Item>
 void UpdateCache(FeedCache& cache,
-                 FeedKind kind,
-                 const std::vector<StoreItem<Item>>& items,
-                 uint64_t revision,
+                 const std::vector<StoreItem<SearcherEntry>>& items,
+                 StoreRevision revision,
                  bool is_snapshot) {
   std::vector<FeedObject> objects;
-  for (const StoreItem<Item>& item : items) {
+  for (const StoreItem<SearcherEntry>& item : items) {
     if (item.value || !is_snapshot) {
       objects.push_back(MakeFeedObject(item));
     }
   }
   const TimePoint now = NowWithSuspension();
   if (is_snapshot) {
-    cache.Replace(now, kind, revision, std::move(objects));
+    cache.Replace(now, FeedKind::kSearcher, revision, std::move(objects));
   } else {
-    cache.Apply(now, kind, revision, std::move(objects));
+    cache.Apply(now, FeedKind::kSearcher, revision, std::move(objects));
   }
 }
 
@@ -96,13 +85,13 @@
     LogLine(DecisionEvent::kStoreRecovered).Add("feed", feed).Write();
     metrics_.store_changes[{feed, "regained"}].Add();
   };
-  hooks.on_era_changed = [this, feed](uint64_t era, uint64_t revision,
-                                      uint64_t known) {
+  hooks.on_restored = [this, feed](StoreRevision revision,
+                                   StoreRevision known) {
     LogLine(DecisionEvent::kStoreRestored)
         .Add("feed", feed)
-        .Add("era", era)
-        .Add("revision", revision)
-        .Add("known_revision", known)
+        .Add("era", revision.era)
+        .Add("revision", revision.number)
+        .Add("known_revision", known.number)
         .Write();
     metrics_.store_changes[{feed, "restored"}].Add();
   };
@@ -114,11 +103,11 @@
   options.seed = RandomBase();
   auto configuration_hooks = ListWatchHooks<StoredConfiguration>(
       "configuration", platform_.configuration);
-  configuration_hooks.on_snapshot = [this](auto items, uint64_t revision) {
-    OnStoredConfigurations(items, revision, true);
+  configuration_hooks.on_snapshot = [this](auto items, StoreRevision revision) {
+    OnStoredConfigurations(items, revision);
   };
-  configuration_hooks.on_changes = [this](auto items, uint64_t revision) {
-    OnStoredConfigurations(items, revision, false);
+  configuration_hooks.on_changes = [this](auto items, StoreRevision revision) {
+    OnStoredConfigurations(items, revision);
   };
   configuration_watcher_ = std::make_shared<ListWatcher<StoredConfiguration>>(
       context_, options, std::move(configuration_hooks));
@@ -137,10 +126,10 @@
   options.seed = RandomBase();
   auto searcher_hooks =
       ListWatchHooks<SearcherEntry>("searchers", platform_.searchers);
-  searcher_hooks.on_snapshot = [this](auto items, uint64_t revision) {
+  searcher_hooks.on_snapshot = [this](auto items, StoreRevision revision) {
     OnStoredSearchers(std::move(items), revision, true);
   };
-  searcher_hooks.on_changes = [this](auto items, uint64_t revision) {
+  searcher_hooks.on_changes = [this](auto items, StoreRevision revision) {
     OnStoredSearchers(std::move(items), revision, false);
   };
   searcher_watcher_ = std::make_shared<ListWatcher<SearcherEntry>>(
@@ -157,49 +146,61 @@
   }
 }
 
+// Peers get the active configuration, which may be newer than that of a store
+// that was restored from a copy.
 void RoutedInstanceImpl::OnStoredConfigurations(
     const std::vector<StoreItem<StoredConfiguration>>& items,
-    uint64_t revision,
-    bool is_snapshot) {
+    StoreRevision revision) {
   for (const StoreItem<StoredConfiguration>& item : items) {
     if (item.value) {
-      UseConfiguration(item.value->table, item.revision);
+      UseConfiguration(item.name, *item.value, item.revision);
     }
   }
-  UpdateCache(feed_cache_, FeedKind::kConfiguration, items, revision,
-              is_snapshot);
+  std::vector<FeedObject> objects;
+  if (route_table_) {
+    objects.push_back({FeedKind::kConfiguration, configuration_name_,
+                       configuration_version_.revision, false,
+                       ConfigurationText{configuration_text_}});
+  }
+  feed_cache_.Replace(NowWithSuspension(), FeedKind::kConfiguration, revision,
+                      std::move(objects));
   feed_server_->OnCacheChanged();
 }
 
-void RoutedInstanceImpl::UseConfiguration(const RouteTablePtr& table,
-                                          uint64_t revision) {
-  if (revision <= route_table_revision_) {
-    if (table->version() != route_table_->version()) {
+void RoutedInstanceImpl::UseConfiguration(
+    const std::string& name,
+    const StoredConfiguration& configuration,
+    StoreRevision revision) {
+  const ConfigurationVersion version{configuration.table->version(), revision};
+  if (route_table_ && version <= configuration_version_) {
+    if (version.version != configuration_version_.version) {
       LogLine(DecisionEvent::kConfigurationIgnored)
-          .Add("configuration", table->version())
-          .Add("revision", revision)
-          .Add("active", route_table_->version())
-          .Add("active_revision", route_table_revision_)
+          .Add("configuration", version.version)
+          .Add("revision", revision.number)
+          .Add("active", configuration_version_.version)
+          .Add("active_revision", configuration_version_.revision.number)
           .Write();
     }
     return;
   }
-  route_table_ = table;
-  route_table_revision_ = revision;
+  route_table_ = configuration.table;
+  configuration_version_ = version;
+  configuration_name_ = name;
+  configuration_text_ = configuration.text;
   UpdateGatherers();
   caller_server_->SetLimits(ActiveServerLimits());
   LogLine(DecisionEvent::kConfigurationInForce)
-      .Add("configuration", route_table_->version())
-      .Add("revision", route_table_revision_)
+      .Add("configuration", version.version)
+      .Add("revision", revision.number)
       .Add("routes", route_table_->routes().size())
       .Write();
 }
 
 void RoutedInstanceImpl::OnStoredSearchers(
     std::vector<StoreItem<SearcherEntry>> items,
-    uint64_t revision,
+    StoreRevision revision,
     bool is_snapshot) {
-  UpdateCache(feed_cache_, FeedKind::kSearcher, items, revision, is_snapshot);
+  UpdateCache(feed_cache_, items, revision, is_snapshot);
   searchers_revision_ = std::max(searchers_revision_, revision);
   std::vector<SearcherChange> changes;
   changes.reserve(items.size());
--- a/src/transport/feed_client.cc
+++ b/src/transport/feed_client.cc
@@ -74,7 +74,7 @@
   return page;
 }
 
-void FeedClient::Reset(uint64_t searchers_revision) {
+void FeedClient::Reset(StoreRevision searchers_revision) {
   epoch_ = 0;
   sequence_ = 0;
   searchers_revision_ = std::max(searchers_revision_, searchers_revision);
--- a/tests/list_watcher_test.cc
+++ b/tests/list_watcher_test.cc
@@ -45,14 +45,17 @@
         store.pending = std::move(done);
       };
     }
-    hooks.on_snapshot = [this](auto items, uint64_t) {
+    hooks.on_snapshot = [this](auto items, StoreRevision) {
       snapshots.push_back(items.size());
     };
-    hooks.on_changes = [this](auto items, uint64_t) {
+    hooks.on_changes = [this](auto items, StoreRevision) {
       changes += items.size();
     };
     hooks.on_failing = [this](const Failure&) { ++failing_calls; };
     hooks.on_recovered = [this] { ++recovered_calls; };
+    hooks.on_restored = [this](StoreRevision revision, StoreRevision) {
+      restored.push_back(revision.era);
+    };
     watcher = std::make_shared<Watcher>(context, options, std::move(hooks));
     watcher->Start();
   }
@@ -67,13 +70,18 @@
   boost::asio::io_context context;
   FakeStore store;
   std::vector<size_t> snapshots;
+  std::vector<uint64_t> restored;  // Eras.
   size_t changes = 0;
   int failing_calls = 0;
   int recovered_calls = 0;
   std::shared_ptr<Watcher> watcher;
 };
 
-Page PageOf(uint64_t revision, std::vector<std::string> names, bool more) {
+Page PageOf(uint64_t number,
+            std::vector<std::string> names,
+            bool more,
+            uint64_t era = 1) {
+  const StoreRevision revision{era, number};
   Page page;
   page.revision = revision;
   page.more = more;
@@ -188,4 +196,53 @@
   cr_assert(fixture.failing_calls == 1);
 }
 
+// The watched revision may exist again in the next era, with other changes.
+Test(ListWatcher, ListsAgainWhenTheStoreWasRestoredDuringAWatch) {
+  Fixture fixture;
+  fixture.store.Answer(PageOf(7, {"a"}, false));
+  fixture.RunUntilCall();
+  fixture.store.Answer(PageOf(9, {"b"}, false, 2));
+  cr_assert(fixture.changes == 0);
+  fixture.RunUntilCall();
+  cr_assert(fixture.store.calls.back() == "list ");
+  fixture.store.Answer(PageOf(5, {"a"}, false, 2));
+  fixture.RunUntilCall();
+  cr_assert(fixture.store.calls.back() == "watch 5");
+  cr_assert(fixture.snapshots.size() == 2);
+  cr_assert(fixture.restored == std::vector<uint64_t>{2});
+}
+
+Test(ListWatcher, ListsAgainWhenTheStoreWasRestoredDuringAListing) {
+  Fixture fixture;
+  fixture.store.Answer(PageOf(7, {"a"}, true));
+  fixture.store.Answer(PageOf(5, {"b"}, false, 2));
+  cr_assert(fixture.store.calls.back() == "list ");
+  cr_assert(fixture.snapshots.empty());
+  fixture.store.Answer(PageOf(5, {"b"}, false, 2));
+  cr_assert(fixture.snapshots == std::vector<size_t>{1});
+}
+
+Test(ListWatcher, IgnoresAListingOfAnEarlierEra) {
+  Fixture fixture;
+  fixture.store.Answer(PageOf(5, {"a"}, false, 2));
+  fixture.RunUntilCall();
+  fixture.store.Answer(Failure{FailureKind::kStaleVersion, "store", "gone"});
+  fixture.RunUntilCall();
+  fixture.store.Answer(PageOf(9, {"a", "b"}, false, 1));
+  cr_assert(fixture.snapshots.size() == 1);
+  fixture.RunUntilCall();
+  cr_assert(fixture.store.calls.back() == "list ");
+}
+
+Test(ListWatcher, APollThatFindsALaterEraListsAgain) {
+  Fixture fixture({.watch_delay = Ms(0), .poll_interval = Ms(5)});
+  fixture.store.Answer(PageOf(7, {"a"}, false));
+  fixture.RunUntilCall();
+  fixture.store.pending = nullptr;
+  fixture.RunUntilCall();
+  cr_assert(fixture.store.calls.back() == "poll");
+  fixture.store.Answer(PageOf(3, {"a"}, false, 2));
+  cr_assert(fixture.store.calls.back() == "list ");
+}
+
 }  // namespace greengage
