Ignore registry entries that are older than the known ones

What callers could see: attempts at a searcher that has left, after the store came back from a copy that still has its entry.

Cause: an entry of a searcher that is not in the directory was taken for a new searcher.

Change: entries carry the number of the searcher's report. An entry of the same process with a lower number than the known one is ignored; the last entry of a searcher that left is remembered for a minute.

SearcherDirectory.ASearcherThatLeftIsNotUsedAgainAfterARestore failed without the check.

--- a/include/greengage/coordination/searcher_directory.h
+++ b/include/greengage/coordination/searcher_directory.h
@@ -54,7 +54,8 @@
   explicit SearcherDirectory(Hooks hooks) : hooks_(std::move(hooks)) {}
 
   // Applies a complete listing of the registry. Searchers that are not listed
-  // become missing and are dropped after `grace`.
+  // become missing and are dropped after `grace`. Entries that are older than
+  // the known ones are ignored, here and in Apply().
   void Replace(TimePoint now,
                const std::vector<SearcherEntry>& entries,
                Duration grace = kListingGracePeriod);
@@ -77,12 +78,22 @@
   size_t size() const { return by_id_.size(); }
 
  private:
+  // The last known entry of a searcher that is no longer in the directory.
+  struct Departure {
+    SearcherEntry entry;
+    TimePoint at;
+  };
+
   void Upsert(TimePoint now, const SearcherEntry& entry);
-  void Remove(const RoutedSearcherPtr& searcher, std::string_view reason);
+  bool HasDeparted(const SearcherEntry& entry) const;
+  void Remove(TimePoint now,
+              const RoutedSearcherPtr& searcher,
+              std::string_view reason);
 
   const Hooks hooks_;
   std::unordered_map<std::string, RoutedSearcherPtr> by_id_;
   std::unordered_map<std::string, std::vector<RoutedSearcherPtr>> by_service_;
+  std::unordered_map<std::string, Departure> departures_;  // By id.
 };
 
 }  // namespace greengage
--- a/include/greengage/state/searcher_entry.h
+++ b/include/greengage/state/searcher_entry.h
@@ -21,12 +21,23 @@
   // Start time of the process since the Unix epoch; distinguishes incarnations
   // with the same id. Zero if not reported.
   std::chrono::milliseconds started{};
+  // Number of the report that the entry is from. Rises with each report of the
+  // process. Zero if not reported.
+  uint64_t report = 0;
 
   // Returns whether both entries belong to the same process.
   bool SameProcess(const SearcherEntry& other) const {
     return id == other.id && started == other.started &&
            endpoint == other.endpoint && service == other.service;
   }
+
+  // Returns whether the entry is from an earlier report of the same process
+  // than `other`. A store that was restored from a copy has such entries. Start
+  // times do not order processes, since the clocks of their machines may be set
+  // back.
+  bool IsBefore(const SearcherEntry& other) const {
+    return SameProcess(other) && report < other.report;
+  }
 };
 
 }  // namespace greengage
--- a/src/coordination/searcher_directory.cc
+++ b/src/coordination/searcher_directory.cc
@@ -17,6 +17,10 @@
 // registration.
 constexpr Duration kRemovalGracePeriod = std::chrono::milliseconds(300);
 
+// How long a departed searcher is remembered. The store may be restored from a
+// copy that has its entry.
+constexpr Duration kDepartureMemory = std::chrono::seconds(60);
+
 }  // namespace
 
 Duration ListingGracePeriod(Duration replaced_state_age, Duration leave_time) {
@@ -44,6 +48,9 @@
 
 void SearcherDirectory::Upsert(TimePoint now, const SearcherEntry& entry) {
   const auto found = by_id_.find(entry.id);
+  if (found != by_id_.end() && entry.IsBefore(found->second->entry())) {
+    return;
+  }
   if (found != by_id_.end() && found->second->entry().SameProcess(entry)) {
     const bool was_draining = found->second->entry().draining;
     found->second->UpdateEntry(now, entry);
@@ -53,7 +60,10 @@
     return;
   }
   if (found != by_id_.end()) {
-    Remove(found->second, "restarted");
+    Remove(now, found->second, "restarted");
+  }
+  if (HasDeparted(entry)) {
+    return;
   }
   const auto searcher = std::make_shared<RoutedSearcher>(now, entry);
   by_id_[entry.id] = searcher;
@@ -61,6 +71,19 @@
   hooks_.on_added(*searcher);
 }
 
+// A searcher whose entry expired while it lives reports again, with a higher
+// number. Without numbers, an old entry cannot be told from a new one.
+bool SearcherDirectory::HasDeparted(const SearcherEntry& entry) const {
+  const auto found = departures_.find(entry.id);
+  if (found == departures_.end()) {
+    return false;
+  }
+  const SearcherEntry& last = found->second.entry;
+  const bool is_last = entry.SameProcess(last) && entry.report != 0 &&
+                       entry.report == last.report;
+  return entry.IsBefore(last) || is_last;
+}
+
 void SearcherDirectory::Apply(TimePoint now,
                               const std::vector<SearcherChange>& changes) {
   for (const SearcherChange& change : changes) {
@@ -84,8 +107,11 @@
     }
   }
   for (const RoutedSearcherPtr& searcher : expired) {
-    Remove(searcher, "gone");
+    Remove(now, searcher, "gone");
   }
+  std::erase_if(departures_, [now](const auto& item) {
+    return now - item.second.at >= kDepartureMemory;
+  });
 }
 
 std::vector<std::pair<RoutedSearcherPtr, RateLimitReport>>
@@ -106,10 +132,12 @@
   return found == by_service_.end() ? none : found->second;
 }
 
-void SearcherDirectory::Remove(const RoutedSearcherPtr& searcher,
+void SearcherDirectory::Remove(TimePoint now,
+                               const RoutedSearcherPtr& searcher,
                                std::string_view reason) {
   searcher->OnGone();
   hooks_.on_leaving(*searcher, reason);
+  departures_[searcher->entry().id] = {searcher->entry(), now};
   const auto service = by_service_.find(searcher->entry().service);
   if (service != by_service_.end()) {
     std::erase(service->second, searcher);
--- a/src/protocol/feed_codec.cc
+++ b/src/protocol/feed_codec.cc
@@ -40,6 +40,7 @@
     searcher->set_draining(entry->draining);
     searcher->set_warm_up_left_ms(entry->warm_up_left.count());
     searcher->set_started_ms(entry->started.count());
+    searcher->set_report(entry->report);
   } else if (const auto* record = std::get_if<InstanceRecord>(&object.value)) {
     wire::FeedInstance* const instance = written->mutable_instance();
     instance->set_data_centre(record->data_centre);
@@ -72,6 +73,7 @@
   entry.draining = message.draining();
   entry.warm_up_left = milliseconds(message.warm_up_left_ms());
   entry.started = milliseconds(message.started_ms());
+  entry.report = message.report();
   return entry;
 }
 
--- a/tests/searcher_directory_test.cc
+++ b/tests/searcher_directory_test.cc
@@ -87,6 +87,36 @@
   cr_assert(fixture.directory.ForService("shard").size() == 1);
 }
 
+// A store that was restored from a copy still has the entry.
+Test(SearcherDirectory, ASearcherThatLeftIsNotUsedAgainAfterARestore) {
+  Fixture fixture;
+  SearcherEntry entry = MakeEntry("a");
+  entry.report = 5;
+  const SearcherEntry copied = entry;
+  fixture.directory.Replace(kStart, {entry});
+  entry.report = 6;
+  entry.draining = true;
+  fixture.directory.Apply(kStart, {{"a", entry}, {"a", std::nullopt}});
+  fixture.directory.Expire(kStart + Ms(300));
+  cr_assert(fixture.directory.ForService("shard").empty());
+  for (const SearcherEntry& old : {copied, entry}) {
+    fixture.directory.Replace(kStart + Ms(5000), {old});
+    cr_assert(fixture.directory.ForService("shard").empty());
+  }
+}
+
+Test(SearcherDirectory, ASearcherThatReportsAgainAfterItsEntryExpiredIsUsed) {
+  Fixture fixture;
+  SearcherEntry entry = MakeEntry("a");
+  entry.report = 5;
+  fixture.directory.Replace(kStart, {entry});
+  fixture.directory.Apply(kStart, {{"a", std::nullopt}});
+  fixture.directory.Expire(kStart + Ms(300));
+  entry.report = 9;
+  fixture.directory.Replace(kStart + Ms(5000), {entry});
+  cr_assert(fixture.UsabilityOf(kStart + Ms(5000)) == Usability::kHealthy);
+}
+
 Test(SearcherDirectory, MisdirectedAttemptMakesSearcherUnusable) {
   Fixture fixture;
   fixture.directory.Replace(kStart, {MakeEntry("a")});
