Register an instance again whose entry the restored store lacks

What callers could see: extra arrivals and requests at limited searchers beyond what all instances may cause together, since the others count too few of them.

Cause: an instance registers once, at its start. If the store comes back from a copy from before, its entry is gone for good. Class of fault: what was acknowledged is assumed to stay.

Change: an instance that the registry lacks registers again; readers of the store read the registry 2 s after a restore. For 25 s after it, the count of instances does not fall.

--- a/include/greengage/state/decision_event.h
+++ b/include/greengage/state/decision_event.h
@@ -18,6 +18,7 @@
   kSettingsReloaded,
   kInstancesCounted,
   kInstanceListFailed,
+  kRegistrationMissing,
   kFeedSourceChosen,
   kFeedPeerFailed,
   kQueryForwarded,
--- a/src/routed_instance_feed.cc
+++ b/src/routed_instance_feed.cc
@@ -1,5 +1,6 @@
 // The parts of a routed instance that know its peers and choose whether to read
 // the configuration and the searchers from the store or from a peer.
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -18,6 +19,15 @@
 constexpr std::chrono::seconds kSecondInstancesReadDelay{3};
 constexpr milliseconds kInstancesRetryDelay{500};
 
+// Time after a registration in which the registry may still lack it, since
+// reads of the registry may be some seconds old.
+constexpr std::chrono::seconds kRegistrationVisibleTime{10};
+
+// Time after a restore of the store until all instances have registered again:
+// two reads of the registry, by the one that passes it on and by the one that
+// is missing.
+constexpr std::chrono::seconds kRegistrationsReturnTime{25};
+
 // Time that the instances of a new deployment need to register. The registry is
 // first read after it.
 constexpr milliseconds kRegistrationTime{700};
@@ -94,6 +104,7 @@
 
 void RoutedInstanceImpl::RegisterInstance(
     std::function<void(Registration)> done) {
+  registered_at_ = Now();
   platform_.instances.add(
       SelfRecord(), [weak = weak_from_this(), done = std::move(done)](
                         const Result<Registration>& added) {
@@ -119,11 +130,32 @@
   });
 }
 
+// Entries that the store lost must not make the others use more of the common
+// limits before they are back.
+void RoutedInstanceImpl::OnStoreRestored() {
+  instance_count_kept_until_ = Now() + kRegistrationsReturnTime;
+}
+
+// A store that was restored from a copy may lack the entry.
+void RoutedInstanceImpl::RestoreRegistration() {
+  const bool is_listed = std::any_of(
+      known_instances_.begin(), known_instances_.end(),
+      [this](const InstanceRecord& known) { return known.id == settings_.id; });
+  if (instances_read_ && !stopping_ && !is_listed &&
+      Now() - registered_at_ >= kRegistrationVisibleTime) {
+    LogLine(DecisionEvent::kRegistrationMissing)
+        .Add("instances", known_instances_.size())
+        .Write();
+    RegisterInstance([](Registration) {});
+  }
+}
+
 // Instances that read from a peer learn of changes from it.
 void RoutedInstanceImpl::ReadInstances() {
   if (instances_read_ && std::exchange(registration_failed_, false)) {
     RegisterInstance([](Registration) {});
   }
+  RestoreRegistration();
   if (instances_read_ && !searcher_watcher_) {
     ReadInstancesAfter(kInstancesReadInterval);
     return;
@@ -163,12 +195,16 @@
   feed_source_.SetInstances(instances);
   known_instances_ = instances;
   UpdateGatherers();
-  if (instances.size() != instance_count_) {
-    SetInstanceCount(instances.size());
+  const size_t count = Now() < instance_count_kept_until_
+                           ? std::max(instance_count_, instances.size())
+                           : instances.size();
+  if (count != instance_count_) {
+    SetInstanceCount(count);
     LogLine(DecisionEvent::kInstancesCounted)
         .Add("instances", instance_count_)
         .Write();
   }
+  RestoreRegistration();
 }
 
 // The gatherers of the route with the fewest connections serve all routes.
@@ -276,6 +312,9 @@
 }
 
 void RoutedInstanceImpl::OnPeerPage(const FeedPage& page) {
+  if (page.searchers_revision.era > searchers_revision_.era) {
+    OnStoreRestored();
+  }
   searchers_revision_ = page.searchers_revision;
   std::vector<SearcherChange> searchers;
   bool instances_changed = false;
--- a/src/routed_instance_impl.h
+++ b/src/routed_instance_impl.h
@@ -66,6 +66,9 @@
   // and then chooses where to read from.
   void JoinInstances();
   void RegisterInstance(std::function<void(Registration)> done);
+  // Registers this instance again if its entry is missing from the registry.
+  void RestoreRegistration();
+  void OnStoreRestored();
   void ReadInstancesAfter(Duration delay);
   void ReadInstances();
   void OnInstances(const std::vector<InstanceRecord>& instances);
@@ -167,7 +170,10 @@
   boost::asio::steady_timer instances_timer_;
   boost::asio::steady_timer feed_timer_;
   size_t instance_count_ = 1;
+  // Until then, the instance count does not fall.
+  TimePoint instance_count_kept_until_;
   bool registration_failed_ = false;
+  TimePoint registered_at_;  // Time of the latest attempt.
 };
 
 }  // namespace greengage
--- a/src/routed_instance_store.cc
+++ b/src/routed_instance_store.cc
@@ -30,6 +30,10 @@
 constexpr std::chrono::milliseconds kSearcherWatchTimeout{1500};
 constexpr int kSearcherWatchPercent = 15;
 
+// Delay before the registry of instances is read after the store was restored.
+// The answer may be some seconds old.
+constexpr std::chrono::seconds kRestoredInstancesReadDelay{2};
+
 FeedObject MakeFeedObject(const StoreItem<SearcherEntry>& item) {
   FeedObject object{
       FeedKind::kSearcher, item.name, item.revision, item.removed, {}};
@@ -94,6 +98,8 @@
         .Add("known_revision", known.number)
         .Write();
     metrics_.store_changes[{feed, "restored"}].Add();
+    OnStoreRestored();
+    ReadInstancesAfter(kRestoredInstancesReadDelay);
   };
   return hooks;
 }
--- a/src/state/decision_event.cc
+++ b/src/state/decision_event.cc
@@ -24,6 +24,10 @@
        "call, cause, detail",
        "The instance was not entered on the roll of instances, or the roll not "
        "read; both are tried again."},
+      {kRegistrationMissing, "registration_missing", LogLevel::kWarning,
+       "instances",
+       "The registry of instances lacks this one, as after the store was "
+       "restored from a copy; it is entered again."},
       {kFeedSourceChosen, "feed_source_chosen", LogLevel::kInfo, "source",
        "The configuration and the searchers are now read from the store, or "
        "from the peer of this id."},
