Take the first page of a peer for no restore of the store

The count of instances was kept for 25 s after the first page, at the 1,000 that are assumed before the first count if the registry could not be read yet.

--- a/src/routed_instance_feed.cc
+++ b/src/routed_instance_feed.cc
@@ -312,7 +312,8 @@
 }
 
 void RoutedInstanceImpl::OnPeerPage(const FeedPage& page) {
-  if (page.searchers_revision.era > searchers_revision_.era) {
+  if (searchers_known_ &&
+      page.searchers_revision.era > searchers_revision_.era) {
     OnStoreRestored();
   }
   searchers_revision_ = page.searchers_revision;
