--- a/include/greengage/state/configuration_version.h
+++ b/include/greengage/state/configuration_version.h
@@ -2,8 +2,8 @@
 #ifndef GREENGAGE_STATE_CONFIGURATION_VERSION_H_
 #define GREENGAGE_STATE_CONFIGURATION_VERSION_H_
 
-#include <compare>
 #include <cstdint>
+#include <tuple>
 
 #include "greengage/state/store_revision.h"
 
@@ -16,8 +16,10 @@
   uint64_t version = 0;
   StoreRevision revision;
 
-  friend auto operator<=>(const ConfigurationVersion&,
-                          const ConfigurationVersion&) = default;
+  friend bool operator<(const ConfigurationVersion& a,
+                        const ConfigurationVersion& b) {
+    return std::tie(a.version, a.revision) < std::tie(b.version, b.revision);
+  }
 };
 
 }  // namespace greengage
--- a/include/greengage/state/store_revision.h
+++ b/include/greengage/state/store_revision.h
@@ -2,8 +2,8 @@
 #ifndef GREENGAGE_STATE_STORE_REVISION_H_
 #define GREENGAGE_STATE_STORE_REVISION_H_
 
-#include <compare>
 #include <cstdint>
+#include <tuple>
 
 namespace greengage {
 
@@ -17,7 +17,12 @@
   uint64_t era = 0;  // 0 if the store does not tell.
   uint64_t number = 0;
 
-  friend auto operator<=>(const StoreRevision&, const StoreRevision&) = default;
+  friend bool operator==(const StoreRevision& a, const StoreRevision& b) {
+    return a.era == b.era && a.number == b.number;
+  }
+  friend bool operator<(const StoreRevision& a, const StoreRevision& b) {
+    return std::tie(a.era, a.number) < std::tie(b.era, b.number);
+  }
 };
 
 }  // namespace greengage
--- a/include/greengage/transport/list_watcher.h
+++ b/include/greengage/transport/list_watcher.h
@@ -205,7 +205,7 @@
   bool HasUndeliveredChange(const Page& page) const {
     return std::any_of(page.items.begin(), page.items.end(),
                        [this](const StoreItem<Item>& item) {
-                         return item.revision > newest_revision_;
+                         return newest_revision_ < item.revision;
                        });
   }
 
--- a/src/routed_instance_store.cc
+++ b/src/routed_instance_store.cc
@@ -178,7 +178,7 @@
     const StoredConfiguration& configuration,
     StoreRevision revision) {
   const ConfigurationVersion version{configuration.table->version(), revision};
-  if (route_table_ && version <= configuration_version_) {
+  if (route_table_ && !(configuration_version_ < version)) {
     if (version.version != configuration_version_.version) {
       LogLine(DecisionEvent::kConfigurationIgnored)
           .Add("configuration", version.version)
