Keep readers of the store from passing on entries that are outdated

What callers could see: attempts at a searcher that has left, at instances that read from a peer, after the store came back from a copy that still has its entry.

Cause: an instance that reads from a peer gets no heartbeats, so that the number of the report that it knows is low, and the copied entry seems newer. The reader of the store knows better, but passed the entry on.

FeedCache.ASearcherThatLeftDoesNotComeBackAfterARestore failed without the check.

--- a/include/greengage/coordination/feed_cache.h
+++ b/include/greengage/coordination/feed_cache.h
@@ -89,6 +89,7 @@
     FeedObject object;
     uint64_t sequence = 0;
     TimePoint gone_at;
+    std::optional<SearcherEntry> last_searcher;  // Also once it is gone.
   };
   using Key = std::pair<FeedKind, std::string>;
 
--- a/include/greengage/state/searcher_entry.h
+++ b/include/greengage/state/searcher_entry.h
@@ -38,6 +38,14 @@
   bool IsBefore(const SearcherEntry& other) const {
     return SameProcess(other) && report < other.report;
   }
+
+  // Returns whether the entry does not show that a searcher is back whose last
+  // known entry was `last`. A searcher whose entry expired while it lives
+  // reports again, with a higher number. Without numbers, an old entry cannot
+  // be told from a new one.
+  bool IsNotAfter(const SearcherEntry& last) const {
+    return SameProcess(last) && last.report != 0 && report <= last.report;
+  }
 };
 
 }  // namespace greengage
--- a/src/coordination/feed_cache.cc
+++ b/src/coordination/feed_cache.cc
@@ -32,6 +32,14 @@
          old_entry->warm_up_left >= new_entry->warm_up_left;
 }
 
+// Returns true if `next` is older than `last`, the last entry of the searcher,
+// which `object` says is present or gone.
+bool IsOutdated(const FeedObject& object,
+                const SearcherEntry& last,
+                const SearcherEntry& next) {
+  return object.is_present() ? next.IsBefore(last) : next.IsNotAfter(last);
+}
+
 }  // namespace
 
 void FeedCache::Replace(TimePoint now,
@@ -63,6 +71,13 @@
 
 void FeedCache::Update(TimePoint now, FeedObject object) {
   Entry& entry = entries_[{object.kind, object.name}];
+  if (const auto* const next = std::get_if<SearcherEntry>(&object.value)) {
+    if (entry.last_searcher &&
+        IsOutdated(entry.object, *entry.last_searcher, *next)) {
+      return;
+    }
+    entry.last_searcher = *next;
+  }
   if (entry.sequence != 0 && IsRepeated(entry.object, object)) {
     entry.object = std::move(object);
     return;
--- a/src/coordination/searcher_directory.cc
+++ b/src/coordination/searcher_directory.cc
@@ -71,17 +71,9 @@
   hooks_.on_added(*searcher);
 }
 
-// A searcher whose entry expired while it lives reports again, with a higher
-// number. Without numbers, an old entry cannot be told from a new one.
 bool SearcherDirectory::HasDeparted(const SearcherEntry& entry) const {
   const auto found = departures_.find(entry.id);
-  if (found == departures_.end()) {
-    return false;
-  }
-  const SearcherEntry& last = found->second.entry;
-  const bool is_last = entry.SameProcess(last) && entry.report != 0 &&
-                       entry.report == last.report;
-  return entry.IsBefore(last) || is_last;
+  return found != departures_.end() && entry.IsNotAfter(found->second.entry);
 }
 
 void SearcherDirectory::Apply(TimePoint now,
--- a/tests/feed_cache_test.cc
+++ b/tests/feed_cache_test.cc
@@ -92,6 +92,25 @@
   cr_assert(!page.objects[1].removed && !page.objects[1].is_present());
 }
 
+// A store that was restored from a copy still has the entry.
+Test(FeedCache, ASearcherThatLeftDoesNotComeBackAfterARestore) {
+  Fixture fixture;
+  FeedObject searcher = MakeSearcher("z");
+  std::get<SearcherEntry>(searcher.value).report = 5;
+  fixture.cache.Apply(kStart, FeedKind::kSearcher, {1, 8}, {searcher});
+  const FeedObject copied = searcher;
+  std::get<SearcherEntry>(searcher.value).report = 6;
+  fixture.cache.Apply(kStart, FeedKind::kSearcher, {1, 9}, {searcher});
+  fixture.cache.Apply(kStart, FeedKind::kSearcher, {1, 10},
+                      {{FeedKind::kSearcher, "z", {1, 10}, true, {}}});
+  const uint64_t sequence = fixture.cache.sequence();
+  fixture.cache.Apply(kStart, FeedKind::kSearcher, {2, 8}, {copied});
+  cr_assert(fixture.cache.sequence() == sequence);
+  std::get<SearcherEntry>(searcher.value).report = 7;
+  fixture.cache.Apply(kStart, FeedKind::kSearcher, {2, 9}, {searcher});
+  cr_assert(fixture.cache.sequence() == sequence + 1);
+}
+
 Test(FeedCache, AClientThatMissedARemovalGetsACompletePage) {
   Fixture fixture;
   const uint64_t sequence = fixture.cache.sequence();
