Try a searcher with a limit near zero now and then

What callers could see: a searcher that named a limit of 0 gets no request for good, and so can never say that the limit was lifted. Found in review; not seen.

Change: a limit below 0.5 requests a second counts as 0.5, which is within the tolerance of the rule. A rejection that names no limit does not lift a known one, since it may come from a full queue.

--- a/include/greengage/coordination/searcher_rate_limit.h
+++ b/include/greengage/coordination/searcher_rate_limit.h
@@ -33,9 +33,9 @@
 //
 // A share may be far below one request per second. Requiring a whole token
 // would then let none through for a long time, so a request needs a random
-// number of tokens between 0 and 1 and still takes a whole one. On
-// average, requests are sent at the rate at which tokens accrue at most, and
-// the sum over all instances stays within the limit.
+// number of tokens between 0 and 1 and still takes a whole one. On average,
+// requests are sent at most at the rate at which tokens accrue, and the sum
+// over all instances stays within the limit.
 //
 // `share` is the fraction (0 to 1) of the limit that the instance may use. Not
 // thread-safe.
@@ -58,7 +58,7 @@
   void OnNotSent();
 
   // Returns the time until a request may be sent: zero if it may be sent now,
-  // Duration::max() if that is not foreseeable.
+  // an hour at most.
   Duration WaitFor(TimePoint now,
                    double share,
                    const TokenDemand& demand) const;
@@ -67,6 +67,8 @@
   std::optional<RateLimitReport> TakeReport(TimePoint now);
 
  private:
+  // Tokens that accrue per second.
+  double Rate(double share) const;
   // Tokens that accrue within the time for which an idle instance saves them.
   double SavedTokens(double share) const;
   double TokensAt(TimePoint now, double share) const;
--- a/src/coordination/routed_searcher.cc
+++ b/src/coordination/routed_searcher.cc
@@ -109,7 +109,9 @@
     load_ = *outcome.load;
     load_received_at_ = now;
   }
-  if (IsOwnAnswer(outcome.end)) {
+  // A rejection that names no limit may come from a full queue.
+  if (IsOwnAnswer(outcome.end) &&
+      (outcome.request_limit || outcome.end != AttemptEnd::kRejected)) {
     rate_limit_.OnAnswer(now, outcome.request_limit);
   }
   switch (outcome.end) {
--- a/src/coordination/searcher_rate_limit.cc
+++ b/src/coordination/searcher_rate_limit.cc
@@ -15,6 +15,10 @@
 // savings at once, the searcher would get that much more than its limit.
 constexpr Seconds kSavingTime{1};
 
+// Requests per second that are assumed if a limit is lower. A searcher that
+// gets no request cannot tell that its limit has been lifted.
+constexpr double kMinLimit = 0.5;
+
 }  // namespace
 
 void SearcherRateLimit::OnAnswer(TimePoint now, std::optional<double> limit) {
@@ -25,14 +29,17 @@
   limit_ = limit;
 }
 
+double SearcherRateLimit::Rate(double share) const {
+  return std::max(*limit_, kMinLimit) * share;
+}
+
 double SearcherRateLimit::SavedTokens(double share) const {
-  return *limit_ * share * kSavingTime.count();
+  return Rate(share) * kSavingTime.count();
 }
 
 double SearcherRateLimit::TokensAt(TimePoint now, double share) const {
-  return std::min(
-      std::max(1.0, SavedTokens(share)),
-      tokens_ + *limit_ * share * Seconds(now - updated_at_).count());
+  return std::min(std::max(1.0, SavedTokens(share)),
+                  tokens_ + Rate(share) * Seconds(now - updated_at_).count());
 }
 
 void SearcherRateLimit::OnSent(TimePoint now, double share) {
@@ -64,11 +71,11 @@
   if (missing <= 0) {
     return Duration::zero();
   }
-  constexpr Seconds kForeseeable{3600};
-  const double rate = *limit_ * share;
-  return missing < rate * kForeseeable.count()
+  constexpr Seconds kMaxWait{3600};
+  const double rate = Rate(share);
+  return missing < rate * kMaxWait.count()
              ? std::chrono::duration_cast<Duration>(Seconds(missing / rate))
-             : Duration::max();
+             : std::chrono::duration_cast<Duration>(kMaxWait);
 }
 
 std::optional<RateLimitReport> SearcherRateLimit::TakeReport(TimePoint now) {
--- a/tests/searcher_directory_test.cc
+++ b/tests/searcher_directory_test.cc
@@ -117,6 +117,25 @@
   cr_assert(fixture.UsabilityOf(kStart + Ms(5000)) == Usability::kHealthy);
 }
 
+Test(SearcherDirectory, OnlyAnAnswerToAnExecutedRequestLiftsALimit) {
+  RoutedSearcher searcher(kStart, MakeEntry("a"));
+  AttemptOutcome outcome;
+  outcome.end = AttemptEnd::kAnswered;
+  outcome.request_limit = 5;
+  searcher.OnSent(kStart, 1);
+  searcher.OnEnded(kStart, 1, outcome, kTypical, Duration::zero());
+  cr_assert(searcher.rate_limit().limit() == 5.0);
+  outcome.request_limit.reset();
+  outcome.end = AttemptEnd::kRejected;
+  searcher.OnSent(kStart, 2);
+  searcher.OnEnded(kStart, 2, outcome, kTypical, Duration::zero());
+  cr_assert(searcher.rate_limit().limit() == 5.0);
+  outcome.end = AttemptEnd::kAnswered;
+  searcher.OnSent(kStart, 3);
+  searcher.OnEnded(kStart, 3, outcome, kTypical, Duration::zero());
+  cr_assert(!searcher.rate_limit().limit());
+}
+
 Test(SearcherDirectory, MisdirectedAttemptMakesSearcherUnusable) {
   Fixture fixture;
   fixture.directory.Replace(kStart, {MakeEntry("a")});
