Report a query as unknown if it ran before its rerun

Cause: a query that is rerun at another version starts with fresh progress of its shards and forgets that attempts at the version before ran, or may have. If all attempts of the rerun are then rejected, the answer said not run.

Change: the plan remembers across reruns that an attempt may have run.

QueryPlan.IsNotReportedAsNotRunIfItRanBeforeItsRerun failed before.

--- a/include/greengage/coordination/query_plan.h
+++ b/include/greengage/coordination/query_plan.h
@@ -175,6 +175,7 @@
   AnswerMerger merger_;
   uint64_t index_version_ = 0;
   uint32_t reruns_ = 0;
+  bool may_have_run_before_rerun_ = false;
   Duration retry_after_{};
   std::vector<size_t> target_shards_;  // Indexes of the shards queried.
   std::vector<ShardProgress> shards_;
--- a/src/coordination/query_plan.cc
+++ b/src/coordination/query_plan.cc
@@ -281,6 +281,9 @@
   ++reruns_;
   actions.push_back(RerunAction{index_version_, version});
   CancelAll(now, actions);
+  for (const ShardProgress& progress : shards_) {
+    may_have_run_before_rerun_ |= progress.covered || progress.may_have_run;
+  }
   configuration_ = std::move(newest);
   PinIndexVersion(now);
   SendToAllShards(now, SendReason::kRerun, actions);
@@ -315,7 +318,7 @@
   answer.configuration_version = configuration_->version;
   answer.hits = merger_.TakeHits();
   answer.covered = merger_.coverage().ranges();
-  bool may_have_run = false;
+  bool may_have_run = may_have_run_before_rerun_;
   for (const size_t shard : target_shards_) {
     const ShardProgress& progress = shards_[shard];
     const ShardConfiguration& target = service().shards[shard];
--- a/tests/query_plan_test.cc
+++ b/tests/query_plan_test.cc
@@ -204,6 +204,32 @@
   cr_assert_eq(answers[0].answer.index_version, kVersion + 1);
 }
 
+Test(QueryPlan, IsNotReportedAsNotRunIfItRanBeforeItsRerun) {
+  Fixture f;
+  QueryPlan plan(f.MakeQuery(), f.configuration, &f.context, 1);
+  const auto sends = ActionsOf<SendAction>(plan.Start(f.now));
+  plan.OnSubAnswer(f.now, AnswerTo(sends[1].request));
+  for (const auto& [endpoint, entry] : f.configuration->searchers) {
+    f.ReportVersions(endpoint, kVersion + 1, kVersion + 1);
+  }
+  const auto resends = ActionsOf<SendAction>(
+      plan.OnSubAnswer(f.now, MakeFailure(sends[0].request, Outcome::kNotRun,
+                                          Refusal::kVersionNotHeld)));
+  std::vector<SendAction> open = resends;
+  std::vector<AnswerAction> answers;
+  while (answers.empty() && !open.empty()) {
+    const SubRequest request = open.back().request;
+    open.pop_back();
+    const QueryActions actions = plan.OnSubAnswer(
+        f.now, MakeFailure(request, Outcome::kNotRun, Refusal::kShed));
+    for (const SendAction& send : ActionsOf<SendAction>(actions)) {
+      open.push_back(send);
+    }
+    answers = ActionsOf<AnswerAction>(actions);
+  }
+  cr_assert(answers.at(0).answer.outcome == Outcome::kUnknown);
+}
+
 Test(QueryPlan, SendsNonIdempotentQueryAtMostOnce) {
   Fixture f;
   Query query = f.MakeQuery();
