Judge the use of named limits in a file of its own

routed_fleet.cc mixed the simulation with the accounting of requests at searchers that name a limit. FleetLimitUse does the latter for one searcher.

--- a/tools/bench/routed_fleet.cc
+++ b/tools/bench/routed_fleet.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "tools/bench/routed_driver.h"
+#include "tools/bench/routed_limit_use.h"
 
 namespace greengage::bench {
 namespace {
@@ -64,12 +65,7 @@
   std::vector<uint64_t> running;
   std::deque<uint64_t> waiting;
   TimePoint paused_until;
-  // Since the searcher has named its limit: when it first did, and from when on
-  // the requests of an instance count.
-  std::optional<TimePoint> limit_named_at;
-  std::unordered_map<size_t, TimePoint> instance_counts_from;
-  std::vector<TimePoint> limited_arrivals;
-  double named_limit = 0;
+  FleetLimitUse limit_use;
 };
 
 struct RoutedFleet::Request {
@@ -276,7 +272,10 @@
   if (searcher.faults.unresponsive) {
     return;
   }
-  RecordLimitedArrival(searcher, requests_.at(found->second.request)->instance);
+  if (searcher.faults.request_limit) {
+    searcher.limit_use.OnRequest(events_.now(),
+                                 requests_.at(found->second.request)->instance);
+  }
   std::uniform_real_distribution<double> chance(0, 1);
   if (chance(random_) < searcher.faults.reject_share) {
     Reply(id, AttemptEnd::kRejected);
@@ -335,11 +334,8 @@
   AttemptOutcome outcome;
   outcome.request_limit = searcher.faults.request_limit;
   if (outcome.request_limit) {
-    searcher.named_limit = *outcome.request_limit;
-    searcher.limit_named_at = searcher.limit_named_at.value_or(events_.now());
-    searcher.instance_counts_from.try_emplace(
-        request.instance,
-        events_.now() + latency + FleetLimitRule().instance_delay);
+    searcher.limit_use.OnNamed(events_.now(), *outcome.request_limit,
+                               request.instance, events_.now() + latency);
   }
   outcome.end = end;
   outcome.answer.status = end == AttemptEnd::kAnswered ? 200 : 503;
@@ -440,44 +436,16 @@
   (extra ? seconds[second].extra : seconds[second].first) += 1;
 }
 
-void RoutedFleet::RecordLimitedArrival(Searcher& searcher, size_t instance) {
-  const auto counts_from = searcher.instance_counts_from.find(instance);
-  if (searcher.faults.request_limit &&
-      counts_from != searcher.instance_counts_from.end() &&
-      events_.now() >= counts_from->second &&
-      events_.now() >=
-          *searcher.limit_named_at + FleetLimitRule().settling_time) {
-    searcher.limited_arrivals.push_back(events_.now());
-  }
-}
-
 void RoutedFleet::RecordLimitUse() {
-  const FleetLimitRule rule;
-  const double window = std::chrono::duration<double>(rule.window).count();
-  double arrivals = 0;
+  double requests = 0;
   double permitted = 0;
   for (const auto& searcher : searchers_) {
-    const std::vector<TimePoint>& times = searcher->limited_arrivals;
-    if (times.empty()) {
-      continue;
-    }
-    const double allowed =
-        rule.tolerance * window * searcher->named_limit + rule.allowance;
-    for (size_t first = 0, next = 0; first < times.size(); ++first) {
-      while (next < times.size() && times[next] - times[first] < rule.window) {
-        ++next;
-      }
-      result_.max_limit_use = std::max(
-          result_.max_limit_use, static_cast<double>(next - first) / allowed);
-    }
-    arrivals += static_cast<double>(times.size());
-    permitted +=
-        searcher->named_limit *
-        std::chrono::duration<double>(times.back() - *searcher->limit_named_at -
-                                      rule.settling_time)
-            .count();
+    const FleetLimitUse& use = searcher->limit_use;
+    result_.max_limit_use = std::max(result_.max_limit_use, use.MaxWindowUse());
+    requests += use.requests();
+    permitted += use.PermittedRequests();
   }
-  result_.mean_limit_use = permitted > 0 ? arrivals / permitted : 0;
+  result_.mean_limit_use = permitted > 0 ? requests / permitted : 0;
 }
 
 double RoutedFleet::MaxAllowanceUse() const {
--- a/tools/bench/routed_fleet.h
+++ b/tools/bench/routed_fleet.h
@@ -30,16 +30,6 @@
   std::optional<double> request_limit;
 };
 
-// How the requests at a searcher that names a limit are judged: those of the
-// instances that know the limit, in any window.
-struct FleetLimitRule {
-  Duration settling_time = std::chrono::seconds(5);  // After it is first named.
-  Duration instance_delay = std::chrono::milliseconds(500);
-  std::chrono::seconds window{4};
-  double tolerance = 1.5;
-  double allowance = 5;  // Requests per window.
-};
-
 // Results of the requests of one load that arrived during the measurement.
 struct FleetLoadResult {
   uint64_t offered = 0;
@@ -131,7 +121,6 @@
   Duration SampleServiceTime(const Attempt& attempt);
   void CountArrival(const std::string& service, bool extra);
   double MaxAllowanceUse() const;
-  void RecordLimitedArrival(Searcher& searcher, size_t instance);
   void RecordLimitUse();
 
   const FleetScenario scenario_;
