Look up the share of a limit only for searchers that name one

Each choice, each estimate of a wait and each attempt asked for the share of its service, three look-ups for each of 180 shards of a query, though it counts only where a searcher names a limit. RequestPlanContext::LimitShareOf asks then; SearcherChooser::LimitWait replaces three copies of the call.

--- a/include/greengage/coordination/request_plan_context.h
+++ b/include/greengage/coordination/request_plan_context.h
@@ -54,6 +54,13 @@
   // names for all instances, which this instance may use.
   std::function<double(const std::string& service)> limit_share =
       [](const std::string&) { return 1.0; };
+
+  // Returns limit_share for the service of `searcher`, or 1 if it names no
+  // limit.
+  double LimitShareOf(const RoutedSearcher& searcher) const {
+    return searcher.rate_limit().limit() ? limit_share(searcher.entry().service)
+                                         : 1;
+  }
   std::minstd_rand random;
 };
 
--- a/include/greengage/coordination/searcher_chooser.h
+++ b/include/greengage/coordination/searcher_chooser.h
@@ -76,6 +76,11 @@
                                 Duration typical,
                                 const RoutedSearcher& searcher,
                                 TimePoint answer_by) const;
+  // Returns the time until the limit of `searcher` leaves a request to this
+  // instance.
+  Duration LimitWait(TimePoint now,
+                     const RoutedSearcher& searcher,
+                     const TokenDemand& tokens) const;
   Duration DistanceOf(const RoutedSearcher& searcher) const;
 
   RequestPlanContext* const context_;
--- a/src/coordination/request_plan.cc
+++ b/src/coordination/request_plan.cc
@@ -240,7 +240,7 @@
   ++part.sent_count;
   part.hedge_at = now + timing.hedge_delay + choice.distance;
   part.retry_at.reset();
-  searcher->OnSent(now, id, context_->limit_share(part.service));
+  searcher->OnSent(now, id, context_->LimitShareOf(*searcher));
   actions.sends.push_back({id, searcher, reason,
                            response_deadline_ + kResponseMargin,
                            choice.expected});
--- a/src/coordination/searcher_chooser.cc
+++ b/src/coordination/searcher_chooser.cc
@@ -27,13 +27,19 @@
   return context_->distances.Of(searcher.entry().data_centre);
 }
 
+Duration SearcherChooser::LimitWait(TimePoint now,
+                                    const RoutedSearcher& searcher,
+                                    const TokenDemand& tokens) const {
+  return searcher.rate_limit().WaitFor(now, context_->LimitShareOf(searcher),
+                                       tokens);
+}
+
 SearcherChoice SearcherChooser::Choose(
     TimePoint now,
     Duration typical,
     const std::string& service,
     const std::vector<RoutedSearcherPtr>& tried,
     const AttemptRequirements& requirements) {
-  const double limit_share = context_->limit_share(service);
   std::uniform_real_distribution<double> jitter(1.0, 1.1);
   SearcherChoice best;
   Usability best_usability = Usability::kUnusable;
@@ -44,8 +50,7 @@
         std::find(tried.begin(), tried.end(), searcher) != tried.end();
     if (usability == Usability::kUnusable || was_tried ||
         (requirements.only_healthy && usability != Usability::kHealthy) ||
-        searcher->rate_limit().WaitFor(now, limit_share, requirements.tokens) >
-            Duration::zero()) {
+        LimitWait(now, *searcher, requirements.tokens) > Duration::zero()) {
       continue;
     }
     const Duration distance = DistanceOf(*searcher);
@@ -72,13 +77,12 @@
   if (searchers.empty()) {
     return std::nullopt;
   }
-  const double limit_share = context_->limit_share(service);
   Duration min_wait = kMaxRetryAfter;
   for (const RoutedSearcherPtr& searcher : searchers) {
     min_wait = std::min(
         min_wait,
         std::max(EstimateSearcherWait(now, typical, *searcher, answer_by),
-                 searcher->rate_limit().WaitFor(now, limit_share, tokens)));
+                 LimitWait(now, *searcher, tokens)));
   }
   return min_wait;
 }
@@ -87,15 +91,13 @@
                                             Duration typical,
                                             const std::string& service,
                                             const TokenDemand& tokens) const {
-  const double limit_share = context_->limit_share(service);
   Duration min_wait = kMaxRetryAfter;
   bool has_usable = false;
   for (const RoutedSearcherPtr& searcher :
        context_->searchers.ForService(service)) {
     if (searcher->UsabilityAt(now, typical) != Usability::kUnusable) {
       has_usable = true;
-      min_wait = std::min(
-          min_wait, searcher->rate_limit().WaitFor(now, limit_share, tokens));
+      min_wait = std::min(min_wait, LimitWait(now, *searcher, tokens));
     }
   }
   return has_usable ? min_wait : Duration::zero();
