--- a/tests/query_plan_test.cc
+++ b/tests/query_plan_test.cc
@@ -104,6 +104,18 @@
   return answer;
 }
 
+// Starts `plan`, lets the second of its shards answer and the first reject the
+// index version after all searchers have published the next one.
+QueryActions StartAndCauseRerun(Fixture& f, QueryPlan& plan) {
+  const auto sends = ActionsOf<SendAction>(plan.Start(f.now));
+  plan.OnSubAnswer(f.now, AnswerTo(sends[1].request));
+  for (const auto& [endpoint, entry] : f.configuration->searchers) {
+    f.ReportVersions(endpoint, kVersion + 1, kVersion + 1);
+  }
+  return plan.OnSubAnswer(f.now, MakeFailure(sends[0].request, Outcome::kNotRun,
+                                             Refusal::kVersionNotHeld));
+}
+
 }  // namespace
 
 Test(QueryPlan, AnswersCompletelyFromOneVersion) {
@@ -186,14 +198,7 @@
 Test(QueryPlan, RerunsAtAnotherVersion) {
   Fixture f;
   QueryPlan plan(f.MakeQuery(), f.configuration, &f.context, 1);
-  const auto sends = ActionsOf<SendAction>(plan.Start(f.now));
-  plan.OnSubAnswer(f.now, AnswerTo(sends[1].request));
-  for (const auto& [endpoint, entry] : f.configuration->searchers) {
-    f.ReportVersions(endpoint, kVersion + 1, kVersion + 1);
-  }
-  const QueryActions actions =
-      plan.OnSubAnswer(f.now, MakeFailure(sends[0].request, Outcome::kNotRun,
-                                          Refusal::kVersionNotHeld));
+  const QueryActions actions = StartAndCauseRerun(f, plan);
   cr_assert_eq(ActionsOf<RerunAction>(actions).at(0).to_version, kVersion + 1);
   const auto resends = ActionsOf<SendAction>(actions);
   cr_assert_eq(resends.size(), 2U);
@@ -207,15 +212,8 @@
 Test(QueryPlan, IsNotReportedAsNotRunIfItRanBeforeItsRerun) {
   Fixture f;
   QueryPlan plan(f.MakeQuery(), f.configuration, &f.context, 1);
-  const auto sends = ActionsOf<SendAction>(plan.Start(f.now));
-  plan.OnSubAnswer(f.now, AnswerTo(sends[1].request));
-  for (const auto& [endpoint, entry] : f.configuration->searchers) {
-    f.ReportVersions(endpoint, kVersion + 1, kVersion + 1);
-  }
-  const auto resends = ActionsOf<SendAction>(
-      plan.OnSubAnswer(f.now, MakeFailure(sends[0].request, Outcome::kNotRun,
-                                          Refusal::kVersionNotHeld)));
-  std::vector<SendAction> open = resends;
+  std::vector<SendAction> open =
+      ActionsOf<SendAction>(StartAndCauseRerun(f, plan));
   std::vector<AnswerAction> answers;
   while (answers.empty() && !open.empty()) {
     const SubRequest request = open.back().request;
