Log the searchers that end under a request, with the request's digest

Logs could not tell whether repeats of one request ended searchers, or searchers that ended for another reason: tries of a caller have ids of their own, and a connection that was closed may belong to a searcher that lives. An attempt whose connection was closed without an answer is now followed by a look at the searcher: if no connection is left and a new one is refused, it has ended, and the line searcher_crashed names the request's digest. The check opens a connection only if none is open, and the pool keeps it for later requests.

--- a/include/greengage/protocol/routed_call_codec.h
+++ b/include/greengage/protocol/routed_call_codec.h
@@ -9,6 +9,7 @@
 
 #include "greengage/protocol/call_dialect.h"
 #include "greengage/protocol/header_list.h"
+#include "greengage/state/request_digest.h"
 #include "greengage/state/result.h"
 #include "greengage/state/searcher_answer.h"
 
@@ -19,6 +20,7 @@
   std::string id;
   std::string host;
   std::chrono::milliseconds time_left{};  // Zero if the header is absent.
+  std::string credentials;  // The Authorization header, or empty.
 };
 
 // Fails with kMissingKey if the id or host is missing, and with kInvalidSyntax
@@ -26,6 +28,14 @@
 Result<CallerRequest> ParseCallerRequest(const CallDialect& dialect,
                                          const HeaderList& headers);
 
+// Returns the digest of what searchers see of a request and its repeats have in
+// common: method, host, target, body and the caller's credentials. The id and
+// the time left differ in each repeat.
+RequestDigest DigestOf(const CallerRequest& caller,
+                       std::string_view method,
+                       std::string_view target,
+                       std::string_view body);
+
 // Returns the caller's headers without hop-by-hop headers and without those
 // that AttemptHeaders() sets.
 HeaderList ForwardedHeaders(const CallDialect& dialect,
--- a/include/greengage/state/decision_event.h
+++ b/include/greengage/state/decision_event.h
@@ -32,6 +32,7 @@
   kSearcherAdded,
   kSearcherLeaving,
   kSearcherLimit,
+  kSearcherCrashed,
   kRequestRefused,
   kAttempt,
   kRequestEnded,
--- a/include/greengage/state/routed_metrics.h
+++ b/include/greengage/state/routed_metrics.h
@@ -23,6 +23,7 @@
   std::map<Labels, Counter> store_changes;           // By feed and change.
   Counter searchers_added;
   Counter searchers_left;
+  Counter searchers_crashed;
   Counter callers_left;
 };
 
--- a/include/greengage/transport/http_client.h
+++ b/include/greengage/transport/http_client.h
@@ -62,6 +62,13 @@
   bool sent = false;
 };
 
+// Whether a server accepts connections.
+enum class ServerState : uint8_t {
+  kListening,
+  kRefusing,  // No process listens at the address.
+  kUnknown,   // No answer in time.
+};
+
 // Runs on the threads of the io_context. All members are thread-safe. A
 // connection whose call ends without a response is closed and not reused.
 class HttpClient : public std::enable_shared_from_this<HttpClient> {
@@ -82,6 +89,11 @@
   // call has ended.
   virtual void Cancel(CallId id) = 0;
 
+  // Finds out whether the server accepts connections. Opens one only if none is
+  // open; calls use it afterwards. `done` runs once, unless the client is
+  // destroyed before.
+  virtual void CheckServer(std::function<void(ServerState)> done) = 0;
+
   // Closes idle connections. Calls already started may finish; new calls fail.
   virtual void Close() = 0;
 
--- a/include/greengage/transport/request_router.h
+++ b/include/greengage/transport/request_router.h
@@ -17,6 +17,7 @@
 #include "greengage/coordination/request_plan.h"
 #include "greengage/protocol/call_dialect.h"
 #include "greengage/protocol/routed_call_codec.h"
+#include "greengage/state/crash_report.h"
 #include "greengage/state/route_table.h"
 #include "greengage/state/routed_metrics.h"
 #include "greengage/transport/gather_forwarder.h"
@@ -96,9 +97,12 @@
   void ExecuteActions(uint64_t number, RequestActions actions);
   void SendAttempt(ActiveRequest& active, const AttemptToSend& send);
   void OnAttemptEnded(uint64_t number,
-                      uint64_t attempt,
-                      AttemptReason reason,
+                      const AttemptToSend& sent,
                       const HttpCallResult& result);
+  // Finds out whether the searcher of a lost attempt has ended.
+  void CheckForCrash(const ActiveRequest& active,
+                     const RoutedSearcherPtr& searcher);
+  void OnSearcherCrashed(const CrashReport& report);
   void OnCallerDisconnected(uint64_t number);
   void Answer(ActiveRequest& active, RequestResult result);
   void LogRequestEnd(const ActiveRequest& active,
--- a/include/greengage/transport/searcher_clients.h
+++ b/include/greengage/transport/searcher_clients.h
@@ -34,6 +34,11 @@
   // Cancels an attempt. If the request has been sent, its connection is closed.
   void Cancel(uint64_t attempt);
 
+  // Finds out whether the process of a searcher has ended, after it closed a
+  // connection. `done` runs once at most: not if the client is closed before.
+  void CheckEnded(const RoutedSearcher& searcher,
+                  std::function<void(bool ended)> done);
+
   // Closes the connections to a leaving searcher after its attempts in flight
   // have finished.
   void Close(const RoutedSearcher& searcher);
--- a/src/protocol/routed_call_codec.cc
+++ b/src/protocol/routed_call_codec.cc
@@ -1,5 +1,7 @@
 #include "greengage/protocol/routed_call_codec.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -123,6 +125,7 @@
   CallerRequest request;
   request.id = *id;
   request.host = *host;
+  request.credentials = FindHeader(headers, "authorization").value_or("");
   if (const auto time_left = FindHeader(headers, dialect.time_left)) {
     const auto milliseconds = ParseNumber<uint32_t>(Trim(*time_left));
     if (!milliseconds) {
@@ -134,6 +137,25 @@
   return request;
 }
 
+RequestDigest DigestOf(const CallerRequest& caller,
+                       std::string_view method,
+                       std::string_view target,
+                       std::string_view body) {
+  // Each field follows its length, so that different fields never look alike.
+  std::string fields;
+  for (const std::string_view field :
+       {method, std::string_view(caller.host), target,
+        std::string_view(caller.credentials)}) {
+    fields += std::to_string(field.size()) + ":";
+    fields += field;
+  }
+  const XXH64_hash_t seed = XXH3_64bits(fields.data(), fields.size());
+  const XXH128_hash_t hash =
+      XXH3_128bits_withSeed(body.data(), body.size(), seed);
+  const XXH128_hash_t head = XXH3_128bits(fields.data(), fields.size());
+  return {head.high64 ^ hash.high64, head.low64 ^ hash.low64};
+}
+
 HeaderList ForwardedHeaders(const CallDialect& dialect,
                             const HeaderList& headers) {
   HeaderList kept = StripHopByHopHeaders(headers);
--- a/src/state/decision_event.cc
+++ b/src/state/decision_event.cc
@@ -70,6 +70,11 @@
        "A searcher names a limit on the requests of all instances together, or "
        "no longer does; and how many this instance sent since the last such "
        "line of the searcher."},
+      {kSearcherCrashed, "searcher_crashed", LogLevel::kWarning,
+       "request_id, digest, service, searcher, started_ms",
+       "A searcher ended while it had this request: it closed the connection "
+       "without an answer and no process listens at its address. The digest is "
+       "the same for all repeats of the request."},
       {kRequestRefused, "request_refused", LogLevel::kInfo,
        "request_id, cause, subject, detail",
        "A request was refused before any searcher was asked."},
--- a/src/state/routed_metrics.cc
+++ b/src/state/routed_metrics.cc
@@ -29,6 +29,10 @@
                             "Searchers that came into the registry."};
 constexpr MetricInfo kLeft{"greengage_searchers_left_total", "counter",
                            "Searchers that drain or have gone."};
+constexpr MetricInfo kCrashed{
+    "greengage_searchers_crashed_total", "counter",
+    "Attempts under which a searcher ended, whether because of the request or "
+    "not."};
 constexpr MetricInfo kCallersLeft{
     "greengage_callers_left_total", "counter",
     "Requests whose caller closed its connection before the answer."};
@@ -49,8 +53,8 @@
 
 const std::vector<MetricInfo>& AllRoutedMetrics() {
   static const std::vector<MetricInfo> metrics{
-      kRequests,     kRequestTime, kAttempts, kLimitedAttempts,
-      kStoreChanges, kAdded,       kLeft,     kCallersLeft};
+      kRequests, kRequestTime, kAttempts, kLimitedAttempts, kStoreChanges,
+      kAdded,    kLeft,        kCrashed,  kCallersLeft};
   return metrics;
 }
 
@@ -68,6 +72,7 @@
   WriteLabelled(out, kStoreChanges, "feed", "change", metrics.store_changes);
   WriteCounter(out, kAdded, metrics.searchers_added);
   WriteCounter(out, kLeft, metrics.searchers_left);
+  WriteCounter(out, kCrashed, metrics.searchers_crashed);
   WriteCounter(out, kCallersLeft, metrics.callers_left);
   WriteGauges(out, gauges);
   return out.str();
--- a/src/transport/http_client_connection.cc
+++ b/src/transport/http_client_connection.cc
@@ -96,6 +96,8 @@
     return;
   }
   if (error) {
+    refused_ = error == asio::error::connection_refused ||
+               error == asio::error::connection_reset;
     Close(Describe(FailureKind::kConnectFailed, error.message()));
     return;
   }
--- a/src/transport/http_client_connection.h
+++ b/src/transport/http_client_connection.h
@@ -61,6 +61,9 @@
   Id id() const { return id_; }
   bool closed() const { return closed_; }
 
+  // Returns true if the server refused the connection.
+  bool refused() const { return refused_; }
+
  private:
   using Request = boost::beast::http::request<boost::beast::http::string_body>;
   using Serializer =
@@ -93,6 +96,7 @@
   std::optional<Serializer> serializer_;
   std::optional<Parser> parser_;  // Set while a response is expected.
   bool connected_ = false;
+  bool refused_ = false;
   bool sent_ = false;
   bool closed_ = false;
 };
--- a/src/transport/http_client_pool.cc
+++ b/src/transport/http_client_pool.cc
@@ -67,6 +67,35 @@
   Push({Operation::kClose, 0, {}});
 }
 
+void HttpClientPool::CheckServer(std::function<void(ServerState)> done) {
+  asio::post(strand_, [self = Self(), done = std::move(done)]() mutable {
+    self->StartServerCheck(std::move(done));
+  });
+}
+
+void HttpClientPool::StartServerCheck(std::function<void(ServerState)> done) {
+  server_checks_.push_back(std::move(done));
+  const bool is_open = std::any_of(
+      connections_.begin(), connections_.end(), [](const auto& item) {
+        const Connection& connection = item.second;
+        return !connection.connecting && !connection.http->closed() &&
+               (connection.call != 0 || connection.http->IsUsable());
+      });
+  if (is_open) {
+    EndServerChecks(ServerState::kListening);
+  } else if (closed_) {
+    EndServerChecks(ServerState::kUnknown);
+  } else if (connecting_ == 0) {
+    Connect(Now(), false);
+  }
+}
+
+void HttpClientPool::EndServerChecks(ServerState state) {
+  for (const auto& done : std::exchange(server_checks_, {})) {
+    done(state);
+  }
+}
+
 void HttpClientPool::Push(Command command) {
   if (mailbox_.Push(command) == PushResult::kSchedule) {
     asio::post(strand_, [self = Self()] {
@@ -256,6 +285,7 @@
   --connecting_;
   connect_after_.reset();
   monitor_.OnOpened(now, id);
+  EndServerChecks(ServerState::kListening);
   if (connection.opened_to_probe) {
     SendProbe(now, connection);
   } else {
@@ -297,6 +327,8 @@
   }
   if (connection.connecting) {
     --connecting_;
+    EndServerChecks(connection.http->refused() ? ServerState::kRefusing
+                                               : ServerState::kUnknown);
     if (open_ == 0) {
       connect_after_.reset();
       FailWaiting({reason.kind, host_, reason.detail});
--- a/src/transport/http_client_pool.h
+++ b/src/transport/http_client_pool.h
@@ -31,6 +31,7 @@
 
   CallId Start(HttpCall call, Callback done) override;
   void Cancel(CallId id) override;
+  void CheckServer(std::function<void(ServerState)> done) override;
   void Close() override;
   const Endpoint& server() const override { return server_; }
   size_t open_connections() const override { return open_; }
@@ -81,6 +82,9 @@
   void ArmDeadlines();
   void ExpireCall(CallId id);
 
+  void StartServerCheck(std::function<void(ServerState)> done);
+  void EndServerChecks(ServerState state);
+
   std::shared_ptr<const HttpClientConnection::Hooks> MakeHooks();
   void OnConnected(ConnectionId id);
   void OnResponse(ConnectionId id, HttpCallResult result);
@@ -116,6 +120,7 @@
   size_t connecting_ = 0;
   ConnectionId last_connection_ = 0;
   std::optional<TimePoint> connect_after_;
+  std::vector<std::function<void(ServerState)>> server_checks_;
   DeadlineTimer deadlines_;
   ConnectionMonitor monitor_;
   boost::asio::steady_timer maintenance_timer_;
--- a/src/transport/request_router.cc
+++ b/src/transport/request_router.cc
@@ -117,6 +117,7 @@
   CallerRequest caller;
   HttpRequest request;
   HeaderList headers;  // Headers forwarded to the searchers.
+  RequestDigest digest;
   std::shared_ptr<HttpExchange> exchange;
   std::optional<RequestPlan> plan;
   TimePoint arrived;
@@ -284,6 +285,8 @@
   active->arrived = now;
   active->deadline = now + TimeLeft(caller, *route);
   active->headers = ForwardedHeaders(dialect_, request.headers);
+  active->digest =
+      DigestOf(caller, request.method, request.target, request.body);
   active->caller = std::move(caller);
   active->request = std::move(request);
   active->exchange = exchange;
@@ -357,19 +360,17 @@
                ? HttpResponseMatch::kMismatch
                : HttpResponseMatch::kMatch;
   };
-  clients_->Start(
-      *send.searcher, send.id, std::move(call),
-      [weak = weak_from_this(), number = active.number, attempt = send.id,
-       reason = send.reason](const HttpCallResult& result) {
-        if (const auto self = weak.lock()) {
-          self->OnAttemptEnded(number, attempt, reason, result);
-        }
-      });
+  clients_->Start(*send.searcher, send.id, std::move(call),
+                  [weak = weak_from_this(), number = active.number,
+                   send](const HttpCallResult& result) {
+                    if (const auto self = weak.lock()) {
+                      self->OnAttemptEnded(number, send, result);
+                    }
+                  });
 }
 
 void RequestRouter::OnAttemptEnded(uint64_t number,
-                                   uint64_t attempt,
-                                   AttemptReason reason,
+                                   const AttemptToSend& sent,
                                    const HttpCallResult& result) {
   const auto found = active_requests_.find(number);
   if (found == active_requests_.end()) {
@@ -377,18 +378,47 @@
   }
   AttemptOutcome outcome = ToAttemptOutcome(dialect_, result);
   metrics_
-      ->attempts[{std::string(AttemptReasonName(reason)),
+      ->attempts[{std::string(AttemptReasonName(sent.reason)),
                   std::string(AttemptEndName(outcome.end))}]
       .Add();
   for (AttemptRecord& attempt_record : found->second->attempt_records) {
-    if (attempt_record.attempt == attempt) {
+    if (attempt_record.attempt == sent.id) {
       attempt_record.end = outcome.end;
       attempt_record.ended = Now() - found->second->arrived;
       attempt_record.detail = outcome.detail;
     }
   }
+  if (outcome.end == AttemptEnd::kLost && !result.response &&
+      result.response.last_reason().kind == FailureKind::kConnectionClosed) {
+    CheckForCrash(*found->second, sent.searcher);
+  }
   ExecuteActions(number, found->second->plan->OnAttemptEnded(
-                             Now(), attempt, std::move(outcome)));
+                             Now(), sent.id, std::move(outcome)));
+}
+
+void RequestRouter::CheckForCrash(const ActiveRequest& active,
+                                  const RoutedSearcherPtr& searcher) {
+  const SearcherEntry& entry = searcher->entry();
+  CrashReport report{active.digest, active.caller.id, entry.service, entry.id,
+                     entry.started};
+  clients_->CheckEnded(*searcher, [weak = weak_from_this(),
+                                   report = std::move(report)](bool ended) {
+    const auto self = weak.lock();
+    if (self && ended) {
+      self->OnSearcherCrashed(report);
+    }
+  });
+}
+
+void RequestRouter::OnSearcherCrashed(const CrashReport& report) {
+  metrics_->searchers_crashed.Add();
+  LogLine(DecisionEvent::kSearcherCrashed)
+      .Add("request_id", report.request_id)
+      .Add("digest", ToString(report.digest))
+      .Add("service", report.service)
+      .Add("searcher", report.searcher)
+      .Add("started_ms", report.started.count())
+      .Write();
 }
 
 void RequestRouter::OnCallerDisconnected(uint64_t number) {
--- a/src/transport/searcher_clients.cc
+++ b/src/transport/searcher_clients.cc
@@ -1,5 +1,7 @@
 #include "greengage/transport/searcher_clients.h"
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <chrono>
 #include <utility>
 
@@ -15,6 +17,10 @@
 // announce that time.
 constexpr std::chrono::milliseconds kIdleTimeout{30000};
 
+// A process that ends closes its connections one after the other. After this
+// time, one that is still open belongs to a running process.
+constexpr std::chrono::milliseconds kEndOfStreamTime{50};
+
 }  // namespace
 
 SearcherClients::SearcherClients(
@@ -59,6 +65,19 @@
   }
 }
 
+void SearcherClients::CheckEnded(const RoutedSearcher& searcher,
+                                 std::function<void(bool ended)> done) {
+  const auto timer =
+      std::make_shared<boost::asio::steady_timer>(context_, kEndOfStreamTime);
+  timer->async_wait([timer, client = ClientFor(searcher),
+                     done = std::move(done)](auto error) {
+    if (!error) {
+      client->CheckServer(
+          [done](ServerState state) { done(state == ServerState::kRefusing); });
+    }
+  });
+}
+
 void SearcherClients::Close(const RoutedSearcher& searcher) {
   const auto found = clients_.find(&searcher);
   if (found != clients_.end()) {
--- a/tests/platform_client_test.cc
+++ b/tests/platform_client_test.cc
@@ -17,6 +17,9 @@
     return 1;
   }
   void Cancel(CallId /*id*/) override {}
+  void CheckServer(std::function<void(ServerState)> done) override {
+    done(ServerState::kUnknown);
+  }
   void Close() override {}
   const Endpoint& server() const override { return endpoint_; }
   size_t open_connections() const override { return 0; }
