--- a/tests/harness/raw_server.cc
+++ b/tests/harness/raw_server.cc
@@ -49,10 +49,17 @@
 RawServer::RawServer(asio::io_context& context, Handler handler)
     : context_(context),
       acceptor_(context, {asio::ip::address_v4::loopback(), 0}),
+      endpoint_{"127.0.0.1", acceptor_.local_endpoint().port()},
       handler_(std::move(handler)) {}
 
-Endpoint RawServer::endpoint() const {
-  return {"127.0.0.1", acceptor_.local_endpoint().port()};
+void RawServer::Stop() {
+  boost::system::error_code ignored;
+  acceptor_.close(ignored);
+  for (const std::weak_ptr<Session>& weak : sessions_) {
+    if (const auto session = weak.lock()) {
+      session->socket.close(ignored);
+    }
+  }
 }
 
 void RawServer::Accept() {
@@ -61,7 +68,9 @@
       return;
     }
     ++self->accepted_;
-    self->ReadHead(std::make_shared<Session>(std::move(socket)));
+    const auto session = std::make_shared<Session>(std::move(socket));
+    self->sessions_.push_back(session);
+    self->ReadHead(session);
     self->Accept();
   });
 }
--- a/tests/harness/raw_server.h
+++ b/tests/harness/raw_server.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "greengage/state/endpoint.h"
 
@@ -49,7 +50,11 @@
   static std::shared_ptr<RawServer> Start(boost::asio::io_context& context,
                                           Handler handler);
 
-  Endpoint endpoint() const;
+  // Closes the listener and all connections, as the end of a process does. Must
+  // be called on the thread of the io_context.
+  void Stop();
+
+  Endpoint endpoint() const { return endpoint_; }
   size_t accepted() const { return accepted_; }
   size_t requests() const { return requests_; }
 
@@ -65,7 +70,9 @@
 
   boost::asio::io_context& context_;
   boost::asio::ip::tcp::acceptor acceptor_;
+  const Endpoint endpoint_;
   const Handler handler_;
+  std::vector<std::weak_ptr<Session>> sessions_;
   std::atomic<size_t> accepted_ = 0;
   std::atomic<size_t> requests_ = 0;
 };
--- a/tests/harness/spawn.cc
+++ b/tests/harness/spawn.cc
@@ -23,6 +23,9 @@
   const int error_log = open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
   dup2(error_log, STDERR_FILENO);
   close(error_log);
+  // A socket that the process inherits would stay open after the test closes
+  // it.
+  close_range(STDERR_FILENO + 1, ~0U, 0);
   execv(path, argv);
   _exit(kExecFailed);
 }
