--- /dev/null
+++ b/include/greengage/coordination/crash_suspects.h
@@ -0,0 +1,125 @@
+// Decides how to treat requests under which searchers ended.
+#ifndef GREENGAGE_COORDINATION_CRASH_SUSPECTS_H_
+#define GREENGAGE_COORDINATION_CRASH_SUSPECTS_H_
+
+#include <chrono>
+#include <cstddef>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "greengage/state/crash_report.h"
+#include "greengage/state/request_digest.h"
+#include "greengage/state/time.h"
+
+namespace greengage {
+
+enum class SuspectDecision : uint8_t {
+  kServe,        // Nothing speaks against the request.
+  kServeWarily,  // It may end a searcher: one attempt at a time.
+  kDefer,        // Another copy of a suspected request is under way here.
+  kReject,       // It has ended too many searchers.
+};
+
+struct SuspectVerdict {
+  SuspectDecision decision = SuspectDecision::kServe;
+  size_t crashes = 0;      // Searchers that ended while they had it.
+  Duration retry_after{};  // With kDefer and kReject.
+};
+
+struct CrashSuspectOptions {
+  // A request that ended this many searchers is rejected. Of those that have
+  // the parts of one query at the same time, only one counts.
+  size_t max_crashes = 3;
+  // How long it is rejected after the latest end. It is then tried once, in
+  // case the searchers were repaired.
+  Duration rejection_time = std::chrono::minutes(10);
+  // Retry delay of a copy of a suspected request.
+  Duration deferral_time = std::chrono::milliseconds(200);
+  // A report is shared this long after the end, when the ends of other
+  // searchers with the same cause are known too.
+  Duration settle_time = std::chrono::milliseconds(300);
+  // If at least this many other searchers ended within `common_cause_time`
+  // without having the request, it is not suspected.
+  size_t common_cause_crashes = 3;
+  Duration common_cause_time = std::chrono::seconds(1);
+  // How long a report is kept.
+  Duration report_lifetime = std::chrono::hours(1);
+  // Digests that are kept. Beyond it, the one with the oldest report goes.
+  size_t max_digests = 4096;
+};
+
+// A request that ends each searcher that runs it would end all of them, since
+// its caller repeats it. A searcher that ends takes other requests with it, so
+// one report proves nothing; but only the cause is there each time, and a
+// request that is answered is not the cause. Instances share their reports:
+// the repeats reach any of them. Reports are a set, so that it does not matter
+// in which order and how often they arrive.
+//
+// Not thread-safe.
+class CrashSuspects {
+ public:
+  explicit CrashSuspects(CrashSuspectOptions options) : options_(options) {}
+
+  // Reports that a searcher ended at this instance.
+  void OnCrash(TimePoint now, const CrashReport& report);
+
+  // Returns the reports of this instance that are due to be shared. Drops those
+  // that have a cause in common with the ends of other searchers.
+  std::vector<CrashReport> TakeDue(TimePoint now);
+
+  // Adds a report of another instance.
+  void Add(TimePoint now, const CrashReport& report);
+
+  // Removes a report that another instance has withdrawn.
+  void Remove(const std::string& key);
+
+  SuspectVerdict Judge(TimePoint now, const RequestDigest& digest) const;
+
+  // As Judge(), for a request that is served unless the verdict is kDefer or
+  // kReject. After kServeWarily, Release() must follow.
+  SuspectVerdict Admit(TimePoint now, const RequestDigest& digest);
+
+  void Release(const RequestDigest& digest) { under_way_.erase(digest); }
+
+  // Reports that all searchers that ran the request answered. Forgets its
+  // reports and returns the keys of those to withdraw.
+  std::vector<std::string> OnAnswered(const RequestDigest& digest);
+
+  // Forgets reports that are too old and returns their keys.
+  std::vector<std::string> Expire(TimePoint now);
+
+  size_t size() const { return suspects_.size(); }
+
+ private:
+  struct Entry {
+    CrashReport report;
+    TimePoint at;
+  };
+  using Entries = std::map<std::string, Entry>;  // By key.
+
+  struct Crash {
+    CrashReport report;
+    TimePoint at;
+  };
+
+  // Returns true if the entries have a report of another part of the same
+  // query.
+  static bool HasOtherPart(const Entries& entries, const CrashReport& report);
+  static size_t CountCrashes(const Entries& entries);
+  static TimePoint Latest(const Entries& entries);
+  bool HasCommonCause(const Crash& crash) const;
+  void EvictOldest();
+
+  const CrashSuspectOptions options_;
+  std::unordered_map<RequestDigest, Entries, RequestDigestHash> suspects_;
+  std::unordered_set<RequestDigest, RequestDigestHash> under_way_;
+  std::vector<Crash> pending_;  // Not shared yet.
+  std::vector<Crash> recent_;   // All that this instance saw lately.
+};
+
+}  // namespace greengage
+
+#endif  // GREENGAGE_COORDINATION_CRASH_SUSPECTS_H_
--- a/include/greengage/coordination/feed_cache.h
+++ b/include/greengage/coordination/feed_cache.h
@@ -12,6 +12,7 @@
 #include <variant>
 #include <vector>
 
+#include "greengage/state/crash_report.h"
 #include "greengage/state/instance_record.h"
 #include "greengage/state/searcher_entry.h"
 #include "greengage/state/store_revision.h"
@@ -19,8 +20,13 @@
 
 namespace greengage {
 
-enum class FeedKind : uint8_t { kConfiguration, kSearcher, kInstance };
-inline constexpr size_t kFeedKinds = 3;
+enum class FeedKind : uint8_t {
+  kConfiguration,
+  kSearcher,
+  kInstance,
+  kCrashReport,
+};
+inline constexpr size_t kFeedKinds = 4;
 
 // The text of a configuration, as the platform encodes it.
 struct ConfigurationText {
@@ -34,7 +40,11 @@
   std::string name;
   StoreRevision revision;
   bool removed = false;
-  std::variant<std::monostate, ConfigurationText, SearcherEntry, InstanceRecord>
+  std::variant<std::monostate,
+               ConfigurationText,
+               SearcherEntry,
+               InstanceRecord,
+               CrashReport>
       value;
 
   bool is_present() const { return value.index() != 0; }
--- a/include/greengage/coordination/request_plan.h
+++ b/include/greengage/coordination/request_plan.h
@@ -71,6 +71,13 @@
   std::optional<RequestResult> result;  // Set exactly once per request.
 };
 
+// How many searchers may have the request at the same time.
+enum class AttemptPolicy : uint8_t {
+  kParallel,    // One for each part, and hedges.
+  kOneAtATime,  // For requests that may end the searchers that run them: the
+                // other parts follow once a searcher has answered.
+};
+
 // Functions that return RequestActions make decisions; the caller must carry
 // them out. Not thread-safe.
 class RequestPlan {
@@ -83,7 +90,8 @@
               const Route* route,
               TimePoint deadline,
               RequestPlanContext* context,
-              std::function<uint64_t()> next_attempt);
+              std::function<uint64_t()> next_attempt,
+              AttemptPolicy policy = AttemptPolicy::kParallel);
 
   RequestActions Start(TimePoint now);
 
@@ -101,6 +109,10 @@
 
   bool has_result() const { return finished_; }
   size_t open_attempts() const { return attempts_.size(); }
+
+  // Returns true if at least one searcher ran the request to its end, and all
+  // others that have ended it did too or had not run it.
+  bool RanWithoutLoss() const { return answers_ > 0 && losses_ == 0; }
   const Route& route() const { return *route_; }
   const RouteTable& table() const { return *table_; }
 
@@ -128,6 +140,7 @@
     std::optional<SearcherAnswer> answer;
     std::optional<SearcherAnswer> failure;  // The last error response.
     bool closed = false;                    // No answer is awaited any more.
+    bool held_back = false;  // Sent once another part is answered.
   };
 
   void AddParts();
@@ -145,6 +158,9 @@
   // Expected number of answered parts, including those in flight.
   double ExpectedParts(TimePoint now) const;
   bool MayRetry(const Part& part) const;
+  bool MayHedge() const;
+  // Sends the parts that are held back, or only the first of them.
+  void SendHeldBack(TimePoint now, bool all, RequestActions& actions);
   void OnPartFailed(TimePoint now, size_t index, RequestActions& actions);
   // Cancels the attempts of `part`, or of all parts if it is empty.
   void CancelAttempts(std::optional<size_t> part,
@@ -168,6 +184,7 @@
   SearcherChooser chooser_;
   const std::function<uint64_t()> next_attempt_;
   const bool idempotent_;
+  const AttemptPolicy policy_;
   // Random number (0 to 1) that decides what attempts need at a searcher with a
   // limit. Drawn once, so that all parts of a query are likely to be sent, or
   // none.
@@ -179,6 +196,8 @@
   bool target_missed_ = false;  // `target_deadline_` has passed.
   std::vector<Part> parts_;
   std::unordered_map<uint64_t, Attempt> attempts_;
+  uint32_t answers_ = 0;  // Attempts that a searcher ran to the end.
+  uint32_t losses_ = 0;   // Attempts that were sent and got no answer.
   bool finished_ = false;
 };
 
--- a/include/greengage/routed_instance.h
+++ b/include/greengage/routed_instance.h
@@ -15,6 +15,7 @@
 
 #include "greengage/protocol/call_dialect.h"
 #include "greengage/protocol/instance_settings.h"
+#include "greengage/state/crash_report.h"
 #include "greengage/state/instance_record.h"
 #include "greengage/state/result.h"
 #include "greengage/state/route_table.h"
@@ -55,6 +56,17 @@
       list;
 };
 
+// Reports that all instances share, each under its key.
+struct CrashReportStore {
+  ListWatchSource<CrashReport> source;
+  // Succeeds if there is a report of the same key, which is left unchanged.
+  std::function<void(const CrashReport&, std::function<void(Result<Done>)>)>
+      add;
+  // Succeeds if there is no such report.
+  std::function<void(const std::string& key, std::function<void(Result<Done>)>)>
+      remove;
+};
+
 // A configuration and the text from which it was decoded, which another
 // instance can decode as well.
 struct StoredConfiguration {
@@ -71,6 +83,7 @@
       decode_configuration;
   ListWatchSource<SearcherEntry> searchers;
   InstanceRegistry instances;
+  CrashReportStore crash_reports;
 };
 
 // Usage: call Start(), run the io_context on one thread, call Stop(), and end
--- a/include/greengage/state/crash_report.h
+++ b/include/greengage/state/crash_report.h
@@ -20,6 +20,10 @@
   std::chrono::milliseconds started{};
 };
 
+// Returns the name under which instances share the report: the digest, and a
+// hash of everything else.
+std::string KeyOf(const CrashReport& report);
+
 }  // namespace greengage
 
 #endif  // GREENGAGE_STATE_CRASH_REPORT_H_
--- a/include/greengage/transport/request_router.h
+++ b/include/greengage/transport/request_router.h
@@ -13,7 +13,9 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
+#include "greengage/coordination/crash_suspects.h"
 #include "greengage/coordination/request_plan.h"
 #include "greengage/protocol/call_dialect.h"
 #include "greengage/protocol/routed_call_codec.h"
@@ -26,8 +28,13 @@
 
 namespace greengage {
 
+// Retry delay of an instance that is shutting down or has no configuration yet.
+// It is short because another instance can answer a new connection at once.
+inline constexpr Duration kOtherInstanceRetryDelay =
+    std::chrono::milliseconds(200);
+
 // Not thread-safe: all members run on the single thread of the io_context. The
-// plan context and the metrics must outlive the router.
+// plan context, the suspects and the metrics must outlive the router.
 class RequestRouter : public std::enable_shared_from_this<RequestRouter> {
  public:
   struct Hooks {
@@ -39,6 +46,12 @@
     std::function<Duration()> registry_age;
     // Returns true if other instances gather the queries that arrive here.
     std::function<bool()> forwards_gathers;
+    // Runs for each searcher that ended while it had a request of this
+    // instance.
+    std::function<void(const CrashReport&)> on_crash;
+    // Runs for each request that searchers answered, after some had ended while
+    // they had such a request. The keys are those of the reports.
+    std::function<void(const std::vector<std::string>& keys)> on_cleared;
     // Forwards a query, as GatherForwarder::Forward() does.
     std::function<void(ForwardedQuery,
                        const std::shared_ptr<HttpExchange>&,
@@ -54,6 +67,7 @@
                 CallDialect dialect,
                 Limits limits,
                 RequestPlanContext* plans,
+                CrashSuspects* suspects,
                 std::shared_ptr<SearcherClients> clients,
                 RoutedMetrics* metrics,
                 Hooks hooks);
@@ -114,7 +128,15 @@
   static void LogAttempts(const ActiveRequest& active);
   void Reject(const std::string& request_id,
               const std::shared_ptr<HttpExchange>& exchange,
-              const Failure& failure);
+              const Failure& failure,
+              Duration retry_delay = kOtherInstanceRetryDelay);
+  void RejectSuspect(const CallerRequest& caller,
+                     const std::shared_ptr<HttpExchange>& exchange,
+                     const RequestDigest& digest,
+                     const SuspectVerdict& verdict);
+  // Ends the caution for a suspected request that has ended, and its suspicion
+  // if it was answered.
+  void ReleaseSuspect(const ActiveRequest& active);
   HttpResponse ToResponse(const Route& route, RequestResult& result) const;
   void ArmTimer();
   void OnTimer();
@@ -122,6 +144,7 @@
   const CallDialect dialect_;
   const Limits limits_;
   RequestPlanContext* const plans_;
+  CrashSuspects* const suspects_;
   const std::shared_ptr<SearcherClients> clients_;
   RoutedMetrics* const metrics_;
   const Hooks hooks_;
--- /dev/null
+++ b/src/coordination/crash_suspects.cc
@@ -0,0 +1,180 @@
+#include "greengage/coordination/crash_suspects.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace greengage {
+namespace {
+
+// Identifies a process of a searcher.
+std::pair<std::string, std::chrono::milliseconds> ProcessOf(
+    const CrashReport& report) {
+  return {report.searcher, report.started};
+}
+
+}  // namespace
+
+void CrashSuspects::OnCrash(TimePoint now, const CrashReport& report) {
+  recent_.push_back({report, now});
+  const auto found = suspects_.find(report.digest);
+  if (found != suspects_.end() && HasOtherPart(found->second, report)) {
+    return;
+  }
+  Add(now, report);
+  pending_.push_back({report, now});
+}
+
+bool CrashSuspects::HasOtherPart(const Entries& entries,
+                                 const CrashReport& report) {
+  return std::any_of(entries.begin(), entries.end(), [&](const auto& item) {
+    const CrashReport& known = item.second.report;
+    return known.request_id == report.request_id &&
+           known.service != report.service;
+  });
+}
+
+std::vector<CrashReport> CrashSuspects::TakeDue(TimePoint now) {
+  std::vector<CrashReport> due;
+  std::erase_if(pending_, [&](const Crash& crash) {
+    if (now - crash.at < options_.settle_time) {
+      return false;
+    }
+    const auto found = suspects_.find(crash.report.digest);
+    const bool is_known =
+        found != suspects_.end() && found->second.contains(KeyOf(crash.report));
+    if (is_known && HasCommonCause(crash)) {
+      Remove(KeyOf(crash.report));
+    } else if (is_known) {
+      due.push_back(crash.report);
+    }
+    return true;
+  });
+  std::erase_if(recent_, [&](const Crash& crash) {
+    return now - crash.at >=
+           options_.settle_time + 2 * options_.common_cause_time;
+  });
+  return due;
+}
+
+bool CrashSuspects::HasCommonCause(const Crash& crash) const {
+  std::set<std::pair<std::string, std::chrono::milliseconds>> had_it;
+  std::set<std::pair<std::string, std::chrono::milliseconds>> others;
+  for (const Crash& other : recent_) {
+    const Duration apart =
+        other.at > crash.at ? other.at - crash.at : crash.at - other.at;
+    if (apart <= options_.common_cause_time) {
+      (other.report.digest == crash.report.digest ? had_it : others)
+          .insert(ProcessOf(other.report));
+    }
+  }
+  const auto without_it = std::count_if(
+      others.begin(), others.end(),
+      [&](const auto& process) { return !had_it.contains(process); });
+  return static_cast<size_t>(without_it) >= options_.common_cause_crashes;
+}
+
+void CrashSuspects::Add(TimePoint now, const CrashReport& report) {
+  suspects_[report.digest].try_emplace(KeyOf(report), Entry{report, now});
+  if (suspects_.size() > options_.max_digests) {
+    EvictOldest();
+  }
+}
+
+void CrashSuspects::EvictOldest() {
+  const auto oldest = std::min_element(
+      suspects_.begin(), suspects_.end(), [](const auto& a, const auto& b) {
+        return Latest(a.second) < Latest(b.second);
+      });
+  suspects_.erase(oldest);
+}
+
+void CrashSuspects::Remove(const std::string& key) {
+  for (auto suspect = suspects_.begin(); suspect != suspects_.end();
+       ++suspect) {
+    if (suspect->second.erase(key) > 0) {
+      if (suspect->second.empty()) {
+        suspects_.erase(suspect);
+      }
+      return;
+    }
+  }
+}
+
+// Several requests may have been at one searcher.
+size_t CrashSuspects::CountCrashes(const Entries& entries) {
+  std::set<std::pair<std::string, std::chrono::milliseconds>> processes;
+  for (const auto& [key, entry] : entries) {
+    processes.insert(ProcessOf(entry.report));
+  }
+  return processes.size();
+}
+
+TimePoint CrashSuspects::Latest(const Entries& entries) {
+  return std::max_element(entries.begin(), entries.end(),
+                          [](const auto& a, const auto& b) {
+                            return a.second.at < b.second.at;
+                          })
+      ->second.at;
+}
+
+SuspectVerdict CrashSuspects::Judge(TimePoint now,
+                                    const RequestDigest& digest) const {
+  const auto found = suspects_.find(digest);
+  if (found == suspects_.end()) {
+    return {};
+  }
+  SuspectVerdict verdict;
+  verdict.crashes = CountCrashes(found->second);
+  const TimePoint rejected_until =
+      Latest(found->second) + options_.rejection_time;
+  if (verdict.crashes >= options_.max_crashes && now < rejected_until) {
+    verdict.decision = SuspectDecision::kReject;
+    verdict.retry_after = rejected_until - now;
+  } else if (under_way_.contains(digest)) {
+    verdict.decision = SuspectDecision::kDefer;
+    verdict.retry_after = options_.deferral_time;
+  } else {
+    verdict.decision = SuspectDecision::kServeWarily;
+  }
+  return verdict;
+}
+
+SuspectVerdict CrashSuspects::Admit(TimePoint now,
+                                    const RequestDigest& digest) {
+  const SuspectVerdict verdict = Judge(now, digest);
+  if (verdict.decision == SuspectDecision::kServeWarily) {
+    under_way_.insert(digest);
+  }
+  return verdict;
+}
+
+std::vector<std::string> CrashSuspects::OnAnswered(
+    const RequestDigest& digest) {
+  std::vector<std::string> keys;
+  auto node = suspects_.extract(digest);
+  if (!node.empty()) {
+    for (const auto& [key, entry] : node.mapped()) {
+      keys.push_back(key);
+    }
+  }
+  return keys;
+}
+
+std::vector<std::string> CrashSuspects::Expire(TimePoint now) {
+  std::vector<std::string> keys;
+  for (auto& [digest, entries] : suspects_) {
+    std::erase_if(entries, [&](const auto& item) {
+      const bool is_old = now - item.second.at >= options_.report_lifetime;
+      if (is_old) {
+        keys.push_back(item.first);
+      }
+      return is_old;
+    });
+  }
+  std::erase_if(suspects_,
+                [](const auto& suspect) { return suspect.second.empty(); });
+  return keys;
+}
+
+}  // namespace greengage
--- a/src/coordination/request_plan.cc
+++ b/src/coordination/request_plan.cc
@@ -25,6 +25,10 @@
 // ones. More would only add to the load that caused the rejections.
 constexpr uint32_t kExtraRejectedAttempts = 2;
 
+// A request that lost this many attempts, and got no answer from any searcher,
+// is not sent again: it may be what ended them.
+constexpr uint32_t kMaxLossesWithoutAnswer = 3;
+
 // Fraction of the extra arrivals that is reserved for requests that lack
 // required parts. It applies to retries that would only add parts beyond these.
 constexpr double kCompletenessReserve = 0.5;
@@ -92,13 +96,15 @@
                          const Route* route,
                          TimePoint deadline,
                          RequestPlanContext* context,
-                         std::function<uint64_t()> next_attempt)
+                         std::function<uint64_t()> next_attempt,
+                         AttemptPolicy policy)
     : table_(std::move(table)),
       route_(route),
       context_(context),
       chooser_(context, route),
       next_attempt_(std::move(next_attempt)),
       idempotent_(route->kind == RequestKind::kIdempotent),
+      policy_(policy),
       token_draw_(DrawFraction(context->random)),
       response_deadline_(std::min<TimePoint>(deadline - kResponseMargin,
                                              now + route->timeout)),
@@ -133,13 +139,29 @@
       return actions;
     }
   }
+  for (Part& part : parts_) {
+    part.held_back = true;
+  }
+  SendHeldBack(now, policy_ == AttemptPolicy::kParallel, actions);
+  FinishIfDone(now, actions);
+  return actions;
+}
+
+void RequestPlan::SendHeldBack(TimePoint now,
+                               bool all,
+                               RequestActions& actions) {
+  const RouteTiming timing = chooser_.TimingAt(now);
   for (size_t i = 0; i < parts_.size(); ++i) {
+    if (!parts_[i].held_back) {
+      continue;
+    }
+    parts_[i].held_back = false;
     if (!Send(now, timing, i, AttemptReason::kFirst, actions)) {
       parts_[i].closed = true;
+    } else if (!all) {
+      return;
     }
   }
-  FinishIfDone(now, actions);
-  return actions;
 }
 
 void RequestPlan::RejectIfUnlikely(TimePoint now,
@@ -252,10 +274,19 @@
   if (!idempotent_ && (part.may_have_run || part.in_flight > 0)) {
     return false;
   }
+  const uint32_t max_losses =
+      policy_ == AttemptPolicy::kOneAtATime ? 1 : kMaxLossesWithoutAnswer;
+  if (losses_ >= max_losses && answers_ == 0) {
+    return false;
+  }
   return part.may_have_run_count < route_->max_attempts &&
          part.sent_count < route_->max_attempts + kExtraRejectedAttempts;
 }
 
+bool RequestPlan::MayHedge() const {
+  return idempotent_ && policy_ == AttemptPolicy::kParallel;
+}
+
 RequestActions RequestPlan::OnAttemptEnded(TimePoint now,
                                            uint64_t id,
                                            AttemptOutcome outcome) {
@@ -277,6 +308,11 @@
     context_->hedges.Record(now, route_->name, RankOf(*route_),
                             now - attempt.sent - distance);
   }
+  answers_ +=
+      outcome.end == AttemptEnd::kAnswered || outcome.end == AttemptEnd::kFailed
+          ? 1
+          : 0;
+  losses_ += outcome.end == AttemptEnd::kLost ? 1 : 0;
   if (finished_) {
     return actions;
   }
@@ -298,6 +334,11 @@
     }
     OnPartFailed(now, attempt.part, actions);
   }
+  if (answers_ > 0) {
+    SendHeldBack(now, true, actions);
+  } else if (losses_ == 0 && attempts_.empty()) {
+    SendHeldBack(now, false, actions);
+  }
   FinishIfDone(now, actions);
   return actions;
 }
@@ -363,7 +404,7 @@
       }
     } else if (part.hedge_at && now >= *part.hedge_at) {
       part.hedge_at.reset();
-      if (idempotent_ && MayRetry(part) &&
+      if (MayHedge() && MayRetry(part) &&
           !Send(now, chooser_.TimingAt(now), i, AttemptReason::kHedge,
                 actions)) {
         part.hedge_at = now + kRetryDelay;
@@ -436,7 +477,7 @@
   size_t pending = 0;
   for (const Part& part : parts_) {
     answered += part.answer ? 1 : 0;
-    pending += part.closed ? 0 : 1;
+    pending += part.closed || (part.held_back && losses_ > 0) ? 0 : 1;
   }
   const size_t required = RequiredParts();
   const bool enough = answered >= required;
--- a/src/protocol/feed_codec.cc
+++ b/src/protocol/feed_codec.cc
@@ -46,6 +46,13 @@
     instance->set_data_centre(record->data_centre);
     EncodeEndpoint(record->peer, instance->mutable_peer());
     instance->set_capacity(record->capacity);
+  } else if (const auto* report = std::get_if<CrashReport>(&object.value)) {
+    wire::FeedCrashReport* const crash = written->mutable_crash_report();
+    crash->set_digest(ToString(report->digest));
+    crash->set_request_id(report->request_id);
+    crash->set_service(report->service);
+    crash->set_searcher(report->searcher);
+    crash->set_started_ms(report->started.count());
   }
 }
 
@@ -86,6 +93,15 @@
   return InstanceRecord{id, message.data_centre(), *peer, message.capacity()};
 }
 
+std::optional<CrashReport> Read(const wire::FeedCrashReport& message) {
+  const auto digest = ParseRequestDigest(message.digest());
+  if (!digest) {
+    return std::nullopt;
+  }
+  return CrashReport{*digest, message.request_id(), message.service(),
+                     message.searcher(), milliseconds(message.started_ms())};
+}
+
 std::optional<FeedObject> Read(const wire::FeedObject& message) {
   if (message.kind() >= kFeedKinds || message.name().empty()) {
     return std::nullopt;
@@ -119,6 +135,15 @@
       object.value = *std::move(record);
       break;
     }
+    case wire::FeedObject::kCrashReport: {
+      kind_of_value = FeedKind::kCrashReport;
+      auto report = Read(message.crash_report());
+      if (!report) {
+        return std::nullopt;
+      }
+      object.value = *std::move(report);
+      break;
+    }
     case wire::FeedObject::VALUE_NOT_SET:
       break;
   }
@@ -136,7 +161,9 @@
   written.set_age_ms(ToMilliseconds(page.age).count());
   Write(page.searchers_revision, written.mutable_searchers_revision());
   for (const FeedObject& object : page.objects) {
-    Write(object, written.add_objects());
+    Write(object, object.kind == FeedKind::kCrashReport
+                      ? written.add_newer_objects()
+                      : written.add_objects());
   }
   return written.SerializeAsString();
 }
@@ -156,12 +183,14 @@
   page.complete = read.complete();
   page.age = milliseconds(read.age_ms());
   page.searchers_revision = Read(read.searchers_revision());
-  for (const wire::FeedObject& object : read.objects()) {
-    std::optional<FeedObject> decoded = Read(object);
-    if (!decoded) {
-      return malformed;
+  for (const auto* const objects : {&read.objects(), &read.newer_objects()}) {
+    for (const wire::FeedObject& object : *objects) {
+      std::optional<FeedObject> decoded = Read(object);
+      if (!decoded) {
+        return malformed;
+      }
+      page.objects.push_back(*std::move(decoded));
     }
-    page.objects.push_back(*std::move(decoded));
   }
   return page;
 }
--- a/src/routed_instance.cc
+++ b/src/routed_instance.cc
@@ -29,6 +29,7 @@
            }},
           kRouteHedgeOptions,
           settings.data_centre),
+      suspects_(CrashSuspectOptions{}),
       clients_(std::make_shared<SearcherClients>(
           context,
           [this](const std::string& service) {
@@ -76,12 +77,18 @@
 Result<Done> RoutedInstanceImpl::Listen() {
   router_ = std::make_shared<RequestRouter>(
       context_, platform_.dialect,
-      RequestRouter::Limits{settings_.http_in_flight}, &plan_context_, clients_,
-      &metrics_,
+      RequestRouter::Limits{settings_.http_in_flight}, &plan_context_,
+      &suspects_, clients_, &metrics_,
       RequestRouter::Hooks{[this] { return route_table_; },
                            [this] { return rejecting_; },
                            [this] { return RegistryAge(); },
                            [this] { return !gatherers_.gathers_itself(); },
+                           [this](const CrashReport& report) {
+                             suspects_.OnCrash(Now(), report);
+                           },
+                           [this](const std::vector<std::string>& keys) {
+                             WithdrawCrashReports(keys);
+                           },
                            [this](ForwardedQuery query,
                                   const std::shared_ptr<HttpExchange>& exchange,
                                   GatherForwarder::GatherHere gather_here) {
--- /dev/null
+++ b/src/routed_instance_crash.cc
@@ -0,0 +1,100 @@
+// The parts of a routed instance that share reports of searchers that ended
+// while they had a request.
+#include <algorithm>
+#include <utility>
+
+#include "greengage/transport/log_line.h"
+#include "routed_instance_impl.h"
+#include "transport/random_base.h"
+
+namespace greengage {
+
+void RoutedInstanceImpl::StartCrashReportWatch() {
+  ListWatchOptions options;
+  options.seed = RandomBase();
+  auto hooks = ListWatchHooks<CrashReport>("crash_reports",
+                                           platform_.crash_reports.source);
+  hooks.on_snapshot = [this](const auto& items, StoreRevision revision) {
+    OnStoredCrashReports(items, revision, true);
+  };
+  hooks.on_changes = [this](const auto& items, StoreRevision revision) {
+    OnStoredCrashReports(items, revision, false);
+  };
+  crash_report_watcher_ = std::make_shared<ListWatcher<CrashReport>>(
+      context_, options, std::move(hooks));
+  crash_report_watcher_->Start();
+}
+
+// A listing that lacks a report withdraws nothing: a store that was restored
+// from a copy may have lost it.
+void RoutedInstanceImpl::OnStoredCrashReports(
+    const std::vector<StoreItem<CrashReport>>& items,
+    StoreRevision revision,
+    bool is_snapshot) {
+  std::vector<FeedObject> objects;
+  for (const StoreItem<CrashReport>& item : items) {
+    FeedObject object{
+        FeedKind::kCrashReport, item.name, item.revision, item.removed, {}};
+    if (item.value) {
+      suspects_.Add(Now(), *item.value);
+      object.value = *item.value;
+    } else if (item.removed) {
+      suspects_.Remove(item.name);
+    } else {
+      continue;
+    }
+    objects.push_back(std::move(object));
+  }
+  const TimePoint now = NowWithSuspension();
+  if (is_snapshot) {
+    feed_cache_.Replace(now, FeedKind::kCrashReport, revision,
+                        std::move(objects));
+  } else {
+    feed_cache_.Apply(now, FeedKind::kCrashReport, revision,
+                      std::move(objects));
+  }
+  feed_server_->OnCacheChanged();
+}
+
+void RoutedInstanceImpl::ShareCrashReports() {
+  std::vector<CrashReport> due = suspects_.TakeDue(Now());
+  for (CrashReport& report : std::exchange(unshared_reports_, {})) {
+    due.push_back(std::move(report));
+  }
+  for (const CrashReport& report : due) {
+    ShareCrashReport(report);
+  }
+}
+
+void RoutedInstanceImpl::ShareCrashReport(const CrashReport& report) {
+  platform_.crash_reports.add(
+      report, [weak = weak_from_this(), report](const Result<Done>& added) {
+        const auto self = weak.lock();
+        if (!added && self && !self->stopping_ &&
+            self->unshared_reports_.size() < kMaxUnsharedReports) {
+          self->unshared_reports_.push_back(report);
+        }
+      });
+}
+
+void RoutedInstanceImpl::WithdrawCrashReports(
+    const std::vector<std::string>& keys) {
+  std::erase_if(unshared_reports_, [&keys](const CrashReport& report) {
+    return std::find(keys.begin(), keys.end(), KeyOf(report)) != keys.end();
+  });
+  for (const std::string& key : keys) {
+    platform_.crash_reports.remove(key, [](const Result<Done>&) {
+      // A report that stays makes other instances treat the request warily
+      // until they get an answer to it as well.
+    });
+  }
+}
+
+void RoutedInstanceImpl::ExpireCrashReports() {
+  const std::vector<std::string> keys = suspects_.Expire(Now());
+  if (crash_report_watcher_) {
+    WithdrawCrashReports(keys);
+  }
+}
+
+}  // namespace greengage
--- a/src/routed_instance_feed.cc
+++ b/src/routed_instance_feed.cc
@@ -336,6 +336,12 @@
       searchers.push_back({object.name,
                            entry ? std::optional(*entry) : std::nullopt,
                            !object.removed});
+    } else if (object.kind == FeedKind::kCrashReport) {
+      if (const auto* report = std::get_if<CrashReport>(&object.value)) {
+        suspects_.Add(Now(), *report);
+      } else if (object.removed) {
+        suspects_.Remove(object.name);
+      }
     } else if (object.kind == FeedKind::kInstance) {
       instances_changed = true;
       if (const auto* record = std::get_if<InstanceRecord>(&object.value)) {
--- a/src/routed_instance_impl.h
+++ b/src/routed_instance_impl.h
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -16,6 +17,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "greengage/coordination/crash_suspects.h"
 #include "greengage/coordination/feed_cache.h"
 #include "greengage/coordination/feed_source.h"
 #include "greengage/coordination/gatherers.h"
@@ -26,14 +28,24 @@
 #include "greengage/transport/feed_client.h"
 #include "greengage/transport/feed_server.h"
 #include "greengage/transport/http_server.h"
+#include "greengage/transport/log_line.h"
 #include "greengage/transport/request_router.h"
 #include "transport/clock.h"
 
 namespace greengage {
 
-// The member functions are in four files: routed_instance.cc creates the
+// Delay before the registry of instances is read after the store was restored.
+// The answer may be some seconds old.
+inline constexpr std::chrono::seconds kRestoredInstancesReadDelay{2};
+
+// Crash reports that are kept while the store is away. Further ones are only
+// known to this instance.
+inline constexpr size_t kMaxUnsharedReports = 64;
+
+// The member functions are in five files: routed_instance.cc creates the
 // components and listens, routed_instance_feed.cc chooses whether to read the
 // store or a peer, routed_instance_store.cc processes the data of either,
+// routed_instance_crash.cc shares reports of searchers that ended,
 // routed_instance_stop.cc handles reload and shutdown. All of them run on one
 // thread.
 class RoutedInstanceImpl
@@ -103,6 +115,14 @@
   void UseSearchers(TimePoint current_at,
                     const std::vector<SearcherChange>& changes,
                     bool is_snapshot);
+  void OnStoredCrashReports(const std::vector<StoreItem<CrashReport>>& items,
+                            StoreRevision revision,
+                            bool is_snapshot);
+  void StartCrashReportWatch();
+  void ShareCrashReports();
+  void ShareCrashReport(const CrashReport& report);
+  void WithdrawCrashReports(const std::vector<std::string>& keys);
+  void ExpireCrashReports();
   void OnSearcherAdded(const RoutedSearcher& searcher);
   void OnSearcherLeaving(const RoutedSearcher& searcher,
                          std::string_view cause);
@@ -128,6 +148,9 @@
   const RoutedPlatform platform_;
   RoutedMetrics metrics_;
   RequestPlanContext plan_context_;
+  CrashSuspects suspects_;
+  // Reports that the store has not accepted yet.
+  std::vector<CrashReport> unshared_reports_;
   std::shared_ptr<SearcherClients> clients_;
   std::shared_ptr<RequestRouter> router_;
   std::shared_ptr<HttpServer> caller_server_;
@@ -137,6 +160,7 @@
   // Running only while this instance reads the store itself.
   std::shared_ptr<ListWatcher<StoredConfiguration>> configuration_watcher_;
   std::shared_ptr<ListWatcher<SearcherEntry>> searcher_watcher_;
+  std::shared_ptr<ListWatcher<CrashReport>> crash_report_watcher_;
   Duration watch_delay_{};  // Of the running `searcher_watcher_`.
   StoreRevision searchers_revision_;
   FeedCache feed_cache_;
@@ -176,6 +200,41 @@
   TimePoint registered_at_;  // Time of the latest attempt.
 };
 
+template <typename Item>
+typename ListWatcher<Item>::Hooks RoutedInstanceImpl::ListWatchHooks(
+    const std::string& feed,
+    ListWatchSource<Item> source) {
+  typename ListWatcher<Item>::Hooks hooks;
+  hooks.list = std::move(source.list);
+  hooks.watch = std::move(source.watch);
+  hooks.poll = std::move(source.poll);
+  hooks.on_failing = [this, feed](const Failure& reason) {
+    LogLine(DecisionEvent::kStoreFailing)
+        .Add("feed", feed)
+        .Add("cause", FailureKindName(reason.kind))
+        .Add("detail", reason.detail)
+        .Write();
+    metrics_.store_changes[{feed, "lost"}].Add();
+  };
+  hooks.on_recovered = [this, feed] {
+    LogLine(DecisionEvent::kStoreRecovered).Add("feed", feed).Write();
+    metrics_.store_changes[{feed, "regained"}].Add();
+  };
+  hooks.on_restored = [this, feed](StoreRevision revision,
+                                   StoreRevision known) {
+    LogLine(DecisionEvent::kStoreRestored)
+        .Add("feed", feed)
+        .Add("era", revision.era)
+        .Add("revision", revision.number)
+        .Add("known_revision", known.number)
+        .Write();
+    metrics_.store_changes[{feed, "restored"}].Add();
+    OnStoreRestored();
+    ReadInstancesAfter(kRestoredInstancesReadDelay);
+  };
+  return hooks;
+}
+
 }  // namespace greengage
 
 #endif  // GREENGAGE_SRC_ROUTED_INSTANCE_IMPL_H_
--- a/src/routed_instance_stop.cc
+++ b/src/routed_instance_stop.cc
@@ -30,6 +30,8 @@
 void RoutedInstanceImpl::RunHousekeeping() {
   plan_context_.searchers.Expire(Now());
   LogRateLimits();
+  ShareCrashReports();
+  ExpireCrashReports();
   FlushLog();
   ScheduleHousekeeping();
 }
--- a/src/routed_instance_store.cc
+++ b/src/routed_instance_store.cc
@@ -30,10 +30,6 @@
 constexpr std::chrono::milliseconds kSearcherWatchTimeout{1500};
 constexpr int kSearcherWatchPercent = 15;
 
-// Delay before the registry of instances is read after the store was restored.
-// The answer may be some seconds old.
-constexpr std::chrono::seconds kRestoredInstancesReadDelay{2};
-
 FeedObject MakeFeedObject(const StoreItem<SearcherEntry>& item) {
   FeedObject object{
       FeedKind::kSearcher, item.name, item.revision, item.removed, {}};
@@ -69,41 +65,6 @@
   SetInstanceCount(kMaxExpectedInstances);
 }
 
-template <typename Item>
-typename ListWatcher<Item>::Hooks RoutedInstanceImpl::ListWatchHooks(
-    const std::string& feed,
-    ListWatchSource<Item> source) {
-  typename ListWatcher<Item>::Hooks hooks;
-  hooks.list = std::move(source.list);
-  hooks.watch = std::move(source.watch);
-  hooks.poll = std::move(source.poll);
-  hooks.on_failing = [this, feed](const Failure& reason) {
-    LogLine(DecisionEvent::kStoreFailing)
-        .Add("feed", feed)
-        .Add("cause", FailureKindName(reason.kind))
-        .Add("detail", reason.detail)
-        .Write();
-    metrics_.store_changes[{feed, "lost"}].Add();
-  };
-  hooks.on_recovered = [this, feed] {
-    LogLine(DecisionEvent::kStoreRecovered).Add("feed", feed).Write();
-    metrics_.store_changes[{feed, "regained"}].Add();
-  };
-  hooks.on_restored = [this, feed](StoreRevision revision,
-                                   StoreRevision known) {
-    LogLine(DecisionEvent::kStoreRestored)
-        .Add("feed", feed)
-        .Add("era", revision.era)
-        .Add("revision", revision.number)
-        .Add("known_revision", known.number)
-        .Write();
-    metrics_.store_changes[{feed, "restored"}].Add();
-    OnStoreRestored();
-    ReadInstancesAfter(kRestoredInstancesReadDelay);
-  };
-  return hooks;
-}
-
 void RoutedInstanceImpl::StartStoreWatches() {
   ListWatchOptions options;
   options.seed = RandomBase();
@@ -141,13 +102,16 @@
   searcher_watcher_ = std::make_shared<ListWatcher<SearcherEntry>>(
       context_, options, std::move(searcher_hooks));
   searcher_watcher_->Start();
+  StartCrashReportWatch();
 }
 
 void RoutedInstanceImpl::StopStoreWatches() {
   if (searcher_watcher_) {
     configuration_watcher_->Stop();
     searcher_watcher_->Stop();
+    crash_report_watcher_->Stop();
     configuration_watcher_.reset();
+    crash_report_watcher_.reset();
     searcher_watcher_.reset();
   }
 }
--- a/src/transport/request_router.cc
+++ b/src/transport/request_router.cc
@@ -29,10 +29,6 @@
   kGatewayTimeout = 504,
 };
 
-// Retry delay of an instance that is shutting down or has no configuration yet.
-// It is short because another instance can answer a new connection at once.
-constexpr Duration kOtherInstanceRetryDelay = std::chrono::milliseconds(200);
-
 // One in this many requests with a complete answer within the target latency
 // is logged. All other requests are logged.
 constexpr uint64_t kCompleteAnswersPerLogLine = 32;
@@ -118,6 +114,7 @@
   HttpRequest request;
   HeaderList headers;  // Headers forwarded to the searchers.
   RequestDigest digest;
+  bool is_suspect = false;  // It may end the searchers that run it.
   std::shared_ptr<HttpExchange> exchange;
   std::optional<RequestPlan> plan;
   TimePoint arrived;
@@ -143,12 +140,14 @@
                              CallDialect dialect,
                              Limits limits,
                              RequestPlanContext* plans,
+                             CrashSuspects* suspects,
                              std::shared_ptr<SearcherClients> clients,
                              RoutedMetrics* metrics,
                              Hooks hooks)
     : dialect_(std::move(dialect)),
       limits_(limits),
       plans_(plans),
+      suspects_(suspects),
       clients_(std::move(clients)),
       metrics_(metrics),
       hooks_(std::move(hooks)),
@@ -220,6 +219,13 @@
                                   const RouteTablePtr& table,
                                   const Route* route) {
   const TimePoint now = Now();
+  const RequestDigest digest =
+      DigestOf(caller, request.method, request.target, request.body);
+  const SuspectVerdict verdict = suspects_->Judge(now, digest);
+  if (verdict.decision == SuspectDecision::kReject) {
+    RejectSuspect(caller, exchange, digest, verdict);
+    return;
+  }
   const std::chrono::milliseconds time_left = TimeLeft(caller, *route);
   ForwardedQuery query;
   query.request_id = caller.id;
@@ -251,7 +257,8 @@
 
 void RequestRouter::Reject(const std::string& request_id,
                            const std::shared_ptr<HttpExchange>& exchange,
-                           const Failure& failure) {
+                           const Failure& failure,
+                           Duration retry_delay) {
   LogLine(DecisionEvent::kRequestRefused)
       .Add("request_id", request_id)
       .Add("cause", FailureKindName(failure.kind))
@@ -268,11 +275,34 @@
       exchange->Reply(ErrorResponse(kBadRequest, failure));
       return;
     default:
-      exchange->Reply(ServiceUnavailable(failure, kOtherInstanceRetryDelay));
+      exchange->Reply(ServiceUnavailable(failure, retry_delay));
       return;
   }
 }
 
+void RequestRouter::RejectSuspect(const CallerRequest& caller,
+                                  const std::shared_ptr<HttpExchange>& exchange,
+                                  const RequestDigest& digest,
+                                  const SuspectVerdict& verdict) {
+  Reject(caller.id, exchange,
+         Failure{FailureKind::kUnavailable, "request " + ToString(digest),
+                 std::to_string(verdict.crashes) +
+                     " searchers ended while they had such a request"},
+         verdict.retry_after);
+}
+
+void RequestRouter::ReleaseSuspect(const ActiveRequest& active) {
+  if (active.is_suspect) {
+    suspects_->Release(active.digest);
+  }
+  if (active.plan->RanWithoutLoss()) {
+    const std::vector<std::string> keys = suspects_->OnAnswered(active.digest);
+    if (!keys.empty()) {
+      hooks_.on_cleared(keys);
+    }
+  }
+}
+
 void RequestRouter::StartRequest(HttpRequest request,
                                  CallerRequest caller,
                                  const std::shared_ptr<HttpExchange>& exchange,
@@ -280,19 +310,30 @@
                                  const Route* route,
                                  Origin origin) {
   const TimePoint now = Now();
+  const RequestDigest digest =
+      DigestOf(caller, request.method, request.target, request.body);
+  const SuspectVerdict verdict = suspects_->Admit(now, digest);
+  if (verdict.decision == SuspectDecision::kDefer ||
+      verdict.decision == SuspectDecision::kReject) {
+    RejectSuspect(caller, exchange, digest, verdict);
+    return;
+  }
   auto active = std::make_shared<ActiveRequest>();
+  active->digest = digest;
+  active->is_suspect = verdict.decision == SuspectDecision::kServeWarily;
   active->number = ++last_number_;
   active->arrived = now;
   active->deadline = now + TimeLeft(caller, *route);
   active->headers = ForwardedHeaders(dialect_, request.headers);
-  active->digest =
-      DigestOf(caller, request.method, request.target, request.body);
   active->caller = std::move(caller);
   active->request = std::move(request);
   active->exchange = exchange;
   active->registry_age = hooks_.registry_age();
-  active->plan.emplace(now, std::move(table), route, active->deadline, plans_,
-                       [this] { return ++last_attempt_id_; });
+  active->plan.emplace(
+      now, std::move(table), route, active->deadline, plans_,
+      [this] { return ++last_attempt_id_; },
+      active->is_suspect ? AttemptPolicy::kOneAtATime
+                         : AttemptPolicy::kParallel);
   active->from_peer = origin == Origin::kPeer;
   exchange->OnClientDisconnected(
       [weak = weak_from_this(), number = active->number] {
@@ -419,6 +460,7 @@
       .Add("searcher", report.searcher)
       .Add("started_ms", report.started.count())
       .Write();
+  hooks_.on_crash(report);
 }
 
 void RequestRouter::OnCallerDisconnected(uint64_t number) {
@@ -429,6 +471,7 @@
   metrics_->callers_left.Add();
   --in_flight_;
   RequestActions actions = found->second->plan->OnCallerLeft(Now());
+  ReleaseSuspect(*found->second);
   LogRequestEnd(*found->second, *actions.result, 0, Now());
   actions.result.reset();  // The caller has disconnected.
   ExecuteActions(number, std::move(actions));
@@ -436,6 +479,7 @@
 
 void RequestRouter::Answer(ActiveRequest& active, RequestResult result) {
   --in_flight_;
+  ReleaseSuspect(active);
   const TimePoint now = Now();
   const Route& route = active.plan->route();
   metrics_
--- /dev/null
+++ b/tests/crash_suspects_test.cc
@@ -0,0 +1,159 @@
+#include "greengage/coordination/crash_suspects.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+namespace greengage {
+namespace {
+
+using Ms = std::chrono::milliseconds;
+
+constexpr TimePoint kStart{std::chrono::seconds(100)};
+constexpr Ms kSecond{1000};
+constexpr RequestDigest kDigest{1, 2};
+
+CrashReport Report(const RequestDigest& digest,
+                   int request,
+                   int searcher,
+                   const std::string& service = "s0") {
+  return {digest, "r" + std::to_string(request), service,
+          service + "/" + std::to_string(searcher), Ms(searcher)};
+}
+
+SuspectDecision DecisionAt(const CrashSuspects& suspects, TimePoint now) {
+  return suspects.Judge(now, kDigest).decision;
+}
+
+}  // namespace
+
+Test(CrashSuspects, RejectsARequestThatEndedThreeSearchers) {
+  CrashSuspects suspects{CrashSuspectOptions{}};
+  cr_assert(DecisionAt(suspects, kStart) == SuspectDecision::kServe);
+  suspects.OnCrash(kStart, Report(kDigest, 1, 1));
+  suspects.OnCrash(kStart + kSecond, Report(kDigest, 2, 2));
+  cr_assert(DecisionAt(suspects, kStart + kSecond) ==
+            SuspectDecision::kServeWarily);
+  suspects.Add(kStart + kSecond, Report(kDigest, 3, 3));
+  const SuspectVerdict verdict = suspects.Judge(kStart + 2 * kSecond, kDigest);
+  cr_assert(verdict.decision == SuspectDecision::kReject);
+  cr_assert(verdict.crashes == 3);
+  cr_assert(verdict.retry_after > std::chrono::minutes(9));
+  cr_assert(suspects.Judge(kStart, {1, 3}).decision == SuspectDecision::kServe);
+}
+
+// Reports arrive again and in any order.
+Test(CrashSuspects, CountsEachSearcherOnce) {
+  CrashSuspects suspects{CrashSuspectOptions{}};
+  for (int i = 0; i < 5; ++i) {
+    suspects.Add(kStart, Report(kDigest, 2, 2));
+    suspects.Add(kStart, Report(kDigest, 1, 1));
+    suspects.Add(kStart, Report(kDigest, 3, 1));
+  }
+  cr_assert(suspects.Judge(kStart, kDigest).crashes == 2);
+}
+
+Test(CrashSuspects, CountsOnePartOfAQuery) {
+  CrashSuspects suspects{CrashSuspectOptions{}};
+  for (int shard = 0; shard < 20; ++shard) {
+    suspects.OnCrash(kStart,
+                     Report(kDigest, 1, 1, "s" + std::to_string(shard)));
+  }
+  cr_assert(suspects.Judge(kStart, kDigest).crashes == 1);
+  cr_assert(suspects.TakeDue(kStart + kSecond).size() == 1);
+}
+
+Test(CrashSuspects, ForgetsARequestThatIsAnswered) {
+  CrashSuspects suspects{CrashSuspectOptions{}};
+  suspects.OnCrash(kStart, Report(kDigest, 1, 1));
+  suspects.Add(kStart, Report(kDigest, 2, 2));
+  cr_assert(suspects.OnAnswered(kDigest).size() == 2);
+  cr_assert(DecisionAt(suspects, kStart) == SuspectDecision::kServe);
+  cr_assert(suspects.TakeDue(kStart + kSecond).empty());
+}
+
+Test(CrashSuspects, SendsOneCopyOfASuspectedRequestAtATime) {
+  CrashSuspects suspects{CrashSuspectOptions{}};
+  suspects.OnCrash(kStart, Report(kDigest, 1, 1));
+  cr_assert(suspects.Admit(kStart, kDigest).decision ==
+            SuspectDecision::kServeWarily);
+  const SuspectVerdict second = suspects.Admit(kStart, kDigest);
+  cr_assert(second.decision == SuspectDecision::kDefer);
+  cr_assert(second.retry_after > Duration::zero());
+  suspects.Release(kDigest);
+  cr_assert(suspects.Admit(kStart, kDigest).decision ==
+            SuspectDecision::kServeWarily);
+}
+
+// Searchers get repaired.
+Test(CrashSuspects, TriesARejectedRequestAgainAfterAWhile) {
+  CrashSuspects suspects{CrashSuspectOptions{}};
+  for (int i = 0; i < 3; ++i) {
+    suspects.OnCrash(kStart, Report(kDigest, i, i));
+  }
+  const TimePoint later = kStart + std::chrono::minutes(11);
+  cr_assert(DecisionAt(suspects, later) == SuspectDecision::kServeWarily);
+  suspects.OnCrash(later, Report(kDigest, 4, 4));
+  cr_assert(DecisionAt(suspects, later) == SuspectDecision::kReject);
+  cr_assert(suspects.Expire(later + std::chrono::hours(2)).size() == 4);
+  cr_assert(suspects.size() == 0);
+}
+
+// When many searchers end at once, whatever each of them had is not the cause.
+Test(CrashSuspects, SuspectsNoRequestWhenManySearchersEndAtOnce) {
+  CrashSuspects suspects{CrashSuspectOptions{}};
+  TimePoint now = kStart;
+  uint64_t refused = 0;
+  for (int wave = 0; wave < 5; ++wave) {
+    for (int searcher = 0; searcher < 30; ++searcher) {
+      for (uint64_t request = 0; request < 2; ++request) {
+        const auto id = static_cast<uint64_t>(searcher) * 2 + request;
+        suspects.OnCrash(now + Ms(searcher),
+                         Report({id, id}, wave, searcher + 100 * wave));
+      }
+    }
+    now += kSecond;
+    cr_assert(suspects.TakeDue(now).empty());
+    for (uint64_t id = 0; id < 60; ++id) {
+      refused +=
+          suspects.Judge(now, {id, id}).decision == SuspectDecision::kReject
+              ? 1
+              : 0;
+    }
+    now += 2 * kSecond;
+  }
+  cr_assert(refused == 0, "%lu requests were rejected", refused);
+}
+
+// A request that ends the searchers of all shards has no cause in common with
+// anything else.
+Test(CrashSuspects, SuspectsAQueryThatEndsTheSearchersOfManyShards) {
+  CrashSuspects suspects{CrashSuspectOptions{}};
+  for (int query = 0; query < 3; ++query) {
+    const TimePoint now = kStart + query * 3 * kSecond;
+    for (int shard = 0; shard < 20; ++shard) {
+      suspects.OnCrash(
+          now, Report(kDigest, query, query, "s" + std::to_string(shard)));
+    }
+    cr_assert(suspects.TakeDue(now + kSecond).size() == 1);
+  }
+  cr_assert(DecisionAt(suspects, kStart + 7 * kSecond) ==
+            SuspectDecision::kReject);
+}
+
+Test(CrashSuspects, KeepsABoundedNumberOfRequests) {
+  CrashSuspectOptions options;
+  options.max_digests = 100;
+  CrashSuspects suspects{options};
+  for (int i = 0; i < 1000; ++i) {
+    const auto id = static_cast<uint64_t>(i);
+    suspects.Add(kStart + Ms(i), Report({id, id}, i, i));
+  }
+  cr_assert(suspects.size() == 100);
+  cr_assert(suspects.Judge(kStart, {999, 999}).crashes == 1);
+}
+
+}  // namespace greengage
--- a/tests/harness/plan_fixture.h
+++ b/tests/harness/plan_fixture.h
@@ -41,13 +41,15 @@
   // Returns a plan that starts at `now`, for `route` in a table of its own.
   RequestPlan Plan(Route route,
                    std::chrono::milliseconds deadline,
-                   TimePoint now = kPlanStart) {
+                   TimePoint now = kPlanStart,
+                   AttemptPolicy policy = AttemptPolicy::kParallel) {
     route.path_prefix = "/";
     RouteTable::Builder builder;
     builder.Add(std::move(route));
     const RouteTablePtr table = *builder.Build();
-    return RequestPlan(now, table, &table->routes().front(), now + deadline,
-                       &context, [this] { return ++last_attempt; });
+    return RequestPlan(
+        now, table, &table->routes().front(), now + deadline, &context,
+        [this] { return ++last_attempt; }, policy);
   }
 
   // Makes each searcher of `service` reject `count` attempts.
--- a/tests/request_plan_test.cc
+++ b/tests/request_plan_test.cc
@@ -373,4 +373,53 @@
   cr_assert(first == 30);
 }
 
+// The request may be what ends the searchers.
+Test(RequestPlan, StopsAfterLossesAtAllShardsWithoutAnAnswer) {
+  PlanFixture fixture(20, 2);
+  RequestPlan plan = fixture.Plan(GatherRoute(20, 0.5), kDeadline);
+  const RequestActions started = plan.Start(kPlanStart);
+  size_t sent = started.sends.size();
+  for (const AttemptToSend& send : started.sends) {
+    sent += plan.OnAttemptEnded(kPlanStart + Ms(1), send.id,
+                                Ended(AttemptEnd::kLost))
+                .sends.size();
+  }
+  cr_assert(sent < 25, "%zu attempts", sent);
+}
+
+Test(RequestPlan, SendsTheFirstPartOfASuspectedQueryAlone) {
+  PlanFixture fixture(5, 2);
+  RequestPlan plan = fixture.Plan(GatherRoute(5, 1), kDeadline, kPlanStart,
+                                  AttemptPolicy::kOneAtATime);
+  const RequestActions started = plan.Start(kPlanStart);
+  cr_assert(started.sends.size() == 1);
+  const RequestActions answered = plan.OnAttemptEnded(
+      kPlanStart + Ms(5), started.sends[0].id, Ended(AttemptEnd::kAnswered));
+  cr_assert(answered.sends.size() == 4);
+  RequestActions last;
+  for (const AttemptToSend& send : answered.sends) {
+    last = plan.OnAttemptEnded(kPlanStart + Ms(9), send.id,
+                               Ended(AttemptEnd::kAnswered));
+  }
+  cr_assert(last.result->outcome == RequestOutcome::kMerged);
+  cr_assert(plan.RanWithoutLoss());
+}
+
+Test(RequestPlan, EndsASuspectedQueryWithItsFirstLoss) {
+  for (const Route& route :
+       {GatherRoute(5, 0.5), SingleRoute(RequestKind::kIdempotent)}) {
+    PlanFixture fixture(5, 2);
+    RequestPlan plan =
+        fixture.Plan(route, kDeadline, kPlanStart, AttemptPolicy::kOneAtATime);
+    const RequestActions started = plan.Start(kPlanStart);
+    cr_assert(started.sends.size() == 1);
+    cr_assert(plan.OnTimer(kPlanStart + Ms(200)).sends.empty());
+    const RequestActions lost = plan.OnAttemptEnded(
+        kPlanStart + Ms(5), started.sends[0].id, Ended(AttemptEnd::kLost));
+    cr_assert(lost.sends.empty());
+    cr_assert(lost.result->outcome == RequestOutcome::kUnknown);
+    cr_assert(!plan.RanWithoutLoss());
+  }
+}
+
 }  // namespace greengage
