--- a/include/greengage/coordination/crash_suspects.h
+++ b/include/greengage/coordination/crash_suspects.h
@@ -38,8 +38,8 @@
   Duration rejection_time = std::chrono::minutes(10);
   // Retry delay of a copy of a suspected request.
   Duration deferral_time = std::chrono::milliseconds(200);
-  // A report is shared this long after the end, when the ends of other
-  // searchers with the same cause are known too.
+  // Time after the end of a searcher in which the ends of others with the same
+  // cause become known.
   Duration settle_time = std::chrono::milliseconds(300);
   // If at least this many other searchers ended within `common_cause_time`
   // without having the request, it is not suspected.
@@ -51,6 +51,11 @@
   size_t max_digests = 4096;
 };
 
+struct CrashReportChanges {
+  std::vector<CrashReport> share;
+  std::vector<std::string> withdraw;  // Keys of shared reports.
+};
+
 // A request that ends each searcher that runs it would end all of them, since
 // its caller repeats it. A searcher that ends takes other requests with it, so
 // one report proves nothing; but only the cause is there each time, and a
@@ -63,15 +68,21 @@
  public:
   explicit CrashSuspects(CrashSuspectOptions options) : options_(options) {}
 
-  // Reports that a searcher ended at this instance.
-  void OnCrash(TimePoint now, const CrashReport& report);
+  // Reports that a searcher ended at this instance. `sent_to` are the ids of
+  // the searchers that the request was sent to. Some may end without a report,
+  // since the attempts that are left are cancelled when a request ends.
+  void OnCrash(TimePoint now,
+               const CrashReport& report,
+               std::vector<std::string> sent_to);
 
-  // Returns the reports of this instance that are due to be shared. Drops those
-  // that have a cause in common with the ends of other searchers.
-  std::vector<CrashReport> TakeDue(TimePoint now);
+  // Returns what this instance must share of its reports. Drops those that have
+  // a cause in common with the ends of other searchers, which may be known only
+  // after a report was shared. Must be called after OnCrash() and again once
+  // `settle_time` has passed.
+  CrashReportChanges TakeChanges(TimePoint now);
 
-  // Adds a report of another instance.
-  void Add(TimePoint now, const CrashReport& report);
+  // Adds a report of another instance. Returns false if it is known.
+  bool Add(TimePoint now, const CrashReport& report);
 
   // Removes a report that another instance has withdrawn.
   void Remove(const std::string& key);
@@ -103,6 +114,8 @@
   struct Crash {
     CrashReport report;
     TimePoint at;
+    std::vector<std::string> sent_to;
+    bool is_shared = false;
   };
 
   // Returns true if the entries have a report of another part of the same
@@ -116,8 +129,8 @@
   const CrashSuspectOptions options_;
   std::unordered_map<RequestDigest, Entries, RequestDigestHash> suspects_;
   std::unordered_set<RequestDigest, RequestDigestHash> under_way_;
-  std::vector<Crash> pending_;  // Not shared yet.
-  std::vector<Crash> recent_;   // All that this instance saw lately.
+  std::vector<Crash> unsettled_;  // Reports that may be dropped yet.
+  std::vector<Crash> recent_;     // All that this instance saw lately.
 };
 
 }  // namespace greengage
--- a/include/greengage/state/decision_event.h
+++ b/include/greengage/state/decision_event.h
@@ -33,6 +33,8 @@
   kSearcherLeaving,
   kSearcherLimit,
   kSearcherCrashed,
+  kRequestSuspected,
+  kRequestCleared,
   kRequestRefused,
   kAttempt,
   kRequestEnded,
--- a/include/greengage/transport/request_router.h
+++ b/include/greengage/transport/request_router.h
@@ -48,7 +48,9 @@
     std::function<bool()> forwards_gathers;
     // Runs for each searcher that ended while it had a request of this
     // instance.
-    std::function<void(const CrashReport&)> on_crash;
+    // The ids are those of all searchers that the request was sent to.
+    std::function<void(const CrashReport&, std::vector<std::string> sent_to)>
+        on_crash;
     // Runs for each request that searchers answered, after some had ended while
     // they had such a request. The keys are those of the reports.
     std::function<void(const std::vector<std::string>& keys)> on_cleared;
@@ -114,9 +116,10 @@
                       const AttemptToSend& sent,
                       const HttpCallResult& result);
   // Finds out whether the searcher of a lost attempt has ended.
-  void CheckForCrash(const ActiveRequest& active,
+  void CheckForCrash(std::shared_ptr<const ActiveRequest> active,
                      const RoutedSearcherPtr& searcher);
-  void OnSearcherCrashed(const CrashReport& report);
+  void OnSearcherCrashed(const ActiveRequest& active,
+                         const CrashReport& report);
   void OnCallerDisconnected(uint64_t number);
   void Answer(ActiveRequest& active, RequestResult result);
   void LogRequestEnd(const ActiveRequest& active,
--- a/src/coordination/crash_suspects.cc
+++ b/src/coordination/crash_suspects.cc
@@ -15,14 +15,16 @@
 
 }  // namespace
 
-void CrashSuspects::OnCrash(TimePoint now, const CrashReport& report) {
-  recent_.push_back({report, now});
+void CrashSuspects::OnCrash(TimePoint now,
+                            const CrashReport& report,
+                            std::vector<std::string> sent_to) {
+  recent_.push_back({report, now, sent_to});
   const auto found = suspects_.find(report.digest);
   if (found != suspects_.end() && HasOtherPart(found->second, report)) {
     return;
   }
   Add(now, report);
-  pending_.push_back({report, now});
+  unsettled_.push_back({report, now, std::move(sent_to)});
 }
 
 bool CrashSuspects::HasOtherPart(const Entries& entries,
@@ -34,51 +36,61 @@
   });
 }
 
-std::vector<CrashReport> CrashSuspects::TakeDue(TimePoint now) {
-  std::vector<CrashReport> due;
-  std::erase_if(pending_, [&](const Crash& crash) {
-    if (now - crash.at < options_.settle_time) {
-      return false;
-    }
+CrashReportChanges CrashSuspects::TakeChanges(TimePoint now) {
+  CrashReportChanges changes;
+  std::erase_if(unsettled_, [&](Crash& crash) {
+    const std::string key = KeyOf(crash.report);
     const auto found = suspects_.find(crash.report.digest);
-    const bool is_known =
-        found != suspects_.end() && found->second.contains(KeyOf(crash.report));
-    if (is_known && HasCommonCause(crash)) {
-      Remove(KeyOf(crash.report));
-    } else if (is_known) {
-      due.push_back(crash.report);
+    if (found == suspects_.end() || !found->second.contains(key)) {
+      return true;
+    }
+    if (HasCommonCause(crash)) {
+      Remove(key);
+      if (crash.is_shared) {
+        changes.withdraw.push_back(key);
+      }
+      return true;
     }
-    return true;
+    if (!std::exchange(crash.is_shared, true)) {
+      changes.share.push_back(crash.report);
+    }
+    return now - crash.at >= options_.settle_time;
   });
   std::erase_if(recent_, [&](const Crash& crash) {
     return now - crash.at >=
            options_.settle_time + 2 * options_.common_cause_time;
   });
-  return due;
+  return changes;
 }
 
 bool CrashSuspects::HasCommonCause(const Crash& crash) const {
-  std::set<std::pair<std::string, std::chrono::milliseconds>> had_it;
-  std::set<std::pair<std::string, std::chrono::milliseconds>> others;
+  std::set<std::string> had_it(crash.sent_to.begin(), crash.sent_to.end());
+  std::set<std::string> ended;
   for (const Crash& other : recent_) {
     const Duration apart =
         other.at > crash.at ? other.at - crash.at : crash.at - other.at;
-    if (apart <= options_.common_cause_time) {
-      (other.report.digest == crash.report.digest ? had_it : others)
-          .insert(ProcessOf(other.report));
+    if (apart > options_.common_cause_time) {
+      continue;
+    }
+    ended.insert(other.report.searcher);
+    if (other.report.digest == crash.report.digest) {
+      had_it.insert(other.sent_to.begin(), other.sent_to.end());
     }
   }
   const auto without_it = std::count_if(
-      others.begin(), others.end(),
-      [&](const auto& process) { return !had_it.contains(process); });
+      ended.begin(), ended.end(),
+      [&](const std::string& searcher) { return !had_it.contains(searcher); });
   return static_cast<size_t>(without_it) >= options_.common_cause_crashes;
 }
 
-void CrashSuspects::Add(TimePoint now, const CrashReport& report) {
-  suspects_[report.digest].try_emplace(KeyOf(report), Entry{report, now});
+bool CrashSuspects::Add(TimePoint now, const CrashReport& report) {
+  const bool is_new = suspects_[report.digest]
+                          .try_emplace(KeyOf(report), Entry{report, now})
+                          .second;
   if (suspects_.size() > options_.max_digests) {
     EvictOldest();
   }
+  return is_new;
 }
 
 void CrashSuspects::EvictOldest() {
--- a/src/routed_instance.cc
+++ b/src/routed_instance.cc
@@ -79,22 +79,22 @@
       context_, platform_.dialect,
       RequestRouter::Limits{settings_.http_in_flight}, &plan_context_,
       &suspects_, clients_, &metrics_,
-      RequestRouter::Hooks{[this] { return route_table_; },
-                           [this] { return rejecting_; },
-                           [this] { return RegistryAge(); },
-                           [this] { return !gatherers_.gathers_itself(); },
-                           [this](const CrashReport& report) {
-                             suspects_.OnCrash(Now(), report);
-                           },
-                           [this](const std::vector<std::string>& keys) {
-                             WithdrawCrashReports(keys);
-                           },
-                           [this](ForwardedQuery query,
-                                  const std::shared_ptr<HttpExchange>& exchange,
-                                  GatherForwarder::GatherHere gather_here) {
-                             forwarder_->Forward(std::move(query), exchange,
-                                                 std::move(gather_here));
-                           }});
+      RequestRouter::Hooks{
+          [this] { return route_table_; }, [this] { return rejecting_; },
+          [this] { return RegistryAge(); },
+          [this] { return !gatherers_.gathers_itself(); },
+          [this](const CrashReport& report, std::vector<std::string> sent_to) {
+            OnSearcherCrashed(report, std::move(sent_to));
+          },
+          [this](const std::vector<std::string>& keys) {
+            WithdrawCrashReports(keys);
+          },
+          [this](ForwardedQuery query,
+                 const std::shared_ptr<HttpExchange>& exchange,
+                 GatherForwarder::GatherHere gather_here) {
+            forwarder_->Forward(std::move(query), exchange,
+                                std::move(gather_here));
+          }});
   for (const auto& step : {&RoutedInstanceImpl::ListenForCallers,
                            &RoutedInstanceImpl::ListenForReadinessChecks,
                            &RoutedInstanceImpl::ListenForMetrics,
--- a/src/routed_instance_crash.cc
+++ b/src/routed_instance_crash.cc
@@ -36,7 +36,7 @@
     FeedObject object{
         FeedKind::kCrashReport, item.name, item.revision, item.removed, {}};
     if (item.value) {
-      suspects_.Add(Now(), *item.value);
+      UseCrashReport(*item.value, "store");
       object.value = *item.value;
     } else if (item.removed) {
       suspects_.Remove(item.name);
@@ -56,14 +56,40 @@
   feed_server_->OnCacheChanged();
 }
 
+void RoutedInstanceImpl::OnSearcherCrashed(const CrashReport& report,
+                                           std::vector<std::string> sent_to) {
+  suspects_.OnCrash(Now(), report, std::move(sent_to));
+  ShareCrashReports();
+}
+
 void RoutedInstanceImpl::ShareCrashReports() {
-  std::vector<CrashReport> due = suspects_.TakeDue(Now());
-  for (CrashReport& report : std::exchange(unshared_reports_, {})) {
-    due.push_back(std::move(report));
+  const CrashReportChanges changes = suspects_.TakeChanges(Now());
+  for (const CrashReport& report : std::exchange(unshared_reports_, {})) {
+    ShareCrashReport(report);
   }
-  for (const CrashReport& report : due) {
+  for (const CrashReport& report : changes.share) {
+    LogSuspect(report, "own");
     ShareCrashReport(report);
   }
+  WithdrawCrashReports(changes.withdraw);
+}
+
+void RoutedInstanceImpl::UseCrashReport(const CrashReport& report,
+                                        std::string_view source) {
+  if (suspects_.Add(Now(), report)) {
+    LogSuspect(report, source);
+  }
+}
+
+void RoutedInstanceImpl::LogSuspect(const CrashReport& report,
+                                    std::string_view source) {
+  LogLine(DecisionEvent::kRequestSuspected)
+      .Add("digest", ToString(report.digest))
+      .Add("request_id", report.request_id)
+      .Add("searcher", report.searcher)
+      .Add("crashes", suspects_.Judge(Now(), report.digest).crashes)
+      .Add("source", source)
+      .Write();
 }
 
 void RoutedInstanceImpl::ShareCrashReport(const CrashReport& report) {
@@ -83,6 +109,7 @@
     return std::find(keys.begin(), keys.end(), KeyOf(report)) != keys.end();
   });
   for (const std::string& key : keys) {
+    LogLine(DecisionEvent::kRequestCleared).Add("report", key).Write();
     platform_.crash_reports.remove(key, [](const Result<Done>&) {
       // A report that stays makes other instances treat the request warily
       // until they get an answer to it as well.
--- a/src/routed_instance_feed.cc
+++ b/src/routed_instance_feed.cc
@@ -338,7 +338,7 @@
                            !object.removed});
     } else if (object.kind == FeedKind::kCrashReport) {
       if (const auto* report = std::get_if<CrashReport>(&object.value)) {
-        suspects_.Add(Now(), *report);
+        UseCrashReport(*report, "peer");
       } else if (object.removed) {
         suspects_.Remove(object.name);
       }
--- a/src/routed_instance_impl.h
+++ b/src/routed_instance_impl.h
@@ -119,6 +119,10 @@
                             StoreRevision revision,
                             bool is_snapshot);
   void StartCrashReportWatch();
+  void OnSearcherCrashed(const CrashReport& report,
+                         std::vector<std::string> sent_to);
+  void UseCrashReport(const CrashReport& report, std::string_view source);
+  void LogSuspect(const CrashReport& report, std::string_view source);
   void ShareCrashReports();
   void ShareCrashReport(const CrashReport& report);
   void WithdrawCrashReports(const std::vector<std::string>& keys);
--- a/src/state/decision_event.cc
+++ b/src/state/decision_event.cc
@@ -75,6 +75,14 @@
        "A searcher ended while it had this request: it closed the connection "
        "without an answer and no process listens at its address. The digest is "
        "the same for all repeats of the request."},
+      {kRequestSuspected, "request_suspected", LogLevel::kWarning,
+       "digest, request_id, searcher, crashes, source",
+       "Another instance reported that a searcher ended while it had such a "
+       "request, or this one shares its report. From three on, such requests "
+       "are refused."},
+      {kRequestCleared, "request_cleared", LogLevel::kInfo, "report",
+       "A report that a searcher ended while it had a request is withdrawn: "
+       "such a request was answered, or the report is too old."},
       {kRequestRefused, "request_refused", LogLevel::kInfo,
        "request_id, cause, subject, detail",
        "A request was refused before any searcher was asked."},
--- a/src/transport/http_client_connection.cc
+++ b/src/transport/http_client_connection.cc
@@ -122,6 +122,14 @@
   return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool HttpClientConnection::IsClosedByPeer() {
+  char next = 0;
+  const ssize_t size = recv(socket_.native_handle(), &next, sizeof(next),
+                            MSG_PEEK | MSG_DONTWAIT);
+  return closed_ || size == 0 ||
+         (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 void HttpClientConnection::Send(const HttpCall& call, const std::string& host) {
   request_ = Request();
   request_.version(kHttp11);
--- a/src/transport/http_client_connection.h
+++ b/src/transport/http_client_connection.h
@@ -52,6 +52,10 @@
   // if the peer has closed it or has sent unexpected bytes.
   bool IsUsable();
 
+  // Returns true if the peer has closed the connection, whether or not this was
+  // read yet.
+  bool IsClosedByPeer();
+
   // Starts a call on an idle connection.
   void Send(const HttpCall& call, const std::string& host);
 
--- a/src/transport/http_client_pool.cc
+++ b/src/transport/http_client_pool.cc
@@ -78,8 +78,7 @@
   const bool is_open = std::any_of(
       connections_.begin(), connections_.end(), [](const auto& item) {
         const Connection& connection = item.second;
-        return !connection.connecting && !connection.http->closed() &&
-               (connection.call != 0 || connection.http->IsUsable());
+        return !connection.connecting && !connection.http->IsClosedByPeer();
       });
   if (is_open) {
     EndServerChecks(ServerState::kListening);
--- a/src/transport/request_router.cc
+++ b/src/transport/request_router.cc
@@ -431,27 +431,29 @@
   }
   if (outcome.end == AttemptEnd::kLost && !result.response &&
       result.response.last_reason().kind == FailureKind::kConnectionClosed) {
-    CheckForCrash(*found->second, sent.searcher);
+    CheckForCrash(found->second, sent.searcher);
   }
   ExecuteActions(number, found->second->plan->OnAttemptEnded(
                              Now(), sent.id, std::move(outcome)));
 }
 
-void RequestRouter::CheckForCrash(const ActiveRequest& active,
+void RequestRouter::CheckForCrash(std::shared_ptr<const ActiveRequest> active,
                                   const RoutedSearcherPtr& searcher) {
   const SearcherEntry& entry = searcher->entry();
-  CrashReport report{active.digest, active.caller.id, entry.service, entry.id,
+  CrashReport report{active->digest, active->caller.id, entry.service, entry.id,
                      entry.started};
-  clients_->CheckEnded(*searcher, [weak = weak_from_this(),
-                                   report = std::move(report)](bool ended) {
-    const auto self = weak.lock();
-    if (self && ended) {
-      self->OnSearcherCrashed(report);
-    }
-  });
+  clients_->CheckEnded(*searcher,
+                       [weak = weak_from_this(), active = std::move(active),
+                        report = std::move(report)](bool ended) {
+                         const auto self = weak.lock();
+                         if (self && ended) {
+                           self->OnSearcherCrashed(*active, report);
+                         }
+                       });
 }
 
-void RequestRouter::OnSearcherCrashed(const CrashReport& report) {
+void RequestRouter::OnSearcherCrashed(const ActiveRequest& active,
+                                      const CrashReport& report) {
   metrics_->searchers_crashed.Add();
   LogLine(DecisionEvent::kSearcherCrashed)
       .Add("request_id", report.request_id)
@@ -460,7 +462,11 @@
       .Add("searcher", report.searcher)
       .Add("started_ms", report.started.count())
       .Write();
-  hooks_.on_crash(report);
+  std::vector<std::string> sent_to;
+  for (const AttemptRecord& attempt_record : active.attempt_records) {
+    sent_to.push_back(attempt_record.searcher);
+  }
+  hooks_.on_crash(report, std::move(sent_to));
 }
 
 void RequestRouter::OnCallerDisconnected(uint64_t number) {
--- a/tests/crash_suspects_test.cc
+++ b/tests/crash_suspects_test.cc
@@ -1,5 +1,6 @@
 #include "greengage/coordination/crash_suspects.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <string>
@@ -24,6 +25,12 @@
           service + "/" + std::to_string(searcher), Ms(searcher)};
 }
 
+void OnCrash(CrashSuspects& suspects,
+             TimePoint now,
+             const CrashReport& report) {
+  suspects.OnCrash(now, report, {report.searcher});
+}
+
 SuspectDecision DecisionAt(const CrashSuspects& suspects, TimePoint now) {
   return suspects.Judge(now, kDigest).decision;
 }
@@ -33,8 +40,8 @@
 Test(CrashSuspects, RejectsARequestThatEndedThreeSearchers) {
   CrashSuspects suspects{CrashSuspectOptions{}};
   cr_assert(DecisionAt(suspects, kStart) == SuspectDecision::kServe);
-  suspects.OnCrash(kStart, Report(kDigest, 1, 1));
-  suspects.OnCrash(kStart + kSecond, Report(kDigest, 2, 2));
+  OnCrash(suspects, kStart, Report(kDigest, 1, 1));
+  OnCrash(suspects, kStart + kSecond, Report(kDigest, 2, 2));
   cr_assert(DecisionAt(suspects, kStart + kSecond) ==
             SuspectDecision::kServeWarily);
   suspects.Add(kStart + kSecond, Report(kDigest, 3, 3));
@@ -59,25 +66,25 @@
 Test(CrashSuspects, CountsOnePartOfAQuery) {
   CrashSuspects suspects{CrashSuspectOptions{}};
   for (int shard = 0; shard < 20; ++shard) {
-    suspects.OnCrash(kStart,
-                     Report(kDigest, 1, 1, "s" + std::to_string(shard)));
+    OnCrash(suspects, kStart,
+            Report(kDigest, 1, 1, "s" + std::to_string(shard)));
   }
   cr_assert(suspects.Judge(kStart, kDigest).crashes == 1);
-  cr_assert(suspects.TakeDue(kStart + kSecond).size() == 1);
+  cr_assert(suspects.TakeChanges(kStart + kSecond).share.size() == 1);
 }
 
 Test(CrashSuspects, ForgetsARequestThatIsAnswered) {
   CrashSuspects suspects{CrashSuspectOptions{}};
-  suspects.OnCrash(kStart, Report(kDigest, 1, 1));
+  OnCrash(suspects, kStart, Report(kDigest, 1, 1));
   suspects.Add(kStart, Report(kDigest, 2, 2));
   cr_assert(suspects.OnAnswered(kDigest).size() == 2);
   cr_assert(DecisionAt(suspects, kStart) == SuspectDecision::kServe);
-  cr_assert(suspects.TakeDue(kStart + kSecond).empty());
+  cr_assert(suspects.TakeChanges(kStart + kSecond).share.empty());
 }
 
 Test(CrashSuspects, SendsOneCopyOfASuspectedRequestAtATime) {
   CrashSuspects suspects{CrashSuspectOptions{}};
-  suspects.OnCrash(kStart, Report(kDigest, 1, 1));
+  OnCrash(suspects, kStart, Report(kDigest, 1, 1));
   cr_assert(suspects.Admit(kStart, kDigest).decision ==
             SuspectDecision::kServeWarily);
   const SuspectVerdict second = suspects.Admit(kStart, kDigest);
@@ -92,11 +99,11 @@
 Test(CrashSuspects, TriesARejectedRequestAgainAfterAWhile) {
   CrashSuspects suspects{CrashSuspectOptions{}};
   for (int i = 0; i < 3; ++i) {
-    suspects.OnCrash(kStart, Report(kDigest, i, i));
+    OnCrash(suspects, kStart, Report(kDigest, i, i));
   }
   const TimePoint later = kStart + std::chrono::minutes(11);
   cr_assert(DecisionAt(suspects, later) == SuspectDecision::kServeWarily);
-  suspects.OnCrash(later, Report(kDigest, 4, 4));
+  OnCrash(suspects, later, Report(kDigest, 4, 4));
   cr_assert(DecisionAt(suspects, later) == SuspectDecision::kReject);
   cr_assert(suspects.Expire(later + std::chrono::hours(2)).size() == 4);
   cr_assert(suspects.size() == 0);
@@ -111,12 +118,12 @@
     for (int searcher = 0; searcher < 30; ++searcher) {
       for (uint64_t request = 0; request < 2; ++request) {
         const auto id = static_cast<uint64_t>(searcher) * 2 + request;
-        suspects.OnCrash(now + Ms(searcher),
-                         Report({id, id}, wave, searcher + 100 * wave));
+        OnCrash(suspects, now + Ms(searcher),
+                Report({id, id}, wave, searcher + 100 * wave));
       }
     }
     now += kSecond;
-    cr_assert(suspects.TakeDue(now).empty());
+    cr_assert(suspects.TakeChanges(now).share.empty());
     for (uint64_t id = 0; id < 60; ++id) {
       refused +=
           suspects.Judge(now, {id, id}).decision == SuspectDecision::kReject
@@ -128,6 +135,21 @@
   cr_assert(refused == 0, "%lu requests were rejected", refused);
 }
 
+// The first reports are shared before the ends of the other searchers are
+// known.
+Test(CrashSuspects, WithdrawsReportsOnceACommonCauseIsKnown) {
+  CrashSuspects suspects{CrashSuspectOptions{}};
+  OnCrash(suspects, kStart, Report(kDigest, 1, 1));
+  cr_assert(suspects.TakeChanges(kStart).share.size() == 1);
+  for (int searcher = 2; searcher < 6; ++searcher) {
+    const auto id = static_cast<uint64_t>(searcher);
+    OnCrash(suspects, kStart + Ms(10), Report({id, id}, searcher, searcher));
+  }
+  const CrashReportChanges changes = suspects.TakeChanges(kStart + Ms(20));
+  cr_assert(changes.share.empty() && changes.withdraw.size() == 1);
+  cr_assert(DecisionAt(suspects, kStart + Ms(20)) == SuspectDecision::kServe);
+}
+
 // A request that ends the searchers of all shards has no cause in common with
 // anything else.
 Test(CrashSuspects, SuspectsAQueryThatEndsTheSearchersOfManyShards) {
@@ -135,15 +157,33 @@
   for (int query = 0; query < 3; ++query) {
     const TimePoint now = kStart + query * 3 * kSecond;
     for (int shard = 0; shard < 20; ++shard) {
-      suspects.OnCrash(
-          now, Report(kDigest, query, query, "s" + std::to_string(shard)));
+      OnCrash(suspects, now,
+              Report(kDigest, query, query, "s" + std::to_string(shard)));
     }
-    cr_assert(suspects.TakeDue(now + kSecond).size() == 1);
+    cr_assert(suspects.TakeChanges(now + kSecond).share.size() == 1);
   }
   cr_assert(DecisionAt(suspects, kStart + 7 * kSecond) ==
             SuspectDecision::kReject);
 }
 
+// A query that is lost cancels its other attempts, and leaves reports of these
+// searchers to the requests that ended with them.
+Test(CrashSuspects, SuspectsAQueryWhoseOtherAttemptsWereCancelled) {
+  CrashSuspects suspects{CrashSuspectOptions{}};
+  std::vector<std::string> sent_to;
+  for (int shard = 0; shard < 20; ++shard) {
+    const std::string service = "s" + std::to_string(shard);
+    sent_to.push_back(service + "/1");
+    OnCrash(suspects, kStart, Report({7, 7}, 9, 1, service));
+  }
+  suspects.OnCrash(kStart, Report(kDigest, 1, 1), sent_to);
+  const std::vector<CrashReport> due =
+      suspects.TakeChanges(kStart + kSecond).share;
+  cr_assert(std::any_of(due.begin(), due.end(), [](const CrashReport& report) {
+    return report.digest == kDigest;
+  }));
+}
+
 Test(CrashSuspects, KeepsABoundedNumberOfRequests) {
   CrashSuspectOptions options;
   options.max_digests = 100;
