Count a crash whatever other searchers end, if the request was lost everywhere

Cause: a query that ends the searchers of all shards comes again at another instance within a second and ends their replicas. Each instance then saw the ends of searchers that its own copy had not reached, and dropped its report as having a common cause.

A request that lost several attempts and got no answer is suspected whatever else ends, and so is one under which a searcher ended before. Two tests of CrashSuspects failed before.

--- a/include/greengage/coordination/crash_suspects.h
+++ b/include/greengage/coordination/crash_suspects.h
@@ -42,7 +42,8 @@
   // cause become known.
   Duration settle_time = std::chrono::milliseconds(300);
   // If at least this many other searchers ended within `common_cause_time`
-  // without having the request, it is not suspected.
+  // without having the request, it is not suspected, unless each searcher ended
+  // that had it, or searchers have ended under it before.
   size_t common_cause_crashes = 3;
   Duration common_cause_time = std::chrono::seconds(1);
   // How long a report is kept.
@@ -51,6 +52,15 @@
   size_t max_digests = 4096;
 };
 
+// What became of a request under which a searcher ended.
+struct CrashedRequest {
+  // Ids of the searchers that it was sent to. Some may end without a report,
+  // since the attempts that are left are cancelled when a request ends.
+  std::vector<std::string> sent_to;
+  // Several attempts were lost, and no searcher answered.
+  bool lost_everywhere = false;
+};
+
 struct CrashReportChanges {
   std::vector<CrashReport> share;
   std::vector<std::string> withdraw;  // Keys of shared reports.
@@ -68,12 +78,10 @@
  public:
   explicit CrashSuspects(CrashSuspectOptions options) : options_(options) {}
 
-  // Reports that a searcher ended at this instance. `sent_to` are the ids of
-  // the searchers that the request was sent to. Some may end without a report,
-  // since the attempts that are left are cancelled when a request ends.
+  // Reports that a searcher ended at this instance.
   void OnCrash(TimePoint now,
                const CrashReport& report,
-               std::vector<std::string> sent_to);
+               CrashedRequest request);
 
   // Returns what this instance must share of its reports. Drops those that have
   // a cause in common with the ends of other searchers, which may be known only
@@ -114,7 +122,7 @@
   struct Crash {
     CrashReport report;
     TimePoint at;
-    std::vector<std::string> sent_to;
+    CrashedRequest request;
     bool is_shared = false;
   };
 
@@ -124,6 +132,8 @@
   static size_t CountCrashes(const Entries& entries);
   static TimePoint Latest(const Entries& entries);
   bool HasCommonCause(const Crash& crash) const;
+  // Returns true if searchers ended under such requests some time before.
+  bool HasEarlierReport(const Crash& crash) const;
   void EvictOldest();
 
   const CrashSuspectOptions options_;
--- a/include/greengage/transport/request_router.h
+++ b/include/greengage/transport/request_router.h
@@ -48,9 +48,7 @@
     std::function<bool()> forwards_gathers;
     // Runs for each searcher that ended while it had a request of this
     // instance.
-    // The ids are those of all searchers that the request was sent to.
-    std::function<void(const CrashReport&, std::vector<std::string> sent_to)>
-        on_crash;
+    std::function<void(const CrashReport&, CrashedRequest)> on_crash;
     // Runs for each request that searchers answered, after some had ended while
     // they had such a request. The keys are those of the reports.
     std::function<void(const std::vector<std::string>& keys)> on_cleared;
--- a/src/coordination/crash_suspects.cc
+++ b/src/coordination/crash_suspects.cc
@@ -17,14 +17,14 @@
 
 void CrashSuspects::OnCrash(TimePoint now,
                             const CrashReport& report,
-                            std::vector<std::string> sent_to) {
-  recent_.push_back({report, now, sent_to});
+                            CrashedRequest request) {
+  recent_.push_back({report, now, request});
   const auto found = suspects_.find(report.digest);
   if (found != suspects_.end() && HasOtherPart(found->second, report)) {
     return;
   }
   Add(now, report);
-  unsettled_.push_back({report, now, std::move(sent_to)});
+  unsettled_.push_back({report, now, std::move(request)});
 }
 
 bool CrashSuspects::HasOtherPart(const Entries& entries,
@@ -63,8 +63,24 @@
   return changes;
 }
 
+bool CrashSuspects::HasEarlierReport(const Crash& crash) const {
+  const auto found = suspects_.find(crash.report.digest);
+  return found != suspects_.end() &&
+         std::any_of(
+             found->second.begin(), found->second.end(), [&](const auto& item) {
+               return item.second.at + options_.common_cause_time < crash.at;
+             });
+}
+
+// Several instances may have repeats of a request at the same time, which end
+// different searchers. So the ends of others say little about a request that
+// was lost everywhere.
 bool CrashSuspects::HasCommonCause(const Crash& crash) const {
-  std::set<std::string> had_it(crash.sent_to.begin(), crash.sent_to.end());
+  if (crash.request.lost_everywhere || HasEarlierReport(crash)) {
+    return false;
+  }
+  std::set<std::string> had_it(crash.request.sent_to.begin(),
+                               crash.request.sent_to.end());
   std::set<std::string> ended;
   for (const Crash& other : recent_) {
     const Duration apart =
@@ -74,7 +90,7 @@
     }
     ended.insert(other.report.searcher);
     if (other.report.digest == crash.report.digest) {
-      had_it.insert(other.sent_to.begin(), other.sent_to.end());
+      had_it.insert(other.request.sent_to.begin(), other.request.sent_to.end());
     }
   }
   const auto without_it = std::count_if(
--- a/src/coordination/request_plan.cc
+++ b/src/coordination/request_plan.cc
@@ -274,15 +274,18 @@
   if (!idempotent_ && (part.may_have_run || part.in_flight > 0)) {
     return false;
   }
-  const uint32_t max_losses =
-      policy_ == AttemptPolicy::kOneAtATime ? 1 : kMaxLossesWithoutAnswer;
-  if (losses_ >= max_losses && answers_ == 0) {
+  if (WasLostEverywhere() ||
+      (policy_ == AttemptPolicy::kOneAtATime && losses_ > 0 && answers_ == 0)) {
     return false;
   }
   return part.may_have_run_count < route_->max_attempts &&
          part.sent_count < route_->max_attempts + kExtraRejectedAttempts;
 }
 
+bool RequestPlan::WasLostEverywhere() const {
+  return answers_ == 0 && losses_ >= kMaxLossesWithoutAnswer;
+}
+
 bool RequestPlan::MayHedge() const {
   return idempotent_ && policy_ == AttemptPolicy::kParallel;
 }
--- a/src/routed_instance.cc
+++ b/src/routed_instance.cc
@@ -83,8 +83,8 @@
           [this] { return route_table_; }, [this] { return rejecting_; },
           [this] { return RegistryAge(); },
           [this] { return !gatherers_.gathers_itself(); },
-          [this](const CrashReport& report, std::vector<std::string> sent_to) {
-            OnSearcherCrashed(report, std::move(sent_to));
+          [this](const CrashReport& report, CrashedRequest request) {
+            OnSearcherCrashed(report, std::move(request));
           },
           [this](const std::vector<std::string>& keys) {
             WithdrawCrashReports(keys);
--- a/src/routed_instance_crash.cc
+++ b/src/routed_instance_crash.cc
@@ -57,8 +57,8 @@
 }
 
 void RoutedInstanceImpl::OnSearcherCrashed(const CrashReport& report,
-                                           std::vector<std::string> sent_to) {
-  suspects_.OnCrash(Now(), report, std::move(sent_to));
+                                           CrashedRequest request) {
+  suspects_.OnCrash(Now(), report, std::move(request));
   ShareCrashReports();
 }
 
--- a/src/routed_instance_impl.h
+++ b/src/routed_instance_impl.h
@@ -119,8 +119,7 @@
                             StoreRevision revision,
                             bool is_snapshot);
   void StartCrashReportWatch();
-  void OnSearcherCrashed(const CrashReport& report,
-                         std::vector<std::string> sent_to);
+  void OnSearcherCrashed(const CrashReport& report, CrashedRequest request);
   void UseCrashReport(const CrashReport& report, std::string_view source);
   void LogSuspect(const CrashReport& report, std::string_view source);
   void ShareCrashReports();
--- a/src/transport/request_router.cc
+++ b/src/transport/request_router.cc
@@ -462,11 +462,12 @@
       .Add("searcher", report.searcher)
       .Add("started_ms", report.started.count())
       .Write();
-  std::vector<std::string> sent_to;
+  CrashedRequest request;
+  request.lost_everywhere = active.plan->WasLostEverywhere();
   for (const AttemptRecord& attempt_record : active.attempt_records) {
-    sent_to.push_back(attempt_record.searcher);
+    request.sent_to.push_back(attempt_record.searcher);
   }
-  hooks_.on_crash(report, std::move(sent_to));
+  hooks_.on_crash(report, std::move(request));
 }
 
 void RequestRouter::OnCallerDisconnected(uint64_t number) {
--- a/tests/crash_suspects_test.cc
+++ b/tests/crash_suspects_test.cc
@@ -28,7 +28,7 @@
 void OnCrash(CrashSuspects& suspects,
              TimePoint now,
              const CrashReport& report) {
-  suspects.OnCrash(now, report, {report.searcher});
+  suspects.OnCrash(now, report, {{report.searcher}});
 }
 
 SuspectDecision DecisionAt(const CrashSuspects& suspects, TimePoint now) {
@@ -176,7 +176,7 @@
     sent_to.push_back(service + "/1");
     OnCrash(suspects, kStart, Report({7, 7}, 9, 1, service));
   }
-  suspects.OnCrash(kStart, Report(kDigest, 1, 1), sent_to);
+  suspects.OnCrash(kStart, Report(kDigest, 1, 1), {sent_to});
   const std::vector<CrashReport> due =
       suspects.TakeChanges(kStart + kSecond).share;
   cr_assert(std::any_of(due.begin(), due.end(), [](const CrashReport& report) {
@@ -184,6 +184,34 @@
   }));
 }
 
+// A repeat at another instance ends the other searchers of the shards at the
+// same time.
+Test(CrashSuspects, SuspectsAQueryWhoseRepeatEndsOtherSearchers) {
+  CrashSuspects suspects{CrashSuspectOptions{}};
+  suspects.OnCrash(kStart, Report(kDigest, 1, 1), {{"s0/1"}, true});
+  for (int shard = 0; shard < 20; ++shard) {
+    OnCrash(suspects, kStart,
+            Report({7, 7}, 9, 2, "s" + std::to_string(shard)));
+  }
+  (void)suspects.TakeChanges(kStart + kSecond);
+  cr_assert(DecisionAt(suspects, kStart) == SuspectDecision::kServeWarily);
+}
+
+// The second and third searcher may end while others do.
+Test(CrashSuspects, CountsALaterEndWhateverElseEnds) {
+  CrashSuspects suspects{CrashSuspectOptions{}};
+  OnCrash(suspects, kStart, Report(kDigest, 1, 1));
+  (void)suspects.TakeChanges(kStart + kSecond);
+  const TimePoint later = kStart + 5 * kSecond;
+  for (int searcher = 2; searcher < 9; ++searcher) {
+    const auto id = static_cast<uint64_t>(searcher);
+    OnCrash(suspects, later, Report({id, id}, searcher, searcher));
+  }
+  OnCrash(suspects, later, Report(kDigest, 2, 9));
+  (void)suspects.TakeChanges(later + kSecond);
+  cr_assert(suspects.Judge(later, kDigest).crashes == 2);
+}
+
 Test(CrashSuspects, KeepsABoundedNumberOfRequests) {
   CrashSuspectOptions options;
   options.max_digests = 100;
