--- a/tests/harness/raw_server.cc
+++ b/tests/harness/raw_server.cc
@@ -55,6 +55,11 @@
 void RawServer::Stop() {
   boost::system::error_code ignored;
   acceptor_.close(ignored);
+  CloseConnections();
+}
+
+void RawServer::CloseConnections() {
+  boost::system::error_code ignored;
   for (const std::weak_ptr<Session>& weak : sessions_) {
     if (const auto session = weak.lock()) {
       session->socket.close(ignored);
@@ -68,6 +73,14 @@
       return;
     }
     ++self->accepted_;
+    boost::system::error_code gone;
+    const auto client = socket.remote_endpoint(gone);
+    if (gone || (self->admits_ && !self->admits_(client.port()))) {
+      socket.set_option(asio::socket_base::linger(true, 0), gone);
+      socket.close(gone);
+      self->Accept();
+      return;
+    }
     const auto session = std::make_shared<Session>(std::move(socket));
     self->sessions_.push_back(session);
     self->ReadHead(session);
--- /dev/null
+++ b/tests/harness/tcp_owner.h
@@ -0,0 +1,16 @@
+// Finds out which process a TCP connection on this machine belongs to.
+#ifndef GREENGAGE_TESTS_HARNESS_TCP_OWNER_H_
+#define GREENGAGE_TESTS_HARNESS_TCP_OWNER_H_
+
+#include <sys/types.h>
+
+#include <cstdint>
+
+namespace greengage {
+
+// Returns true if `process` has an IPv4 connection from the local `port`.
+bool OwnsTcpPort(pid_t process, uint16_t port);
+
+}  // namespace greengage
+
+#endif  // GREENGAGE_TESTS_HARNESS_TCP_OWNER_H_
