Serve the requests of an instance without a way to the searchers through its peers

Cause: an instance took its own view for that of all. It looked for other searchers, never for another way.

An instance now counts as cut off if at least as many searchers cannot be reached from it as answered in the last second (SearcherReach). It then offers requests of all kinds to peers, those of its own data centre first, over one hop: a peer that is cut off too refuses, so that the loss of the searchers is told from the loss of the way. What was sent to a peer that is then lost is not sent again, as before. Trial connections find the end of the cut; three each half second.

--- a/include/greengage/coordination/gatherers.h
+++ b/include/greengage/coordination/gatherers.h
@@ -38,7 +38,9 @@
   explicit GathererChooser(std::string self_id)
       : self_id_(std::move(self_id)), backoff_(PeerBackoffOptions{}) {}
 
-  void SetGatherers(std::vector<InstanceRecord> gatherers);
+  // `others` are chosen only while no gatherer is usable.
+  void SetGatherers(std::vector<InstanceRecord> gatherers,
+                    std::vector<InstanceRecord> others = {});
 
   // Returns true if this instance gathers its own queries: it is a gatherer, or
   // there is none.
@@ -65,7 +67,13 @@
   size_t InFlight(const std::string& gatherer) const;
 
   const std::string self_id_;
+  std::vector<const InstanceRecord*> Usable(
+      TimePoint now,
+      const std::vector<InstanceRecord>& among,
+      const std::vector<std::string>& tried) const;
+
   std::vector<InstanceRecord> gatherers_;
+  std::vector<InstanceRecord> others_;
   bool gathers_itself_ = true;
   std::map<std::string, size_t> in_flight_;
   PeerBackoff backoff_;
--- a/include/greengage/state/decision_event.h
+++ b/include/greengage/state/decision_event.h
@@ -32,6 +32,8 @@
   kSearcherAdded,
   kSearcherLeaving,
   kSearcherLimit,
+  kSearchersUnreachable,
+  kSearchersReachedAgain,
   kSearcherCrashed,
   kRequestSuspected,
   kRequestCleared,
--- a/include/greengage/transport/gather_forwarder.h
+++ b/include/greengage/transport/gather_forwarder.h
@@ -79,8 +79,10 @@
         on_failed;
   };
 
-  // `chooser` and `random` must outlive the forwarder.
+  // `chooser` and `random` must outlive the forwarder. Each query is offered to
+  // at most `max_peers` peers.
   GatherForwarder(boost::asio::io_context& context,
+                  size_t max_peers,
                   GathererChooser* chooser,
                   std::minstd_rand* random,
                   Hooks hooks);
@@ -98,6 +100,7 @@
   std::shared_ptr<HttpClient> ClientFor(const Endpoint& endpoint);
 
   boost::asio::io_context& context_;
+  const size_t max_peers_;
   GathererChooser* const chooser_;
   std::minstd_rand* const random_;
   const Hooks hooks_;
--- a/include/greengage/transport/request_router.h
+++ b/include/greengage/transport/request_router.h
@@ -17,6 +17,7 @@
 
 #include "greengage/coordination/crash_suspects.h"
 #include "greengage/coordination/request_plan.h"
+#include "greengage/coordination/searcher_reach.h"
 #include "greengage/protocol/call_dialect.h"
 #include "greengage/protocol/routed_call_codec.h"
 #include "greengage/state/crash_report.h"
@@ -34,9 +35,14 @@
     std::chrono::milliseconds(200);
 
 // Not thread-safe: all members run on the single thread of the io_context. The
-// plan context, the suspects and the metrics must outlive the router.
+// plan context, the suspects, the reach and the metrics must outlive the
+// router.
 class RequestRouter : public std::enable_shared_from_this<RequestRouter> {
  public:
+  using ForwardHook = std::function<void(ForwardedQuery,
+                                         const std::shared_ptr<HttpExchange>&,
+                                         GatherForwarder::GatherHere)>;
+
   struct Hooks {
     // Returns the active routes, or null if there are none yet.
     std::function<RouteTablePtr()> active_routes;
@@ -52,11 +58,10 @@
     // Runs for each request that searchers answered, after some had ended while
     // they had such a request. The keys are those of the reports.
     std::function<void(const std::vector<std::string>& keys)> on_cleared;
-    // Forwards a query, as GatherForwarder::Forward() does.
-    std::function<void(ForwardedQuery,
-                       const std::shared_ptr<HttpExchange>&,
-                       GatherForwarder::GatherHere)>
-        forward;
+    // Forward a request to a gatherer, or to any peer, as
+    // GatherForwarder::Forward() does.
+    ForwardHook forward_to_gatherer;
+    ForwardHook forward_to_peer;
   };
 
   struct Limits {
@@ -68,6 +73,7 @@
                 Limits limits,
                 RequestPlanContext* plans,
                 CrashSuspects* suspects,
+                SearcherReach* reach,
                 std::shared_ptr<SearcherClients> clients,
                 RoutedMetrics* metrics,
                 Hooks hooks);
@@ -76,7 +82,7 @@
   void Handle(HttpRequest request,
               const std::shared_ptr<HttpExchange>& exchange);
 
-  // Handles a query that another instance forwarded. It is gathered here, or
+  // Handles a request that another instance forwarded. It is served here, or
   // refused with kForwardRefusedStatus.
   void HandleForwarded(HttpRequest request,
                        const std::shared_ptr<HttpExchange>& exchange);
@@ -103,11 +109,33 @@
                     RouteTablePtr table,
                     const Route* route,
                     Origin origin);
-  void ForwardGather(HttpRequest request,
-                     CallerRequest caller,
-                     const std::shared_ptr<HttpExchange>& exchange,
-                     const RouteTablePtr& table,
-                     const Route* route);
+  // Serves the request here, or through a peer if the searchers cannot be
+  // reached from here.
+  void Serve(HttpRequest request,
+             CallerRequest caller,
+             const std::shared_ptr<HttpExchange>& exchange,
+             const RouteTablePtr& table,
+             const Route* route);
+  using Continue = void (RequestRouter::*)(HttpRequest,
+                                           CallerRequest,
+                                           const std::shared_ptr<HttpExchange>&,
+                                           const RouteTablePtr&,
+                                           const Route*);
+  // Forwards the request. If no peer takes it, continues with `otherwise`.
+  void Forward(HttpRequest request,
+               CallerRequest caller,
+               const std::shared_ptr<HttpExchange>& exchange,
+               const RouteTablePtr& table,
+               const Route* route,
+               const ForwardHook& forward,
+               Continue otherwise);
+  // Serves a request here that no peer could serve.
+  void ServeAfterRefusal(HttpRequest request,
+                         CallerRequest caller,
+                         const std::shared_ptr<HttpExchange>& exchange,
+                         const RouteTablePtr& table,
+                         const Route* route);
+  void RecordReach(const AttemptToSend& sent, const HttpCallResult& result);
   void ExecuteActions(uint64_t number, RequestActions actions);
   void SendAttempt(ActiveRequest& active, const AttemptToSend& send);
   void OnAttemptEnded(uint64_t number,
@@ -146,6 +174,7 @@
   const Limits limits_;
   RequestPlanContext* const plans_;
   CrashSuspects* const suspects_;
+  SearcherReach* const reach_;
   const std::shared_ptr<SearcherClients> clients_;
   RoutedMetrics* const metrics_;
   const Hooks hooks_;
--- a/src/coordination/gatherers.cc
+++ b/src/coordination/gatherers.cc
@@ -56,7 +56,9 @@
   return set;
 }
 
-void GathererChooser::SetGatherers(std::vector<InstanceRecord> gatherers) {
+void GathererChooser::SetGatherers(std::vector<InstanceRecord> gatherers,
+                                   std::vector<InstanceRecord> others) {
+  others_ = std::move(others);
   gatherers_ = std::move(gatherers);
   gathers_itself_ =
       gatherers_.empty() || std::any_of(gatherers_.begin(), gatherers_.end(),
@@ -65,17 +67,28 @@
                                         });
 }
 
-const InstanceRecord* GathererChooser::Choose(
+std::vector<const InstanceRecord*> GathererChooser::Usable(
     TimePoint now,
-    const std::vector<std::string>& tried,
-    std::minstd_rand& random) const {
+    const std::vector<InstanceRecord>& among,
+    const std::vector<std::string>& tried) const {
   std::vector<const InstanceRecord*> usable;
-  for (const InstanceRecord& gatherer : gatherers_) {
+  for (const InstanceRecord& gatherer : among) {
     if (!backoff_.IsSkipped(now, gatherer.id) &&
         std::find(tried.begin(), tried.end(), gatherer.id) == tried.end()) {
       usable.push_back(&gatherer);
     }
   }
+  return usable;
+}
+
+const InstanceRecord* GathererChooser::Choose(
+    TimePoint now,
+    const std::vector<std::string>& tried,
+    std::minstd_rand& random) const {
+  std::vector<const InstanceRecord*> usable = Usable(now, gatherers_, tried);
+  if (usable.empty()) {
+    usable = Usable(now, others_, tried);
+  }
   if (usable.empty()) {
     return nullptr;
   }
--- a/src/routed_instance.cc
+++ b/src/routed_instance.cc
@@ -12,6 +12,22 @@
 
 namespace asio = boost::asio;
 
+// Gatherers that are tried before the instance gathers a query itself.
+constexpr size_t kMaxGatherers = 2;
+
+// Peers that are tried while the searchers cannot be reached from here. Those
+// of the own data centre are often cut off as well and refuse.
+constexpr size_t kMaxPeers = 4;
+
+RequestRouter::ForwardHook ForwardHookOf(
+    const std::shared_ptr<GatherForwarder>& forwarder) {
+  return [forwarder](ForwardedQuery query,
+                     const std::shared_ptr<HttpExchange>& exchange,
+                     GatherForwarder::GatherHere gather_here) {
+    forwarder->Forward(std::move(query), exchange, std::move(gather_here));
+  };
+}
+
 }  // namespace
 
 RoutedInstanceImpl::RoutedInstanceImpl(asio::io_context& context,
@@ -30,6 +46,7 @@
           kRouteHedgeOptions,
           settings.data_centre),
       suspects_(CrashSuspectOptions{}),
+      reach_(SearcherReachOptions{}),
       clients_(std::make_shared<SearcherClients>(
           context,
           [this](const std::string& service) {
@@ -39,6 +56,7 @@
       feed_source_(SelfRecord(), FeedSourceOptions{.max_age = MaxFeedAge()}),
       feed_client_(std::make_shared<FeedClient>(context)),
       gatherers_(settings.id),
+      peers_(settings.id),
       stop_timer_(context),
       housekeeping_timer_(context),
       instances_timer_(context),
@@ -47,8 +65,25 @@
   plan_context_.limit_share = [this](const std::string& service) {
     return InstanceShare(1, SharersOf(service));
   };
-  forwarder_ = std::make_shared<GatherForwarder>(
-      context, &gatherers_, &plan_context_.random,
+  forwarder_ = MakeForwarder(kMaxGatherers, &gatherers_);
+  peer_forwarder_ = MakeForwarder(kMaxPeers, &peers_);
+  feed_server_ = std::make_shared<FeedServer>(
+      context, &feed_cache_,
+      FeedServerHooks{[this] {
+                        return searcher_watcher_ != nullptr &&
+                               feed_cache_.AgeAt(NowWithSuspension()) <
+                                   MaxFeedAge();
+                      },
+                      &NowWithSuspension});
+  plan_context_.random.seed(
+      static_cast<std::minstd_rand::result_type>(RandomBase()));
+}
+
+std::shared_ptr<GatherForwarder> RoutedInstanceImpl::MakeForwarder(
+    size_t max_peers,
+    GathererChooser* chooser) {
+  return std::make_shared<GatherForwarder>(
+      context_, max_peers, chooser, &plan_context_.random,
       GatherForwarder::Hooks{
           [this](const std::string& request_id, const std::string& gatherer,
                  unsigned status, Duration took) {
@@ -62,23 +97,13 @@
                 .Add("detail", detail)
                 .Write();
           }});
-  feed_server_ = std::make_shared<FeedServer>(
-      context, &feed_cache_,
-      FeedServerHooks{[this] {
-                        return searcher_watcher_ != nullptr &&
-                               feed_cache_.AgeAt(NowWithSuspension()) <
-                                   MaxFeedAge();
-                      },
-                      &NowWithSuspension});
-  plan_context_.random.seed(
-      static_cast<std::minstd_rand::result_type>(RandomBase()));
 }
 
 Result<Done> RoutedInstanceImpl::Listen() {
   router_ = std::make_shared<RequestRouter>(
       context_, platform_.dialect,
       RequestRouter::Limits{settings_.http_in_flight}, &plan_context_,
-      &suspects_, clients_, &metrics_,
+      &suspects_, &reach_, clients_, &metrics_,
       RequestRouter::Hooks{
           [this] { return route_table_; }, [this] { return rejecting_; },
           [this] { return RegistryAge(); },
@@ -89,12 +114,7 @@
           [this](const std::vector<std::string>& keys) {
             WithdrawCrashReports(keys);
           },
-          [this](ForwardedQuery query,
-                 const std::shared_ptr<HttpExchange>& exchange,
-                 GatherForwarder::GatherHere gather_here) {
-            forwarder_->Forward(std::move(query), exchange,
-                                std::move(gather_here));
-          }});
+          ForwardHookOf(forwarder_), ForwardHookOf(peer_forwarder_)});
   for (const auto& step : {&RoutedInstanceImpl::ListenForCallers,
                            &RoutedInstanceImpl::ListenForReadinessChecks,
                            &RoutedInstanceImpl::ListenForMetrics,
--- a/src/routed_instance_feed.cc
+++ b/src/routed_instance_feed.cc
@@ -194,6 +194,7 @@
                       std::move(objects));
   feed_source_.SetInstances(instances);
   known_instances_ = instances;
+  UpdatePeers();
   UpdateGatherers();
   const size_t count = Now() < instance_count_kept_until_
                            ? std::max(instance_count_, instances.size())
@@ -207,6 +208,19 @@
   RestoreRegistration();
 }
 
+// Peers of the own data centre go first: bytes between regions are expensive.
+void RoutedInstanceImpl::UpdatePeers() {
+  std::vector<InstanceRecord> near;
+  std::vector<InstanceRecord> far;
+  for (const InstanceRecord& instance : known_instances_) {
+    if (instance.id != settings_.id) {
+      (instance.data_centre == settings_.data_centre ? near : far)
+          .push_back(instance);
+    }
+  }
+  peers_.SetGatherers(std::move(near), std::move(far));
+}
+
 // The gatherers of the route with the fewest connections serve all routes.
 void RoutedInstanceImpl::UpdateGatherers() {
   if (!route_table_) {
--- a/src/routed_instance_impl.h
+++ b/src/routed_instance_impl.h
@@ -21,6 +21,7 @@
 #include "greengage/coordination/feed_cache.h"
 #include "greengage/coordination/feed_source.h"
 #include "greengage/coordination/gatherers.h"
+#include "greengage/coordination/searcher_reach.h"
 #include "greengage/coordination/stop_sequence.h"
 #include "greengage/routed_instance.h"
 #include "greengage/state/configuration_version.h"
@@ -90,6 +91,11 @@
   void FetchFromPeer(const InstanceRecord& peer);
   // Chooses the gatherers after a change of the instances or the configuration.
   void UpdateGatherers();
+  void UpdatePeers();
+  std::shared_ptr<GatherForwarder> MakeForwarder(size_t max_peers,
+                                                 GathererChooser* chooser);
+  // Tries to reach the searchers again while this instance is cut off.
+  void TrySearchers();
   void OnForwarded(const std::string& request_id,
                    const std::string& gatherer,
                    unsigned status,
@@ -152,6 +158,7 @@
   RoutedMetrics metrics_;
   RequestPlanContext plan_context_;
   CrashSuspects suspects_;
+  SearcherReach reach_;
   // Reports that the store has not accepted yet.
   std::vector<CrashReport> unshared_reports_;
   std::shared_ptr<SearcherClients> clients_;
@@ -173,6 +180,10 @@
   GathererChooser gatherers_;
   size_t gatherer_count_ = 0;  // In all data centres.
   std::shared_ptr<GatherForwarder> forwarder_;
+  // Peers that serve requests while this instance is cut off from the
+  // searchers.
+  GathererChooser peers_;
+  std::shared_ptr<GatherForwarder> peer_forwarder_;
   uint64_t forwarded_answers_ = 0;
   // Time at which the known state of the searchers was current. Before the
   // first state, the time until which peers may take to provide it.
--- a/src/routed_instance_stop.cc
+++ b/src/routed_instance_stop.cc
@@ -2,6 +2,7 @@
 #include <chrono>
 #include <utility>
 
+#include "greengage/transport/connection_trial.h"
 #include "greengage/transport/log.h"
 #include "greengage/transport/log_line.h"
 #include "routed_instance_impl.h"
@@ -15,6 +16,11 @@
 // Interval at which expired searchers are removed and the log is flushed.
 constexpr std::chrono::milliseconds kHousekeepingInterval{250};
 
+// A trial connection to a searcher opens within one round trip. It stays open
+// for a moment, as a device on the way may accept and then reset it.
+constexpr std::chrono::milliseconds kTrialTimeout{300};
+constexpr std::chrono::milliseconds kTrialHoldTime{100};
+
 }  // namespace
 
 void RoutedInstanceImpl::ScheduleHousekeeping() {
@@ -30,6 +36,7 @@
 void RoutedInstanceImpl::RunHousekeeping() {
   plan_context_.searchers.Expire(Now());
   LogRateLimits();
+  TrySearchers();
   ShareCrashReports();
   ExpireCrashReports();
   FlushLog();
@@ -71,6 +78,23 @@
       .Write();
 }
 
+void RoutedInstanceImpl::TrySearchers() {
+  for (const Endpoint& endpoint :
+       reach_.TakeTrials(Now(), plan_context_.random)) {
+    TryConnection(context_, endpoint, kTrialTimeout, kTrialHoldTime,
+                  [weak = weak_from_this()](bool succeeded) {
+                    const auto self = weak.lock();
+                    if (!self || !self->reach_.is_cut_off()) {
+                      return;
+                    }
+                    self->reach_.OnTrial(succeeded);
+                    if (!self->reach_.is_cut_off()) {
+                      LogLine(DecisionEvent::kSearchersReachedAgain).Write();
+                    }
+                  });
+  }
+}
+
 void RoutedInstanceImpl::Stop(std::function<void()> stopped) {
   if (std::exchange(stopping_, true)) {
     return;
@@ -92,9 +116,9 @@
 }
 
 void RoutedInstanceImpl::AdvanceStop() {
-  const bool has_work = router_->in_flight() > 0 ||
-                        forwarder_->in_flight() > 0 ||
-                        caller_server_->connections() > 0;
+  const bool has_work =
+      router_->in_flight() > 0 || forwarder_->in_flight() > 0 ||
+      peer_forwarder_->in_flight() > 0 || caller_server_->connections() > 0;
   const StopStep step =
       stop_sequence_->Next(Now(), router_->last_request(), has_work);
   if (step != StopStep::kServe && !std::exchange(rejecting_, true)) {
--- a/src/state/decision_event.cc
+++ b/src/state/decision_event.cc
@@ -37,11 +37,11 @@
        "store takes its place."},
       {kQueryForwarded, "query_forwarded", LogLevel::kInfo,
        "request_id, gatherer, status, took_ms",
-       "Another instance gathered the query; its log has the request's end. "
+       "Another instance served the request; its log has the request's end. "
        "All that failed are logged, and one in 32 of the others."},
       {kGathererFailed, "gatherer_failed", LogLevel::kWarning,
        "request_id, gatherer, detail",
-       "An instance did not gather a forwarded query; another one does."},
+       "An instance did not serve a forwarded request; another one does."},
       {kStoreFailing, "store_lost", LogLevel::kWarning, "feed, cause, detail",
        "A call to the store failed after others had not; what was known of "
        "the feed stays in use."},
@@ -70,6 +70,12 @@
        "A searcher names a limit on the requests of all instances together, or "
        "no longer does; and how many this instance sent since the last such "
        "line of the searcher."},
+      {kSearchersUnreachable, "searchers_unreachable", LogLevel::kWarning,
+       "unreachable, answered, detail",
+       "At least as many searchers cannot be reached from here as answered "
+       "lately; peers are asked to serve the requests."},
+      {kSearchersReachedAgain, "searchers_reached_again", LogLevel::kInfo, "",
+       "Trial connections to searchers succeeded; requests are served here."},
       {kSearcherCrashed, "searcher_crashed", LogLevel::kWarning,
        "request_id, digest, service, searcher, started_ms",
        "A searcher ended while it had this request: it closed the connection "
--- a/src/transport/gather_forwarder.cc
+++ b/src/transport/gather_forwarder.cc
@@ -17,9 +17,6 @@
 
 constexpr char kConfigurationHeader[] = "Greengage-Configuration";
 
-// Gatherers that are tried before the instance gathers the query itself.
-constexpr size_t kMaxGatherers = 2;
-
 // A peer that does not answer a small request in this time counts as lost.
 constexpr std::chrono::milliseconds kAliveTimeout{200};
 constexpr std::chrono::milliseconds kAliveInterval{400};
@@ -135,7 +132,7 @@
   void SendToNext() {
     const TimePoint now = Now();
     const InstanceRecord* const gatherer =
-        tried_.size() >= kMaxGatherers
+        tried_.size() >= forwarder_->max_peers_
             ? nullptr
             : forwarder_->chooser_->Choose(now, tried_, *forwarder_->random_);
     if (gatherer == nullptr) {
@@ -275,10 +272,12 @@
 };
 
 GatherForwarder::GatherForwarder(boost::asio::io_context& context,
+                                 size_t max_peers,
                                  GathererChooser* chooser,
                                  std::minstd_rand* random,
                                  Hooks hooks)
     : context_(context),
+      max_peers_(max_peers),
       chooser_(chooser),
       random_(random),
       hooks_(std::move(hooks)) {}
--- a/src/transport/request_router.cc
+++ b/src/transport/request_router.cc
@@ -37,6 +37,10 @@
 // target latency.
 constexpr int kSlowAttemptPercent = 50;
 
+// An attempt that ends after its searcher has answered nothing for this long
+// speaks against the way to the searcher.
+constexpr Duration kSilenceTime = std::chrono::milliseconds(500);
+
 // Maximum number of attempts that are logged for one request.
 constexpr size_t kMaxAttemptLines = 12;
 
@@ -141,6 +145,7 @@
                              Limits limits,
                              RequestPlanContext* plans,
                              CrashSuspects* suspects,
+                             SearcherReach* reach,
                              std::shared_ptr<SearcherClients> clients,
                              RoutedMetrics* metrics,
                              Hooks hooks)
@@ -148,6 +153,7 @@
       limits_(limits),
       plans_(plans),
       suspects_(suspects),
+      reach_(reach),
       clients_(std::move(clients)),
       metrics_(metrics),
       hooks_(std::move(hooks)),
@@ -186,11 +192,35 @@
     return;
   }
   if (route->gather && hooks_.forwards_gathers()) {
-    ForwardGather(std::move(request), *std::move(caller), exchange, table,
-                  route);
+    Forward(std::move(request), *std::move(caller), exchange, table, route,
+            hooks_.forward_to_gatherer, &RequestRouter::Serve);
     return;
   }
-  StartRequest(std::move(request), *std::move(caller), exchange, table, route,
+  Serve(std::move(request), *std::move(caller), exchange, table, route);
+}
+
+void RequestRouter::Serve(HttpRequest request,
+                          CallerRequest caller,
+                          const std::shared_ptr<HttpExchange>& exchange,
+                          const RouteTablePtr& table,
+                          const Route* route) {
+  if (reach_->is_cut_off()) {
+    Forward(std::move(request), std::move(caller), exchange, table, route,
+            hooks_.forward_to_peer, &RequestRouter::ServeAfterRefusal);
+    return;
+  }
+  StartRequest(std::move(request), std::move(caller), exchange, table, route,
+               Origin::kCaller);
+}
+
+void RequestRouter::ServeAfterRefusal(
+    HttpRequest request,
+    CallerRequest caller,
+    const std::shared_ptr<HttpExchange>& exchange,
+    const RouteTablePtr& table,
+    const Route* route) {
+  reach_->OnPeersRefused(Now());
+  StartRequest(std::move(request), std::move(caller), exchange, table, route,
                Origin::kCaller);
 }
 
@@ -203,7 +233,7 @@
   const RouteTablePtr table = hooks_.active_routes();
   const Route* const route =
       caller && table ? table->Find(caller->host, request.path) : nullptr;
-  if (!info || route == nullptr || !route->gather || hooks_.rejecting() ||
+  if (!info || route == nullptr || hooks_.rejecting() || reach_->is_cut_off() ||
       table->version() < info->configuration ||
       in_flight_ >= limits_.in_flight) {
     exchange->Reply(HttpResponse{.status = kForwardRefusedStatus});
@@ -213,11 +243,13 @@
                Origin::kPeer);
 }
 
-void RequestRouter::ForwardGather(HttpRequest request,
-                                  CallerRequest caller,
-                                  const std::shared_ptr<HttpExchange>& exchange,
-                                  const RouteTablePtr& table,
-                                  const Route* route) {
+void RequestRouter::Forward(HttpRequest request,
+                            CallerRequest caller,
+                            const std::shared_ptr<HttpExchange>& exchange,
+                            const RouteTablePtr& table,
+                            const Route* route,
+                            const ForwardHook& forward,
+                            Continue otherwise) {
   const TimePoint now = Now();
   const RequestDigest digest =
       DigestOf(caller, request.method, request.target, request.body);
@@ -238,21 +270,20 @@
   query.call.headers = ForwardedHeaders(dialect_, request.headers);
   query.call.headers.emplace_back(dialect_.time_left,
                                   std::to_string(time_left.count()));
-  hooks_.forward(std::move(query), exchange,
-                 [weak = weak_from_this(), request = std::move(request),
-                  caller = std::move(caller), table, route, now,
-                  time_left](const std::shared_ptr<HttpExchange>& returned) {
-                   const auto self = weak.lock();
-                   if (!self) {
-                     return;
-                   }
-                   CallerRequest late = caller;
-                   late.time_left =
-                       std::max(std::chrono::milliseconds(1),
-                                ToMilliseconds(now + time_left - Now()));
-                   self->StartRequest(request, std::move(late), returned, table,
-                                      route, Origin::kCaller);
-                 });
+  forward(std::move(query), exchange,
+          [weak = weak_from_this(), request = std::move(request),
+           caller = std::move(caller), table, route, now, time_left,
+           otherwise](const std::shared_ptr<HttpExchange>& returned) {
+            const auto self = weak.lock();
+            if (!self) {
+              return;
+            }
+            CallerRequest late = caller;
+            late.time_left = std::max(std::chrono::milliseconds(1),
+                                      ToMilliseconds(now + time_left - Now()));
+            ((*self).*otherwise)(request, std::move(late), returned, table,
+                                 route);
+          });
 }
 
 void RequestRouter::Reject(const std::string& request_id,
@@ -429,6 +460,7 @@
       attempt_record.detail = outcome.detail;
     }
   }
+  RecordReach(sent, result);
   if (outcome.end == AttemptEnd::kLost && !result.response &&
       result.response.last_reason().kind == FailureKind::kConnectionClosed) {
     CheckForCrash(found->second, sent.searcher);
@@ -437,6 +469,34 @@
                              Now(), sent.id, std::move(outcome)));
 }
 
+void RequestRouter::RecordReach(const AttemptToSend& sent,
+                                const HttpCallResult& result) {
+  const TimePoint now = Now();
+  const SearcherEntry& searcher = sent.searcher->entry();
+  if (result.response) {
+    reach_->OnAnswered(now, searcher.id);
+    return;
+  }
+  const FailureKind kind = result.response.last_reason().kind;
+  const bool was_silent =
+      (kind == FailureKind::kCancelled || kind == FailureKind::kTimedOut) &&
+      sent.searcher->UnansweredFor(now) >= kSilenceTime;
+  if (kind != FailureKind::kConnectFailed &&
+      kind != FailureKind::kConnectionClosed &&
+      kind != FailureKind::kSilentConnection && !was_silent) {
+    return;
+  }
+  const bool was_cut_off = reach_->is_cut_off();
+  reach_->OnUnreachable(now, searcher.id, searcher.endpoint);
+  if (!was_cut_off && reach_->is_cut_off()) {
+    LogLine(DecisionEvent::kSearchersUnreachable)
+        .Add("unreachable", reach_->CountUnreachable(now))
+        .Add("answered", reach_->CountAnswered(now))
+        .Add("detail", Describe(result.response.last_reason()))
+        .Write();
+  }
+}
+
 void RequestRouter::CheckForCrash(std::shared_ptr<const ActiveRequest> active,
                                   const RoutedSearcherPtr& searcher) {
   const SearcherEntry& entry = searcher->entry();
--- a/tests/gatherers_test.cc
+++ b/tests/gatherers_test.cc
@@ -130,4 +130,17 @@
   }
 }
 
+Test(GathererChooser, ChoosesOthersOnlyWhileNoGathererIsUsable) {
+  GathererChooser chooser("self");
+  chooser.SetGatherers({InstanceRecord{"near", "a", {}, 1}},
+                       {InstanceRecord{"far", "b", {}, 1}});
+  std::minstd_rand random;
+  const TimePoint now{std::chrono::seconds(100)};
+  cr_assert(chooser.Choose(now, {}, random)->id == "near");
+  cr_assert(chooser.Choose(now, {"near"}, random)->id == "far");
+  cr_assert(chooser.Choose(now, {"near", "far"}, random) == nullptr);
+  chooser.OnFailed(now, "near", PeerFailure::kRefused);
+  cr_assert(chooser.Choose(now, {}, random)->id == "far");
+}
+
 }  // namespace greengage
