Find a cut by trial connections, also with little traffic and old connections

The log shows why: small instances need seconds until three attempts fail within one, and gatherers were answered on connections from before the cut by as many searchers as refused new ones.

Two unreachable searchers now lead to a trial: three new connections to searchers chosen at random. If most fail, the instance is cut off; if they succeed, some searchers are lost.

--- a/include/greengage/coordination/searcher_directory.h
+++ b/include/greengage/coordination/searcher_directory.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <functional>
 #include <optional>
+#include <random>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -75,6 +76,11 @@
   std::vector<std::pair<RoutedSearcherPtr, RateLimitReport>>
   TakeRateLimitReports(TimePoint now) const;
 
+  // Returns the endpoints of up to `count` searchers, chosen at random among
+  // those that have not left.
+  std::vector<Endpoint> SampleEndpoints(size_t count,
+                                        std::minstd_rand& random) const;
+
   size_t size() const { return by_id_.size(); }
 
  private:
--- a/include/greengage/coordination/searcher_reach.h
+++ b/include/greengage/coordination/searcher_reach.h
@@ -5,46 +5,46 @@
 #include <chrono>
 #include <cstddef>
 #include <map>
-#include <random>
 #include <string>
-#include <vector>
 
-#include "greengage/state/endpoint.h"
 #include "greengage/state/time.h"
 
 namespace greengage {
 
 struct SearcherReachOptions {
-  // Searchers that must be unreachable before the instance counts as cut off.
-  size_t min_unreachable = 3;
-  // Time in which the results of attempts are compared.
-  Duration window = std::chrono::seconds(1);
-  // Interval of the trial connections while cut off, and their number.
-  Duration trial_interval = std::chrono::milliseconds(500);
-  size_t trials = 3;
-  // How long the instance does not count as cut off after its peers did not
-  // reach the searchers either.
-  Duration doubt_time = std::chrono::seconds(2);
+  // Searchers that must be unreachable within `window` before trials start.
+  size_t min_unreachable = 2;
+  Duration window = std::chrono::seconds(2);
+  // Connections of one trial, to searchers chosen at random.
+  size_t connections = 3;
+  // Interval of the trials while the instance is cut off.
+  Duration retrial_interval = std::chrono::milliseconds(500);
+  // Interval of the trials while it is not.
+  Duration trial_interval = std::chrono::seconds(2);
 };
 
-// An instance that reaches most searchers no longer, while they answer others,
-// has lost its own way. It cannot tell this from the loss of the searchers by
-// itself, but its peers can: it asks them to serve its requests, and they
-// refuse if they do not reach the searchers either.
+// An instance that can open connections to no searcher may have lost its own
+// way, or the searchers may be lost. It cannot tell by itself, but its peers
+// can: it asks them to serve its requests, and they refuse if they are cut off
+// too.
 //
-// Not thread-safe.
+// Attempts that fail only lead to a trial: they concentrate on the searchers
+// that are in trouble, and those that succeed may use connections that were
+// opened before the cut. Not thread-safe.
 class SearcherReach {
  public:
   explicit SearcherReach(SearcherReachOptions options) : options_(options) {}
 
   // Reports that the searcher answered an attempt, in whichever way.
-  void OnAnswered(TimePoint now, const std::string& searcher);
+  void OnAnswered(const std::string& searcher) {
+    unreachable_since_.erase(searcher);
+  }
 
   // Reports that the searcher could not be connected to, or that its connection
   // ended or stayed silent.
-  void OnUnreachable(TimePoint now,
-                     const std::string& searcher,
-                     const Endpoint& endpoint);
+  void OnUnreachable(TimePoint now, const std::string& searcher) {
+    unreachable_since_[searcher] = now;
+  }
 
   // Returns true if peers are to serve the requests of this instance.
   bool is_cut_off() const { return is_cut_off_; }
@@ -52,36 +52,20 @@
   // Reports that no peer could serve a request either.
   void OnPeersRefused(TimePoint now);
 
-  // Returns the searchers to connect to now, as a trial. Empty unless cut off.
-  std::vector<Endpoint> TakeTrials(TimePoint now, std::minstd_rand& random);
+  // Returns how many connections to open now, as a trial; zero if none is due.
+  size_t TakeTrial(TimePoint now);
 
-  // Reports the result of a trial. The instance is no longer cut off once a
-  // majority of the trials that were taken together have succeeded.
-  void OnTrial(bool succeeded);
-
-  // Searchers that were unreachable in the last window, and those that
-  // answered.
-  size_t CountUnreachable(TimePoint now) const;
-  size_t CountAnswered(TimePoint now) const;
+  // Reports the result of one connection of the latest trial. The majority
+  // decides.
+  void OnTrialConnection(bool succeeded);
 
  private:
-  struct Searcher {
-    Endpoint endpoint;
-    TimePoint answered_at;
-    TimePoint unreachable_at;
-  };
-
-  bool IsUnreachable(TimePoint now, const Searcher& searcher) const;
-  void Forget(TimePoint now);
-  void Reset();
-
   const SearcherReachOptions options_;
-  std::map<std::string, Searcher> searchers_;  // By id.
+  std::map<std::string, TimePoint> unreachable_since_;  // By searcher.
   bool is_cut_off_ = false;
-  TimePoint doubted_until_;
   TimePoint next_trial_;
-  size_t trials_taken_ = 0;
-  size_t trials_succeeded_ = 0;
+  size_t succeeded_ = 0;
+  size_t failed_ = 0;
 };
 
 }  // namespace greengage
--- a/include/greengage/protocol/routed_call_codec.h
+++ b/include/greengage/protocol/routed_call_codec.h
@@ -20,7 +20,7 @@
   std::string id;
   std::string host;
   std::chrono::milliseconds time_left{};  // Zero if the header is absent.
-  std::string credentials;  // The Authorization header, or empty.
+  std::string credentials;                // The Authorization header, or empty.
 };
 
 // Fails with kMissingKey if the id or host is missing, and with kInvalidSyntax
--- a/src/coordination/searcher_directory.cc
+++ b/src/coordination/searcher_directory.cc
@@ -117,6 +117,23 @@
   return reports;
 }
 
+std::vector<Endpoint> SearcherDirectory::SampleEndpoints(
+    size_t count,
+    std::minstd_rand& random) const {
+  std::vector<Endpoint> endpoints;
+  if (count == 0) {
+    return endpoints;
+  }
+  for (const auto& [id, searcher] : by_id_) {
+    if (!searcher->entry().draining) {
+      endpoints.push_back(searcher->entry().endpoint);
+    }
+  }
+  std::shuffle(endpoints.begin(), endpoints.end(), random);
+  endpoints.resize(std::min(endpoints.size(), count));
+  return endpoints;
+}
+
 const std::vector<RoutedSearcherPtr>& SearcherDirectory::ForService(
     const std::string& service) const {
   static const std::vector<RoutedSearcherPtr> none;
--- a/src/protocol/routed_call_codec.cc
+++ b/src/protocol/routed_call_codec.cc
@@ -145,15 +145,12 @@
   std::string fields;
   for (const std::string_view field :
        {method, std::string_view(caller.host), target,
-        std::string_view(caller.credentials)}) {
+        std::string_view(caller.credentials), body}) {
     fields += std::to_string(field.size()) + ":";
     fields += field;
   }
-  const XXH64_hash_t seed = XXH3_64bits(fields.data(), fields.size());
-  const XXH128_hash_t hash =
-      XXH3_128bits_withSeed(body.data(), body.size(), seed);
-  const XXH128_hash_t head = XXH3_128bits(fields.data(), fields.size());
-  return {head.high64 ^ hash.high64, head.low64 ^ hash.low64};
+  const XXH128_hash_t hash = XXH3_128bits(fields.data(), fields.size());
+  return {hash.high64, hash.low64};
 }
 
 HeaderList ForwardedHeaders(const CallDialect& dialect,
--- a/src/routed_instance_impl.h
+++ b/src/routed_instance_impl.h
@@ -92,10 +92,10 @@
   // Chooses the gatherers after a change of the instances or the configuration.
   void UpdateGatherers();
   void UpdatePeers();
-  std::shared_ptr<GatherForwarder> MakeForwarder(size_t max_peers,
-                                                 GathererChooser* chooser);
-  // Tries to reach the searchers again while this instance is cut off.
+  std::shared_ptr<GatherForwarder> MakeForwarder(GathererChooser* chooser);
+  // Finds out whether the searchers can be reached, if there is a doubt.
   void TrySearchers();
+  void OnTrialConnection(bool succeeded);
   void OnForwarded(const std::string& request_id,
                    const std::string& gatherer,
                    unsigned status,
--- a/src/routed_instance_stop.cc
+++ b/src/routed_instance_stop.cc
@@ -79,22 +79,29 @@
 }
 
 void RoutedInstanceImpl::TrySearchers() {
-  for (const Endpoint& endpoint :
-       reach_.TakeTrials(Now(), plan_context_.random)) {
+  const std::vector<Endpoint> endpoints =
+      plan_context_.searchers.SampleEndpoints(reach_.TakeTrial(Now()),
+                                              plan_context_.random);
+  for (const Endpoint& endpoint : endpoints) {
     TryConnection(context_, endpoint, kTrialTimeout, kTrialHoldTime,
                   [weak = weak_from_this()](bool succeeded) {
-                    const auto self = weak.lock();
-                    if (!self || !self->reach_.is_cut_off()) {
-                      return;
-                    }
-                    self->reach_.OnTrial(succeeded);
-                    if (!self->reach_.is_cut_off()) {
-                      LogLine(DecisionEvent::kSearchersReachedAgain).Write();
+                    if (const auto self = weak.lock()) {
+                      self->OnTrialConnection(succeeded);
                     }
                   });
   }
 }
 
+void RoutedInstanceImpl::OnTrialConnection(bool succeeded) {
+  const bool was_cut_off = reach_.is_cut_off();
+  reach_.OnTrialConnection(succeeded);
+  if (reach_.is_cut_off() != was_cut_off) {
+    LogLine(was_cut_off ? DecisionEvent::kSearchersReachedAgain
+                        : DecisionEvent::kSearchersUnreachable)
+        .Write();
+  }
+}
+
 void RoutedInstanceImpl::Stop(std::function<void()> stopped) {
   if (std::exchange(stopping_, true)) {
     return;
--- a/src/state/decision_event.cc
+++ b/src/state/decision_event.cc
@@ -70,10 +70,9 @@
        "A searcher names a limit on the requests of all instances together, or "
        "no longer does; and how many this instance sent since the last such "
        "line of the searcher."},
-      {kSearchersUnreachable, "searchers_unreachable", LogLevel::kWarning,
-       "unreachable, answered, detail",
-       "At least as many searchers cannot be reached from here as answered "
-       "lately; peers are asked to serve the requests."},
+      {kSearchersUnreachable, "searchers_unreachable", LogLevel::kWarning, "",
+       "Trial connections to searchers failed after attempts had; peers are "
+       "asked to serve the requests."},
       {kSearchersReachedAgain, "searchers_reached_again", LogLevel::kInfo, "",
        "Trial connections to searchers succeeded; requests are served here."},
       {kSearcherCrashed, "searcher_crashed", LogLevel::kWarning,
--- a/src/transport/request_router.cc
+++ b/src/transport/request_router.cc
@@ -472,28 +472,19 @@
 void RequestRouter::RecordReach(const AttemptToSend& sent,
                                 const HttpCallResult& result) {
   const TimePoint now = Now();
-  const SearcherEntry& searcher = sent.searcher->entry();
+  const std::string& searcher = sent.searcher->entry().id;
   if (result.response) {
-    reach_->OnAnswered(now, searcher.id);
+    reach_->OnAnswered(searcher);
     return;
   }
   const FailureKind kind = result.response.last_reason().kind;
   const bool was_silent =
       (kind == FailureKind::kCancelled || kind == FailureKind::kTimedOut) &&
       sent.searcher->UnansweredFor(now) >= kSilenceTime;
-  if (kind != FailureKind::kConnectFailed &&
-      kind != FailureKind::kConnectionClosed &&
-      kind != FailureKind::kSilentConnection && !was_silent) {
-    return;
-  }
-  const bool was_cut_off = reach_->is_cut_off();
-  reach_->OnUnreachable(now, searcher.id, searcher.endpoint);
-  if (!was_cut_off && reach_->is_cut_off()) {
-    LogLine(DecisionEvent::kSearchersUnreachable)
-        .Add("unreachable", reach_->CountUnreachable(now))
-        .Add("answered", reach_->CountAnswered(now))
-        .Add("detail", Describe(result.response.last_reason()))
-        .Write();
+  if (kind == FailureKind::kConnectFailed ||
+      kind == FailureKind::kConnectionClosed ||
+      kind == FailureKind::kSilentConnection || was_silent) {
+    reach_->OnUnreachable(now, searcher);
   }
 }
 
--- a/tests/searcher_reach_test.cc
+++ b/tests/searcher_reach_test.cc
@@ -1,7 +1,6 @@
 #include "greengage/coordination/searcher_reach.h"
 
 #include <chrono>
-#include <random>
 #include <string>
 
 #include <criterion/criterion.h>
@@ -12,93 +11,95 @@
 using Ms = std::chrono::milliseconds;
 
 constexpr TimePoint kStart{std::chrono::seconds(100)};
-constexpr Ms kTrialInterval{500};
 
-std::string SearcherId(int number) {
-  return "s" + std::to_string(number);
+void LoseSearchers(SearcherReach& reach, TimePoint now, int count) {
+  for (int i = 0; i < count; ++i) {
+    reach.OnUnreachable(now, "s" + std::to_string(i));
+  }
 }
 
-void LoseSearchers(SearcherReach& reach, TimePoint now, int first, int count) {
-  for (int i = first; i < first + count; ++i) {
-    reach.OnUnreachable(now, SearcherId(i),
-                        {"10.0.0.1", static_cast<uint16_t>(9000 + i)});
+// Takes a trial, of which `succeeded` of three connections succeed.
+void RunTrial(SearcherReach& reach, TimePoint now, int succeeded) {
+  cr_assert(reach.TakeTrial(now) == 3);
+  for (int i = 0; i < 3; ++i) {
+    reach.OnTrialConnection(i < succeeded);
   }
 }
 
-void AnswerFrom(SearcherReach& reach, TimePoint now, int first, int count) {
-  for (int i = first; i < first + count; ++i) {
-    reach.OnAnswered(now, SearcherId(i));
-  }
+SearcherReach CutOff() {
+  SearcherReach reach{SearcherReachOptions{}};
+  LoseSearchers(reach, kStart, 2);
+  RunTrial(reach, kStart, 0);
+  return reach;
 }
 
 }  // namespace
 
-Test(SearcherReach, CountsAsCutOffWhenMostSearchersAreUnreachable) {
+// An instance with little traffic has few attempts that fail.
+Test(SearcherReach, TwoUnreachableSearchersAndAFailedTrialAreACut) {
   SearcherReach reach{SearcherReachOptions{}};
-  AnswerFrom(reach, kStart, 0, 20);
-  LoseSearchers(reach, kStart + Ms(100), 0, 9);
+  cr_assert(reach.TakeTrial(kStart) == 0);
+  LoseSearchers(reach, kStart, 1);
+  cr_assert(reach.TakeTrial(kStart) == 0);
+  LoseSearchers(reach, kStart + Ms(1500), 2);
   cr_assert(!reach.is_cut_off());
-  LoseSearchers(reach, kStart + Ms(100), 9, 1);
-  cr_assert(reach.is_cut_off());
-}
-
-// The answers of before the cut do not count for long.
-Test(SearcherReach, CountsAsCutOffSoonAfterTheLastAnswers) {
-  SearcherReach reach{SearcherReachOptions{}};
-  AnswerFrom(reach, kStart, 0, 200);
-  LoseSearchers(reach, kStart + Ms(1100), 0, 3);
+  RunTrial(reach, kStart + Ms(1500), 1);
   cr_assert(reach.is_cut_off());
 }
 
-Test(SearcherReach, AFewLostSearchersAreNotACut) {
+// Some searchers are lost, and the others can be reached.
+Test(SearcherReach, LostSearchersAreNotACut) {
   SearcherReach reach{SearcherReachOptions{}};
-  LoseSearchers(reach, kStart, 0, 2);
+  LoseSearchers(reach, kStart, 20);
+  RunTrial(reach, kStart, 2);
+  cr_assert(!reach.is_cut_off());
+  LoseSearchers(reach, kStart + Ms(1000), 20);
+  cr_assert(reach.TakeTrial(kStart + Ms(1000)) == 0);
+  RunTrial(reach, kStart + Ms(2000), 3);
   cr_assert(!reach.is_cut_off());
-  for (int second = 0; second < 10; ++second) {
-    const TimePoint now = kStart + Ms(1000 * second);
-    AnswerFrom(reach, now, 10, 30);
-    LoseSearchers(reach, now + Ms(10), 0, 8);
-    cr_assert(!reach.is_cut_off());
-  }
 }
 
 // A searcher that answers after a lost connection is reachable.
-Test(SearcherReach, ResetConnectionsAreNotACut) {
+Test(SearcherReach, ResetConnectionsLeadToNoTrial) {
   SearcherReach reach{SearcherReachOptions{}};
   for (int i = 0; i < 50; ++i) {
-    LoseSearchers(reach, kStart + Ms(i), i, 1);
-    AnswerFrom(reach, kStart + Ms(i + 1), i, 1);
+    const std::string searcher = "s" + std::to_string(i);
+    reach.OnUnreachable(kStart + Ms(i), searcher);
+    cr_assert(reach.TakeTrial(kStart + Ms(i)) == 0);
+    reach.OnAnswered(searcher);
   }
-  cr_assert(!reach.is_cut_off());
 }
 
-Test(SearcherReach, EndsWithAMajorityOfTheTrials) {
+// In some cuts the connections that are open live on.
+Test(SearcherReach, AnswersOnOldConnectionsDoNotHideACut) {
   SearcherReach reach{SearcherReachOptions{}};
-  std::minstd_rand random;
-  cr_assert(reach.TakeTrials(kStart, random).empty());
-  LoseSearchers(reach, kStart, 0, 10);
-  cr_assert(reach.TakeTrials(kStart, random).empty());
-  cr_assert(reach.TakeTrials(kStart + kTrialInterval, random).size() == 3);
-  cr_assert(reach.TakeTrials(kStart + kTrialInterval, random).empty());
-  reach.OnTrial(false);
-  reach.OnTrial(true);
-  reach.OnTrial(false);
+  for (int i = 0; i < 100; ++i) {
+    reach.OnAnswered("old" + std::to_string(i));
+  }
+  LoseSearchers(reach, kStart, 2);
+  RunTrial(reach, kStart, 0);
   cr_assert(reach.is_cut_off());
-  cr_assert(reach.TakeTrials(kStart + 2 * kTrialInterval, random).size() == 3);
-  reach.OnTrial(true);
+}
+
+Test(SearcherReach, EndsWithASuccessfulTrial) {
+  SearcherReach reach = CutOff();
+  cr_assert(reach.TakeTrial(kStart + Ms(1000)) == 0);
+  RunTrial(reach, kStart + Ms(2000), 1);
   cr_assert(reach.is_cut_off());
-  reach.OnTrial(true);
+  cr_assert(reach.TakeTrial(kStart + Ms(2400)) == 0);
+  RunTrial(reach, kStart + Ms(2500), 2);
   cr_assert(!reach.is_cut_off());
+  cr_assert(reach.TakeTrial(kStart + Ms(5000)) == 0);
 }
 
 // If the peers do not reach the searchers either, the searchers are lost.
 Test(SearcherReach, ServesHereWhileThePeersRefuse) {
-  SearcherReach reach{SearcherReachOptions{}};
-  LoseSearchers(reach, kStart, 0, 10);
-  reach.OnPeersRefused(kStart);
-  LoseSearchers(reach, kStart + Ms(500), 0, 10);
+  SearcherReach reach = CutOff();
+  reach.OnPeersRefused(kStart + Ms(100));
   cr_assert(!reach.is_cut_off());
-  LoseSearchers(reach, kStart + Ms(2500), 0, 10);
+  LoseSearchers(reach, kStart + Ms(2000), 9);
+  cr_assert(reach.TakeTrial(kStart + Ms(2000)) == 0);
+  RunTrial(reach, kStart + Ms(2100), 0);
   cr_assert(reach.is_cut_off());
 }
 
