--- a/include/greengage/coordination/gatherers.h
+++ b/include/greengage/coordination/gatherers.h
@@ -36,10 +36,13 @@
 // centre. Not thread-safe.
 class GathererChooser {
  public:
+  static constexpr size_t kMaxGatherersTried = 2;
+
   explicit GathererChooser(std::string self_id)
       : self_id_(std::move(self_id)), backoff_(PeerBackoffOptions{}) {}
 
-  // `others` are chosen only while no gatherer is usable.
+  // `others` are chosen if no gatherer is usable, or after a query was offered
+  // to kMaxGatherersTried of them: those of a data centre may be lost together.
   void SetGatherers(std::vector<InstanceRecord> gatherers,
                     std::vector<InstanceRecord> others = {});
 
--- a/include/greengage/coordination/searcher_reach.h
+++ b/include/greengage/coordination/searcher_reach.h
@@ -49,9 +49,6 @@
   // Returns true if peers are to serve the requests of this instance.
   bool is_cut_off() const { return is_cut_off_; }
 
-  // Reports that no peer could serve a request either.
-  void OnPeersRefused(TimePoint now);
-
   // Returns how many connections to open now, as a trial; zero if none is due.
   size_t TakeTrial(TimePoint now);
 
--- a/include/greengage/transport/request_router.h
+++ b/include/greengage/transport/request_router.h
@@ -129,12 +129,12 @@
                const Route* route,
                const ForwardHook& forward,
                Continue otherwise);
-  // Serves a request here that no peer could serve.
-  void ServeAfterRefusal(HttpRequest request,
-                         CallerRequest caller,
-                         const std::shared_ptr<HttpExchange>& exchange,
-                         const RouteTablePtr& table,
-                         const Route* route);
+  // Serves the request here, even if the searchers cannot be reached.
+  void ServeHere(HttpRequest request,
+                 CallerRequest caller,
+                 const std::shared_ptr<HttpExchange>& exchange,
+                 const RouteTablePtr& table,
+                 const Route* route);
   void RecordReach(const AttemptToSend& sent, const HttpCallResult& result);
   void ExecuteActions(uint64_t number, RequestActions actions);
   void SendAttempt(ActiveRequest& active, const AttemptToSend& send);
--- a/src/coordination/gatherers.cc
+++ b/src/coordination/gatherers.cc
@@ -87,9 +87,11 @@
     TimePoint now,
     const std::vector<std::string>& tried,
     std::minstd_rand& random) const {
-  std::vector<const InstanceRecord*> usable = Usable(now, gatherers_, tried);
+  const bool prefers_others = tried.size() >= kMaxGatherersTried;
+  std::vector<const InstanceRecord*> usable =
+      Usable(now, prefers_others ? others_ : gatherers_, tried);
   if (usable.empty()) {
-    usable = Usable(now, others_, tried);
+    usable = Usable(now, prefers_others ? gatherers_ : others_, tried);
   }
   if (usable.empty()) {
     return nullptr;
--- a/src/coordination/searcher_reach.cc
+++ b/src/coordination/searcher_reach.cc
@@ -2,11 +2,6 @@
 
 namespace greengage {
 
-void SearcherReach::OnPeersRefused(TimePoint now) {
-  is_cut_off_ = false;
-  next_trial_ = now + options_.trial_interval;
-}
-
 size_t SearcherReach::TakeTrial(TimePoint now) {
   std::erase_if(unreachable_since_, [&](const auto& item) {
     return now - item.second >= options_.window;
--- a/src/transport/request_router.cc
+++ b/src/transport/request_router.cc
@@ -206,20 +206,17 @@
                           const Route* route) {
   if (reach_->is_cut_off()) {
     Forward(std::move(request), std::move(caller), exchange, table, route,
-            hooks_.forward_to_peer, &RequestRouter::ServeAfterRefusal);
+            hooks_.forward_to_peer, &RequestRouter::ServeHere);
     return;
   }
-  StartRequest(std::move(request), std::move(caller), exchange, table, route,
-               Origin::kCaller);
+  ServeHere(std::move(request), std::move(caller), exchange, table, route);
 }
 
-void RequestRouter::ServeAfterRefusal(
-    HttpRequest request,
-    CallerRequest caller,
-    const std::shared_ptr<HttpExchange>& exchange,
-    const RouteTablePtr& table,
-    const Route* route) {
-  reach_->OnPeersRefused(Now());
+void RequestRouter::ServeHere(HttpRequest request,
+                              CallerRequest caller,
+                              const std::shared_ptr<HttpExchange>& exchange,
+                              const RouteTablePtr& table,
+                              const Route* route) {
   StartRequest(std::move(request), std::move(caller), exchange, table, route,
                Origin::kCaller);
 }
--- a/tests/gatherers_test.cc
+++ b/tests/gatherers_test.cc
@@ -143,4 +143,24 @@
   cr_assert(chooser.Choose(now, {}, random)->id == "far");
 }
 
+// All instances of a large data centre may be unable to take a query.
+Test(GathererChooser, AsksOtherDataCentresAfterTwoOfTheOwn) {
+  GathererChooser chooser("self");
+  std::vector<InstanceRecord> near;
+  for (int i = 0; i < 20; ++i) {
+    near.push_back({"near-" + std::to_string(i), "a", {}, 1});
+  }
+  chooser.SetGatherers(near, {InstanceRecord{"far", "b", {}, 1}});
+  std::minstd_rand random;
+  const TimePoint now{std::chrono::seconds(100)};
+  std::vector<std::string> tried;
+  for (int i = 0; i < 2; ++i) {
+    tried.push_back(chooser.Choose(now, tried, random)->id);
+    cr_assert(tried.back() != "far");
+  }
+  tried.push_back(chooser.Choose(now, tried, random)->id);
+  cr_assert(tried.back() == "far");
+  cr_assert(chooser.Choose(now, tried, random) != nullptr);
+}
+
 }  // namespace greengage
