--- a/include/greengage/coordination/peer_backoff.h
+++ b/include/greengage/coordination/peer_backoff.h
@@ -14,6 +14,7 @@
 enum class PeerFailure : uint8_t {
   kNoAnswer,  // The peer may be lost.
   kRefused,   // The peer answered that it cannot serve the call.
+  kCutOff,    // As kRefused, because the peer does not reach the searchers.
 };
 
 struct PeerBackoffOptions {
@@ -23,6 +24,8 @@
   Duration max_retry_delay = std::chrono::seconds(60);
   // How long a peer is left out that refused a call.
   Duration refusal_delay = std::chrono::milliseconds(400);
+  // How long a peer is left out that does not reach the searchers.
+  Duration cut_off_delay = std::chrono::seconds(2);
 };
 
 // Not thread-safe.
--- a/include/greengage/transport/gather_forwarder.h
+++ b/include/greengage/transport/gather_forwarder.h
@@ -29,6 +29,9 @@
 // it is shutting down or has an older configuration. The query has not run.
 inline constexpr unsigned kForwardRefusedStatus = 421;
 
+// Header of a refusal by an instance that does not reach the searchers.
+inline constexpr char kCutOffHeader[] = "Greengage-Cut-Off";
+
 // What an instance tells the gatherer about a query, in a header.
 struct ForwardInfo {
   uint64_t configuration = 0;  // Oldest version that may be used.
--- a/src/coordination/peer_backoff.cc
+++ b/src/coordination/peer_backoff.cc
@@ -8,8 +8,10 @@
                            const std::string& peer,
                            PeerFailure failure) {
   FailedPeer& failed = failed_[peer];
-  if (failure == PeerFailure::kRefused) {
-    failed = {Duration::zero(), now + options_.refusal_delay};
+  if (failure != PeerFailure::kNoAnswer) {
+    failed = {Duration::zero(), now + (failure == PeerFailure::kRefused
+                                           ? options_.refusal_delay
+                                           : options_.cut_off_delay)};
     return;
   }
   failed.delay = std::clamp(failed.delay * 2, options_.min_retry_delay,
--- a/src/transport/gather_forwarder.cc
+++ b/src/transport/gather_forwarder.cc
@@ -62,6 +62,15 @@
   std::function<void()> hook_;
 };
 
+PeerFailure FailureOf(const HttpCallResult& result) {
+  if (!result.response) {
+    return PeerFailure::kNoAnswer;
+  }
+  return FindHeader(result.response->headers, kCutOffHeader)
+             ? PeerFailure::kCutOff
+             : PeerFailure::kRefused;
+}
+
 // Callers may send headers of the same names.
 void RemoveForwardInfo(HeaderList& headers) {
   std::erase_if(headers, [](const auto& header) {
@@ -170,9 +179,7 @@
       Reply(*result.response, now);
       return;
     }
-    chooser.OnFailed(
-        now, gatherer,
-        result.response ? PeerFailure::kRefused : PeerFailure::kNoAnswer);
+    chooser.OnFailed(now, gatherer, FailureOf(result));
     forwarder_->hooks_.on_failed(
         query_.request_id, gatherer,
         result.response ? "refused" : Describe(result.response.last_reason()));
--- a/src/transport/request_router.cc
+++ b/src/transport/request_router.cc
@@ -230,7 +230,12 @@
   const RouteTablePtr table = hooks_.active_routes();
   const Route* const route =
       caller && table ? table->Find(caller->host, request.path) : nullptr;
-  if (!info || route == nullptr || hooks_.rejecting() || reach_->is_cut_off() ||
+  if (reach_->is_cut_off()) {
+    exchange->Reply(HttpResponse{.status = kForwardRefusedStatus,
+                                 .headers = {{kCutOffHeader, "1"}}});
+    return;
+  }
+  if (!info || route == nullptr || hooks_.rejecting() ||
       table->version() < info->configuration ||
       in_flight_ >= limits_.in_flight) {
     exchange->Reply(HttpResponse{.status = kForwardRefusedStatus});
--- a/tests/gatherers_test.cc
+++ b/tests/gatherers_test.cc
@@ -143,6 +143,21 @@
   cr_assert(chooser.Choose(now, {}, random)->id == "far");
 }
 
+// A cut lasts longer than an outdated configuration.
+Test(GathererChooser, LeavesACutOffGathererOutForLonger) {
+  std::minstd_rand random;
+  const TimePoint now{std::chrono::seconds(100)};
+  const TimePoint later = now + std::chrono::seconds(1);
+  GathererChooser chooser("self");
+  chooser.SetGatherers({InstanceRecord{"one", "a", {}, 1}});
+  chooser.OnFailed(now, "one", PeerFailure::kRefused);
+  cr_assert(chooser.Choose(later, {}, random) != nullptr);
+  chooser.OnFailed(now, "one", PeerFailure::kCutOff);
+  cr_assert(chooser.Choose(later, {}, random) == nullptr);
+  cr_assert(chooser.Choose(later + std::chrono::seconds(1), {}, random) !=
+            nullptr);
+}
+
 // All instances of a large data centre may be unable to take a query.
 Test(GathererChooser, AsksOtherDataCentresAfterTwoOfTheOwn) {
   GathererChooser chooser("self");
