--- a/include/greengage/coordination/gatherers.h
+++ b/include/greengage/coordination/gatherers.h
@@ -19,7 +19,6 @@
   // The gatherers of the own data centre. Empty if each instance gathers its
   // own queries.
   std::vector<InstanceRecord> local;
-  std::vector<InstanceRecord> remote;  // Those of the other data centres.
   size_t total = 0;  // Number of gatherers in all data centres.
 };
 
--- a/src/coordination/gatherers.cc
+++ b/src/coordination/gatherers.cc
@@ -51,8 +51,6 @@
     set.total += ranked.size();
     if (name == data_centre) {
       set.local = std::move(ranked);
-    } else {
-      set.remote.insert(set.remote.end(), ranked.begin(), ranked.end());
     }
   }
   return set;
--- a/src/routed_instance_feed.cc
+++ b/src/routed_instance_feed.cc
@@ -243,8 +243,7 @@
     gatherers = SelectGatherers(known_instances_, settings_.data_centre,
                                 *max_connections);
   }
-  gatherers_.SetGatherers(std::move(gatherers.local),
-                          std::move(gatherers.remote));
+  gatherers_.SetGatherers(std::move(gatherers.local));
   gatherer_count_ = gatherers.total;
   SetInstanceCount(instance_count_);
 }
