--- a/src/protocol/routed_call_codec.cc
+++ b/src/protocol/routed_call_codec.cc
@@ -143,9 +143,9 @@
                        std::string_view body) {
   // Each field follows its length, so that different fields never look alike.
   std::string fields;
-  for (const std::string_view field :
-       {method, std::string_view(caller.host), target,
-        std::string_view(caller.credentials), body}) {
+  const std::array<std::string_view, 5> parts{method, caller.host, target,
+                                              caller.credentials, body};
+  for (const std::string_view field : parts) {
     fields += std::to_string(field.size()) + ":";
     fields += field;
   }
--- a/src/routed_instance.cc
+++ b/src/routed_instance.cc
@@ -12,9 +12,11 @@
 
 namespace asio = boost::asio;
 
-// Gatherers that are tried before the instance gathers a query itself, and
-// peers that are tried while the searchers cannot be reached from here. Those
-// of the own data centre are often cut off together and refuse.
+// Gatherers that are tried before the instance gathers a query itself.
+constexpr size_t kMaxGatherers = 2;
+
+// Peers that are tried while the searchers cannot be reached from here. Those
+// of the own data centre are often cut off as well and refuse.
 constexpr size_t kMaxPeers = 4;
 
 RequestRouter::ForwardHook ForwardHookOf(
@@ -63,8 +65,8 @@
   plan_context_.limit_share = [this](const std::string& service) {
     return InstanceShare(1, SharersOf(service));
   };
-  forwarder_ = MakeForwarder(&gatherers_);
-  peer_forwarder_ = MakeForwarder(&peers_);
+  forwarder_ = MakeForwarder(kMaxGatherers, &gatherers_);
+  peer_forwarder_ = MakeForwarder(kMaxPeers, &peers_);
   feed_server_ = std::make_shared<FeedServer>(
       context, &feed_cache_,
       FeedServerHooks{[this] {
@@ -78,9 +80,10 @@
 }
 
 std::shared_ptr<GatherForwarder> RoutedInstanceImpl::MakeForwarder(
+    size_t max_peers,
     GathererChooser* chooser) {
   return std::make_shared<GatherForwarder>(
-      context_, kMaxPeers, chooser, &plan_context_.random,
+      context_, max_peers, chooser, &plan_context_.random,
       GatherForwarder::Hooks{
           [this](const std::string& request_id, const std::string& gatherer,
                  unsigned status, Duration took) {
--- a/src/routed_instance_impl.h
+++ b/src/routed_instance_impl.h
@@ -92,7 +92,8 @@
   // Chooses the gatherers after a change of the instances or the configuration.
   void UpdateGatherers();
   void UpdatePeers();
-  std::shared_ptr<GatherForwarder> MakeForwarder(GathererChooser* chooser);
+  std::shared_ptr<GatherForwarder> MakeForwarder(size_t max_peers,
+                                                 GathererChooser* chooser);
   // Finds out whether the searchers can be reached, if there is a doubt.
   void TrySearchers();
   void OnTrialConnection(bool succeeded);
--- a/tests/gatherers_test.cc
+++ b/tests/gatherers_test.cc
@@ -162,6 +162,7 @@
 Test(GathererChooser, AsksOtherDataCentresAfterTwoOfTheOwn) {
   GathererChooser chooser("self");
   std::vector<InstanceRecord> near;
+  near.reserve(20);
   for (int i = 0; i < 20; ++i) {
     near.push_back({"near-" + std::to_string(i), "a", {}, 1});
   }
