--- a/include/greengage/coordination/gatherers.h
+++ b/include/greengage/coordination/gatherers.h
@@ -32,7 +32,8 @@
                             double max_connections);
 
 // Distributes the queries of one instance over the gatherers of its data
-// centre. Not thread-safe.
+// centre, or the requests of one that is cut off over its peers. Not
+// thread-safe.
 class GathererChooser {
  public:
   static constexpr size_t kMaxGatherersTried = 2;
@@ -69,12 +70,13 @@
   void EndCall(const std::string& gatherer);
   size_t InFlight(const std::string& gatherer) const;
 
-  const std::string self_id_;
+  // Returns those of `among` that are not in `tried` and did not fail recently.
   std::vector<const InstanceRecord*> Usable(
       TimePoint now,
       const std::vector<InstanceRecord>& among,
       const std::vector<std::string>& tried) const;
 
+  const std::string self_id_;
   std::vector<InstanceRecord> gatherers_;
   std::vector<InstanceRecord> others_;
   bool gathers_itself_ = true;
--- a/include/greengage/coordination/request_plan.h
+++ b/include/greengage/coordination/request_plan.h
@@ -110,13 +110,14 @@
   bool has_result() const { return finished_; }
   size_t open_attempts() const { return attempts_.size(); }
 
-  // Returns true if at least one searcher ran the request to its end, and all
-  // others that have ended it did too or had not run it.
+  // Returns true if a searcher ran the request to its end, and no attempt was
+  // lost so far.
   bool RanWithoutLoss() const { return answers_ > 0 && losses_ == 0; }
 
   // Returns true if so many attempts were lost, and none answered, that the
   // request is not sent again.
   bool WasLostEverywhere() const;
+
   const Route& route() const { return *route_; }
   const RouteTable& table() const { return *table_; }
 
--- a/include/greengage/coordination/searcher_reach.h
+++ b/include/greengage/coordination/searcher_reach.h
@@ -37,13 +37,13 @@
 
   // Reports that the searcher answered an attempt, in whichever way.
   void OnAnswered(const std::string& searcher) {
-    unreachable_since_.erase(searcher);
+    unreachable_at_.erase(searcher);
   }
 
   // Reports that the searcher could not be connected to, or that its connection
   // ended or stayed silent.
   void OnUnreachable(TimePoint now, const std::string& searcher) {
-    unreachable_since_[searcher] = now;
+    unreachable_at_[searcher] = now;
   }
 
   // Returns true if peers are to serve the requests of this instance.
@@ -58,7 +58,7 @@
 
  private:
   const SearcherReachOptions options_;
-  std::map<std::string, TimePoint> unreachable_since_;  // By searcher.
+  std::map<std::string, TimePoint> unreachable_at_;  // By searcher's id.
   bool is_cut_off_ = false;
   TimePoint next_trial_;
   size_t succeeded_ = 0;
--- a/src/coordination/searcher_reach.cc
+++ b/src/coordination/searcher_reach.cc
@@ -3,11 +3,10 @@
 namespace greengage {
 
 size_t SearcherReach::TakeTrial(TimePoint now) {
-  std::erase_if(unreachable_since_, [&](const auto& item) {
+  std::erase_if(unreachable_at_, [&](const auto& item) {
     return now - item.second >= options_.window;
   });
-  const bool is_suspicious =
-      unreachable_since_.size() >= options_.min_unreachable;
+  const bool is_suspicious = unreachable_at_.size() >= options_.min_unreachable;
   if (now < next_trial_ || (!is_cut_off_ && !is_suspicious)) {
     return 0;
   }
@@ -25,7 +24,7 @@
     is_cut_off_ = true;
   } else if (succeeded_ == majority) {
     is_cut_off_ = false;
-    unreachable_since_.clear();
+    unreachable_at_.clear();
   }
 }
 
