Hold trial connections longer; find a connection's owner faster in a test

Cause: the fake searchers find out from /proc/net/tcp whose connection they accepted, some 10,000 lines beside other tests, and reset it only after the trial had counted it as open; a delay of 60 ms in the fake shows the same. The fake parses only the lines of the port now, and a trial waits 250 ms for a reset instead of 100 ms.

--- a/src/routed_instance_stop.cc
+++ b/src/routed_instance_stop.cc
@@ -19,7 +19,7 @@
 // A trial connection to a searcher opens within one round trip. It stays open
 // for a moment, as a device on the way may accept and then reset it.
 constexpr std::chrono::milliseconds kTrialTimeout{300};
-constexpr std::chrono::milliseconds kTrialHoldTime{100};
+constexpr std::chrono::milliseconds kTrialHoldTime{250};
 
 }  // namespace
 
--- a/tests/harness/tcp_owner.cc
+++ b/tests/harness/tcp_owner.cc
@@ -2,6 +2,8 @@
 
 #include <filesystem>
 #include <fstream>
+#include <iomanip>
+#include <iterator>
 #include <sstream>
 #include <string>
 
@@ -9,24 +11,22 @@
 namespace {
 
 // Returns the inodes of the sockets with the local port, separated by spaces.
+// The table may have many thousand lines, of which only few are parsed.
 std::string InodesOf(uint16_t port) {
-  constexpr int kInodeField = 9;
-  std::ifstream table("/proc/net/tcp");
+  constexpr int kFieldsBeforeInode = 8;
+  std::ifstream file("/proc/net/tcp");
+  const std::string table{std::istreambuf_iterator<char>(file), {}};
+  std::ostringstream local;
+  local << ": 0100007F:" << std::uppercase << std::hex << std::setw(4)
+        << std::setfill('0') << port << ' ';
   std::string inodes = " ";
-  std::string line;
-  std::getline(table, line);
-  while (std::getline(table, line)) {
-    std::istringstream fields(line);
+  for (size_t at = table.find(local.str()); at != std::string::npos;
+       at = table.find(local.str(), at + 1)) {
+    std::istringstream fields(table.substr(at + 1, table.find('\n', at) - at));
     std::string field;
-    std::string local;
-    for (int i = 0; i <= kInodeField && fields >> field; ++i) {
-      if (i == 1) {
-        local = field;
-      }
-    }
-    if (std::stoul(local.substr(local.find(':') + 1), nullptr, 16) == port) {
-      inodes += field + " ";
+    for (int i = 0; i <= kFieldsBeforeInode && fields >> field; ++i) {
     }
+    inodes += field + " ";
   }
   return inodes;
 }
--- a/tests/harness/tcp_owner.h
+++ b/tests/harness/tcp_owner.h
@@ -8,7 +8,7 @@
 
 namespace greengage {
 
-// Returns true if `process` has an IPv4 connection from the local `port`.
+// Returns true if `process` has a connection from `port` of 127.0.0.1.
 bool OwnsTcpPort(pid_t process, uint16_t port);
 
 }  // namespace greengage
