Compute the timing of parts that are held back only for suspected requests

Each attempt that ended computed the route's timing and went through all parts, although only a suspected request holds parts back; the first attempts computed it twice. The number of gatherers that are tried stood in two constants. Behaviour is the same.

--- a/include/greengage/coordination/request_plan.h
+++ b/include/greengage/coordination/request_plan.h
@@ -165,7 +165,10 @@
   bool MayRetry(const Part& part) const;
   bool MayHedge() const;
   // Sends the parts that are held back, or only the first of them.
-  void SendHeldBack(TimePoint now, bool all, RequestActions& actions);
+  void SendHeldBack(TimePoint now,
+                    const RouteTiming& timing,
+                    bool all,
+                    RequestActions& actions);
   void OnPartFailed(TimePoint now, size_t index, RequestActions& actions);
   // Cancels the attempts of `part`, or of all parts if it is empty.
   void CancelAttempts(std::optional<size_t> part,
--- a/src/coordination/request_plan.cc
+++ b/src/coordination/request_plan.cc
@@ -142,15 +142,15 @@
   for (Part& part : parts_) {
     part.held_back = true;
   }
-  SendHeldBack(now, policy_ == AttemptPolicy::kParallel, actions);
+  SendHeldBack(now, timing, policy_ == AttemptPolicy::kParallel, actions);
   FinishIfDone(now, actions);
   return actions;
 }
 
 void RequestPlan::SendHeldBack(TimePoint now,
+                               const RouteTiming& timing,
                                bool all,
                                RequestActions& actions) {
-  const RouteTiming timing = chooser_.TimingAt(now);
   for (size_t i = 0; i < parts_.size(); ++i) {
     if (!parts_[i].held_back) {
       continue;
@@ -337,10 +337,10 @@
     }
     OnPartFailed(now, attempt.part, actions);
   }
-  if (answers_ > 0) {
-    SendHeldBack(now, true, actions);
-  } else if (losses_ == 0 && attempts_.empty()) {
-    SendHeldBack(now, false, actions);
+  const bool may_send_next =
+      answers_ > 0 || (losses_ == 0 && attempts_.empty());
+  if (policy_ == AttemptPolicy::kOneAtATime && may_send_next) {
+    SendHeldBack(now, chooser_.TimingAt(now), answers_ > 0, actions);
   }
   FinishIfDone(now, actions);
   return actions;
--- a/src/routed_instance.cc
+++ b/src/routed_instance.cc
@@ -12,9 +12,6 @@
 
 namespace asio = boost::asio;
 
-// Gatherers that are tried before the instance gathers a query itself.
-constexpr size_t kMaxGatherers = 2;
-
 // Peers that are tried while the searchers cannot be reached from here. Those
 // of the own data centre are often cut off as well and refuse.
 constexpr size_t kMaxPeers = 4;
@@ -65,7 +62,7 @@
   plan_context_.limit_share = [this](const std::string& service) {
     return InstanceShare(1, SharersOf(service));
   };
-  forwarder_ = MakeForwarder(kMaxGatherers, &gatherers_);
+  forwarder_ = MakeForwarder(GathererChooser::kMaxGatherersTried, &gatherers_);
   peer_forwarder_ = MakeForwarder(kMaxPeers, &peers_);
   feed_server_ = std::make_shared<FeedServer>(
       context, &feed_cache_,
