Review: cases of an unreadable entry and of a leaving searcher

Seen: with one entry that is JSON but no text, instances that start know no searcher (100 of 100 requests get 503 later than recovery_s). 37 requests reach a draining searcher later than drain_ms.

--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -242,7 +242,7 @@
         self.service, self.zone = service, zone
         self.slots, self.queue = slots, queue
         self.work_s, self.address, self.port = work_s, address, 0
-        self.state, self.sequence = "ready", 0
+        self.state, self.sequence, self.version = "ready", 0, "v1"
         self.born = int(time.time() * 1000)
         self.running = self.waiting = 0
         self.free = asyncio.Condition()
@@ -263,7 +263,7 @@
     def spec(self):
         return {"service": self.service,
                 "address": f"{self.address}:{self.port}", "zone": self.zone,
-                "version": "v1", "max_concurrency": self.slots,
+                "version": self.version, "max_concurrency": self.slots,
                 "state": self.state, "warmup_left_ms": 0,
                 "sequence": self.sequence, "born": self.born}
 
@@ -311,14 +311,16 @@
         await writer.drain()
 
     def rejection(self, request):
-        return response(503, [(NOT_RUN, "1"), self.load()])
+        return response(503, [(REQUEST_ID, request.get(REQUEST_ID)),
+                              (NOT_RUN, "1"), self.load()])
 
     async def run(self, reader, writer, request):
         request_id = request.get(REQUEST_ID)
         echo = [(REQUEST_ID, request_id), self.load()]
         if request.get(EXPECTED, self.id) != self.id:
             await self.send(writer, response(
-                421, [("X-Greengageusher-Instance-Id", self.id)]))
+                421, [(REQUEST_ID, request_id),
+                      ("X-Greengageusher-Instance-Id", self.id)]))
             return
         end = time.monotonic() + int(request.get(DEADLINE, "60000")) / 1000
         self.arrivals.append((self.record.now(), request_id))
