--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -229,8 +229,8 @@
 
 class Searcher:
     """A sound searcher: it runs `slots` requests at once, queues `queue` more,
-    rejects the rest, and drops a request when its connection closes. Faults are
-    added by `before_answer` and `answer_hook` of a case."""
+    rejects the rest, and drops a request when its connection closes. A case adds
+    faults by `answer_hook`."""
 
     HEARTBEAT_S = 1.2
     numbers = itertools.count(1)
@@ -242,7 +242,7 @@
         self.service, self.zone = service, zone
         self.slots, self.queue = slots, queue
         self.work_s, self.address, self.port = work_s, address, 0
-        self.state, self.sequence, self.version = "ready", 0, "v1"
+        self.state, self.sequence = "ready", 0
         self.born = int(time.time() * 1000)
         self.running = self.waiting = 0
         self.free = asyncio.Condition()
@@ -263,7 +263,7 @@
     def spec(self):
         return {"service": self.service,
                 "address": f"{self.address}:{self.port}", "zone": self.zone,
-                "version": self.version, "max_concurrency": self.slots,
+                "version": "v1", "max_concurrency": self.slots,
                 "state": self.state, "warmup_left_ms": 0,
                 "sequence": self.sequence, "born": self.born}
 
@@ -585,13 +585,16 @@
     """Runs `case(fleet)`, which returns whether the rule was broken."""
     async def play():
         fleet = Fleet(folder)
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel)
         try:
             await fleet.store.start()
             async with asyncio.timeout(110):
                 broken = await case(fleet)
             fleet.record.say("rule broken" if broken else "rule held")
             return EXIT_BROKEN if broken else EXIT_HELD
-        except (CannotRun, TimeoutError, OSError) as error:
+        except (CannotRun, TimeoutError, OSError,
+                asyncio.CancelledError) as error:
             fleet.record.say(f"could not run: {error!r}")
             return EXIT_NOT_RUN
         finally:
