--- a/review/1/case.py
+++ b/review/1/case.py
@@ -18,8 +18,8 @@
 SEED = 34
 CYCLE_S, CYCLES = 10, 7
 
-# srv_grey, how = "shed across", share = 0.8, x = 0.6, for_s = 9.0: the searchers
-# of 24 of 30 services reject a part of their requests.
+# srv_grey, how = "shed across", share = 0.8, x = 0.6, for_s = 9.0: the
+# searchers of 24 of 30 services reject a part of their requests.
 SHED_SERVICES, SHED_X, SHED_S = 24, 0.35, (0, 9)
 # garble, how = "extra late across", share = 0.5, x = 0.04, for_s = 5.0: one of
 # the two searchers of each service sends a part of its answers twice.
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -229,8 +229,8 @@
 
 class Searcher:
     """A sound searcher: it runs `slots` requests at once, queues `queue` more,
-    rejects the rest, and drops a request when its connection closes. A case adds
-    faults by `answer_hook`."""
+    rejects the rest, and drops a request when its connection closes. A case
+    adds faults by `answer_hook`."""
 
     HEARTBEAT_S = 1.2
     numbers = itertools.count(1)
@@ -593,8 +593,7 @@
                 broken = await case(fleet)
             fleet.record.say("rule broken" if broken else "rule held")
             return EXIT_BROKEN if broken else EXIT_HELD
-        except (CannotRun, TimeoutError, OSError,
-                asyncio.CancelledError) as error:
+        except (Exception, asyncio.CancelledError) as error:
             fleet.record.say(f"could not run: {error!r}")
             return EXIT_NOT_RUN
         finally:
