Limit the unfinished lines of chunked bodies and the memory of all answers

What callers saw: while one searcher sent a chunk's line without an end, instances exceeded 260 MB after about 4 s and were ended; the requests in flight got no answer.

Cause: HttpClientConnection keeps what Beast's parser has not taken. The parser limits a head and a body, but waits for the whole line of a chunk's size and for the whole trailer without a limit. The reader of callers' requests (HttpSession) had the same fault within its read timeout. All unfinished answers together had no limit at all.

The gauge greengage_unfinished_answer_bytes shows the budget in use.

Evidence: a test of the client alone, without router or log, shows the fault.

--- a/include/greengage/transport/gather_forwarder.h
+++ b/include/greengage/transport/gather_forwarder.h
@@ -83,9 +83,11 @@
   };
 
   // `chooser` and `random` must outlive the forwarder. Each query is offered to
-  // at most `max_peers` peers.
+  // at most `max_peers` peers. `receive_budget` bounds the unfinished answers
+  // of all peers together.
   GatherForwarder(boost::asio::io_context& context,
                   size_t max_peers,
+                  std::shared_ptr<ReceiveBudget> receive_budget,
                   GathererChooser* chooser,
                   std::minstd_rand* random,
                   Hooks hooks);
@@ -104,6 +106,7 @@
 
   boost::asio::io_context& context_;
   const size_t max_peers_;
+  const std::shared_ptr<ReceiveBudget> receive_budget_;
   GathererChooser* const chooser_;
   std::minstd_rand* const random_;
   const Hooks hooks_;
--- a/include/greengage/transport/http_client.h
+++ b/include/greengage/transport/http_client.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <string>
 
+#include "greengage/coordination/receive_budget.h"
 #include "greengage/state/endpoint.h"
 #include "greengage/state/result.h"
 #include "greengage/state/time.h"
@@ -24,8 +25,11 @@
   // `connections`.
   std::function<size_t()> dynamic_connection_limit = {};
   size_t connecting = 4;  // Maximum number of connections being opened.
-  uint32_t header_bytes = 8 * 1024;         // Maximum response headers.
+  // Maximum response headers, and maximum line or trailer of a chunked body.
+  uint32_t header_bytes = 8 * 1024;
   size_t body_bytes = size_t{1024} * 1024;  // Maximum response body.
+  // Bounds the unfinished responses of all clients that share it. Optional.
+  std::shared_ptr<ReceiveBudget> receive_budget = {};
   std::chrono::milliseconds connect_timeout{1000};
   // A shorter timeout announced by the server takes precedence.
   std::chrono::milliseconds idle_timeout{30000};
--- a/include/greengage/transport/searcher_clients.h
+++ b/include/greengage/transport/searcher_clients.h
@@ -22,9 +22,11 @@
  public:
   // `max_connections` returns the number of connections that this instance may
   // open to a searcher of the given service. It is called whenever a client
-  // could use another connection.
+  // could use another connection. `receive_budget` bounds the unfinished
+  // answers of all searchers together.
   SearcherClients(boost::asio::io_context& context,
-                  std::function<size_t(const std::string&)> max_connections);
+                  std::function<size_t(const std::string&)> max_connections,
+                  std::shared_ptr<ReceiveBudget> receive_budget);
 
   void Start(const RoutedSearcher& searcher,
              uint64_t attempt,
@@ -55,6 +57,7 @@
 
   boost::asio::io_context& context_;
   const std::function<size_t(const std::string&)> max_connections_;
+  const std::shared_ptr<ReceiveBudget> receive_budget_;
   std::unordered_map<const RoutedSearcher*, std::shared_ptr<HttpClient>>
       clients_;
   std::unordered_map<uint64_t, Attempt> attempts_;
--- a/src/routed_instance.cc
+++ b/src/routed_instance.cc
@@ -5,6 +5,7 @@
 
 #include "greengage/transport/log_line.h"
 #include "routed_instance_impl.h"
+#include "state/gauge_names.h"
 #include "transport/random_base.h"
 
 namespace greengage {
@@ -16,6 +17,10 @@
 // of the own data centre are often cut off as well and refuse.
 constexpr size_t kMaxPeers = 4;
 
+// Memory of unfinished answers, so that a process with a limit of 260 MB can
+// hold them beside everything else.
+constexpr size_t kMaxUnfinishedAnswerBytes = size_t{64} << 20;
+
 RequestRouter::ForwardHook ForwardHookOf(
     const std::shared_ptr<GatherForwarder>& forwarder) {
   return [forwarder](ForwardedQuery query,
@@ -44,11 +49,14 @@
           settings.data_centre),
       suspects_(CrashSuspectOptions{}),
       reach_(SearcherReachOptions{}),
+      receive_budget_(
+          std::make_shared<ReceiveBudget>(kMaxUnfinishedAnswerBytes)),
       clients_(std::make_shared<SearcherClients>(
           context,
           [this](const std::string& service) {
             return MaxConnectionsPerSearcher(service);
-          })),
+          },
+          receive_budget_)),
       feed_cache_(RandomBase()),
       feed_source_(SelfRecord(), FeedSourceOptions{.max_age = MaxFeedAge()}),
       feed_client_(std::make_shared<FeedClient>(context)),
@@ -80,7 +88,7 @@
     size_t max_peers,
     GathererChooser* chooser) {
   return std::make_shared<GatherForwarder>(
-      context_, max_peers, chooser, &plan_context_.random,
+      context_, max_peers, receive_budget_, chooser, &plan_context_.random,
       GatherForwarder::Hooks{
           [this](const std::string& request_id, const std::string& gatherer,
                  unsigned status, Duration took) {
@@ -176,6 +184,12 @@
   return Done{};
 }
 
+std::vector<Gauge> RoutedInstanceImpl::Gauges() const {
+  return {{kUnfinishedAnswerBytes, [budget = receive_budget_] {
+             return static_cast<double>(budget->reserved());
+           }}};
+}
+
 Result<Done> RoutedInstanceImpl::ListenForMetrics() {
   Result<std::shared_ptr<HttpServer>> server =
       HttpServer::Listen(context_, settings_.metrics, HttpServerLimits{},
@@ -187,7 +201,7 @@
                            }
                            exchange->Reply(HttpResponse{
                                .content_type = "text/plain; version=0.0.4",
-                               .body = SerializeMetrics(metrics_, {})});
+                               .body = SerializeMetrics(metrics_, Gauges())});
                          });
   if (!server) {
     return server.last_reason();
--- a/src/routed_instance_impl.h
+++ b/src/routed_instance_impl.h
@@ -70,6 +70,7 @@
   Result<Done> ListenForCallers();
   Result<Done> ListenForReadinessChecks();
   Result<Done> ListenForMetrics();
+  std::vector<Gauge> Gauges() const;
   Result<Done> ListenForPeers();
   void HandlePeer(HttpRequest request,
                   const std::shared_ptr<HttpExchange>& exchange);
@@ -162,6 +163,7 @@
   SearcherReach reach_;
   // Reports that the store has not accepted yet.
   std::vector<CrashReport> unshared_reports_;
+  const std::shared_ptr<ReceiveBudget> receive_budget_;
   std::shared_ptr<SearcherClients> clients_;
   std::shared_ptr<RequestRouter> router_;
   std::shared_ptr<HttpServer> caller_server_;
--- a/src/state/gauge_names.h
+++ b/src/state/gauge_names.h
@@ -31,6 +31,10 @@
     "greengage_rejected_answers_total", "counter",
     "Sub-answers that came late, crossed, or did not fit."};
 
+inline constexpr MetricInfo kUnfinishedAnswerBytes{
+    "greengage_unfinished_answer_bytes", "gauge",
+    "Memory of large answers of searchers and peers that are not complete."};
+
 }  // namespace greengage
 
 #endif  // GREENGAGE_SRC_STATE_GAUGE_NAMES_H_
--- a/src/state/routed_metrics.cc
+++ b/src/state/routed_metrics.cc
@@ -4,6 +4,7 @@
 #include <sstream>
 #include <string_view>
 
+#include "state/gauge_names.h"
 #include "state/metrics_text.h"
 
 namespace greengage {
@@ -53,8 +54,11 @@
 
 const std::vector<MetricInfo>& AllRoutedMetrics() {
   static const std::vector<MetricInfo> metrics{
-      kRequests, kRequestTime, kAttempts, kLimitedAttempts, kStoreChanges,
-      kAdded,    kLeft,        kCrashed,  kCallersLeft};
+      kRequests,     kRequestTime,
+      kAttempts,     kLimitedAttempts,
+      kStoreChanges, kAdded,
+      kLeft,         kCrashed,
+      kCallersLeft,  kUnfinishedAnswerBytes};
   return metrics;
 }
 
--- a/src/transport/gather_forwarder.cc
+++ b/src/transport/gather_forwarder.cc
@@ -280,11 +280,13 @@
 
 GatherForwarder::GatherForwarder(boost::asio::io_context& context,
                                  size_t max_peers,
+                                 std::shared_ptr<ReceiveBudget> receive_budget,
                                  GathererChooser* chooser,
                                  std::minstd_rand* random,
                                  Hooks hooks)
     : context_(context),
       max_peers_(max_peers),
+      receive_budget_(std::move(receive_budget)),
       chooser_(chooser),
       random_(random),
       hooks_(std::move(hooks)) {}
@@ -305,6 +307,7 @@
     limits.connections = kMaxConnections;
     limits.header_bytes = kMaxHeaderBytes;
     limits.body_bytes = kMaxAnswerBytes;
+    limits.receive_budget = receive_budget_;
     limits.connect_timeout = kConnectTimeout;
     limits.idle_timeout = kIdleTimeout;
     client = HttpClient::Create(context_, endpoint, limits);
--- a/src/transport/http_client_connection.cc
+++ b/src/transport/http_client_connection.cc
@@ -9,6 +9,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include <chrono>
+#include <string>
 #include <utility>
 
 namespace greengage {
@@ -234,10 +235,38 @@
     OnParsed();
     return;
   }
-  hooks_->on_progress(id_);
+  if (IsWithinLimits()) {
+    hooks_->on_progress(id_);
+  }
+}
+
+// The parser limits the head and the body. It leaves the line of a chunk's size
+// and the trailer in the buffer until they are complete, without a limit.
+bool HttpClientConnection::IsWithinLimits() {
+  if (input_.size() > limits_.header_bytes) {
+    Close(Describe(FailureKind::kTooLarge,
+                   "a line or trailer of a chunked body exceeds " +
+                       std::to_string(limits_.header_bytes) + " bytes"));
+    return false;
+  }
+  const size_t held = input_.size() + parser_->get().body().capacity();
+  if (limits_.receive_budget &&
+      !limits_.receive_budget->Resize(reserved_bytes_, held)) {
+    Close(Describe(FailureKind::kTooLarge,
+                   "unfinished answers use up the memory for them"));
+    return false;
+  }
+  return true;
+}
+
+void HttpClientConnection::ReleaseBudget() {
+  if (limits_.receive_budget) {
+    limits_.receive_budget->Release(reserved_bytes_);
+  }
 }
 
 void HttpClientConnection::OnParsed() {
+  ReleaseBudget();
   const bool reusable = parser_->get().keep_alive() && !parser_->need_eof() &&
                         input_.size() == 0 && !serializer_;
   const bool more_may_follow =
@@ -304,6 +333,7 @@
     return;
   }
   closed_ = true;
+  ReleaseBudget();
   connect_timer_.cancel();
   boost::system::error_code ignored;
   socket_.close(ignored);
--- a/src/transport/http_client_connection.h
+++ b/src/transport/http_client_connection.h
@@ -85,6 +85,10 @@
   void ExpectResponse();
   void OnEndOfStream(const boost::system::error_code& error);
   void OnParseError(const boost::system::error_code& error);
+  // Closes the connection and returns false if the unfinished response takes
+  // up too much memory.
+  bool IsWithinLimits();
+  void ReleaseBudget();
   HttpResponse TakeResponse();
 
   const Id id_;
@@ -99,6 +103,7 @@
   bool skip_body_ = false;  // Response to HEAD: no body despite Content-Length.
   std::optional<Serializer> serializer_;
   std::optional<Parser> parser_;  // Set while a response is expected.
+  size_t reserved_bytes_ = 0;     // Share of the receive budget.
   bool connected_ = false;
   bool refused_ = false;
   bool sent_ = false;
--- a/src/transport/http_session.cc
+++ b/src/transport/http_session.cc
@@ -19,7 +19,10 @@
 
 // Time during a shutdown for which a new connection may still send a request.
 constexpr std::chrono::milliseconds kFirstRequestTimeout{500};
-constexpr size_t kDiscardBytes = size_t{16} * 1024;
+
+// Bytes that one read may add to the head of a request, or to input that is
+// discarded.
+constexpr size_t kReadBytes = size_t{16} * 1024;
 
 class Exchange : public HttpExchange {
  public:
@@ -130,7 +133,7 @@
 
 void HttpSession::DiscardInput() {
   buffer_.clear();
-  socket_.async_read_some(buffer_.prepare(kDiscardBytes),
+  socket_.async_read_some(buffer_.prepare(kReadBytes),
                           [self = shared_from_this()](auto error, size_t) {
                             if (error) {
                               self->Close();
@@ -166,6 +169,9 @@
   parser_.emplace();
   parser_->header_limit(static_cast<std::uint32_t>(limits.header_bytes));
   parser_->body_limit(limits.body_bytes);
+  // The parser leaves the line of a chunk's size and the trailer in the buffer
+  // until they are complete, without a limit.
+  buffer_.max_size(limits.header_bytes + kReadBytes);
   http::async_read(socket_, buffer_, *parser_,
                    [self = shared_from_this()](auto error, size_t) {
                      self->OnRequest(error);
@@ -209,7 +215,8 @@
   HttpResponse response;
   response.status = 400;
   std::string_view kind = "malformed_message";
-  if (error == http::error::body_limit) {
+  if (error == http::error::body_limit ||
+      error == http::error::buffer_overflow) {
     response.status = 413;
     kind = "too_large";
   } else if (error == http::error::header_limit) {
--- a/src/transport/searcher_clients.cc
+++ b/src/transport/searcher_clients.cc
@@ -25,8 +25,11 @@
 
 SearcherClients::SearcherClients(
     boost::asio::io_context& context,
-    std::function<size_t(const std::string&)> max_connections)
-    : context_(context), max_connections_(std::move(max_connections)) {}
+    std::function<size_t(const std::string&)> max_connections,
+    std::shared_ptr<ReceiveBudget> receive_budget)
+    : context_(context),
+      max_connections_(std::move(max_connections)),
+      receive_budget_(std::move(receive_budget)) {}
 
 std::shared_ptr<HttpClient> SearcherClients::ClientFor(
     const RoutedSearcher& searcher) {
@@ -37,6 +40,7 @@
                                        service = searcher.entry().service] {
       return max_connections_(service);
     };
+    limits.receive_budget = receive_budget_;
     limits.connect_timeout = kConnectTimeout;
     limits.idle_timeout = kIdleTimeout;
     client = HttpClient::Create(context_, searcher.entry().endpoint, limits);
--- /dev/null
+++ b/tests/endless_answer_test.cc
@@ -0,0 +1,173 @@
+// Answers and requests whose sender never finishes them.
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <future>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "greengage/transport/http_client.h"
+#include "greengage/transport/http_server.h"
+#include "tests/harness/endless_server.h"
+#include "tests/harness/io_threads.h"
+#include "tests/harness/scripted_server.h"
+#include "transport/socket_address.h"
+
+#include <criterion/criterion.h>
+
+namespace greengage {
+namespace {
+
+using Ms = std::chrono::milliseconds;
+
+// Much longer than a limit takes to be reached, and shorter than the deadline.
+constexpr Ms kTimeToReachALimit{5000};
+constexpr Ms kDeadline{20000};
+
+const char kChunkedHead[] =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+std::future<HttpCallResult> StartCall(HttpClient& client) {
+  const auto ended = std::make_shared<std::promise<HttpCallResult>>();
+  HttpCall call;
+  call.target = "/";
+  call.deadline = std::chrono::steady_clock::now() + kDeadline;
+  client.Start(std::move(call), [ended](HttpCallResult result) {
+    ended->set_value(std::move(result));
+  });
+  return ended->get_future();
+}
+
+// Returns the kind of failure with which an endless answer ends, or nothing if
+// it does not end in time.
+std::optional<FailureKind> EndOfAnswer(const std::string& start,
+                                       const std::string& piece) {
+  IoThreads io(2);
+  const auto server = EndlessServer::Start(io.context(), {start, piece});
+  const auto client = HttpClient::Create(io.context(), server->endpoint(), {});
+  std::future<HttpCallResult> call = StartCall(*client);
+  if (call.wait_for(kTimeToReachALimit) != std::future_status::ready) {
+    return std::nullopt;
+  }
+  const HttpCallResult result = call.get();
+  return result.response.ok()
+             ? std::nullopt
+             : std::optional(result.response.last_reason().kind);
+}
+
+// Sends `start` and then `piece` again and again on a new connection. Returns
+// the first bytes that the server answers with, or nothing if it does not
+// answer in time.
+std::string AnswerToEndlessRequest(const Endpoint& server,
+                                   const std::string& start,
+                                   const std::string& piece) {
+  constexpr size_t kStatusLineBytes = 12;
+  boost::asio::io_context context;
+  boost::asio::ip::tcp::socket socket(context);
+  socket.connect(*ToTcp(server));
+  boost::system::error_code error;
+  boost::asio::write(socket, boost::asio::buffer(start), error);
+  const auto end = std::chrono::steady_clock::now() + kTimeToReachALimit;
+  while (!error && socket.available(error) < kStatusLineBytes &&
+         std::chrono::steady_clock::now() < end) {
+    boost::asio::write(socket, boost::asio::buffer(piece), error);
+  }
+  std::string answer(kStatusLineBytes, '\0');
+  error = {};
+  if (socket.available(error) < kStatusLineBytes) {
+    return "";
+  }
+  boost::asio::read(socket, boost::asio::buffer(answer), error);
+  return answer;
+}
+
+}  // namespace
+
+// Guards against an instance that keeps a line of a chunked body that never
+// ends and exceeds its memory limit.
+Test(EndlessAnswer, EndsAChunkLineThatNeverEnds) {
+  cr_assert(EndOfAnswer(std::string(kChunkedHead) + "5;", "aaaaaaaaaaaaaaaa") ==
+            FailureKind::kTooLarge);
+}
+
+// Guards against the same fault in the trailer of a chunked body.
+Test(EndlessAnswer, EndsATrailerThatNeverEnds) {
+  cr_assert(EndOfAnswer(std::string(kChunkedHead) + "0\r\n",
+                        "Name: value\r\n") == FailureKind::kTooLarge);
+}
+
+Test(EndlessAnswer, EndsAHeadThatNeverEnds) {
+  cr_assert(EndOfAnswer("HTTP/1.1 200 OK\r\n", "Name: value\r\n") ==
+            FailureKind::kTooLarge);
+}
+
+Test(EndlessAnswer, EndsABodyThatNeverEnds) {
+  cr_assert(EndOfAnswer(kChunkedHead, "5\r\naaaaa\r\n") ==
+            FailureKind::kTooLarge);
+  cr_assert(EndOfAnswer("HTTP/1.1 200 OK\r\n\r\n", "aaaaaaaaaaaaaaaa") ==
+            FailureKind::kTooLarge);
+}
+
+// Guards against many connections that are within their limits and exceed the
+// memory limit of the instance together.
+Test(EndlessAnswer, ManyUnfinishedAnswersKeepToTheSharedBudget) {
+  constexpr size_t kConnections = 100;
+  constexpr size_t kBudget = size_t{8} << 20;
+  constexpr size_t kPieceBytes = size_t{64} * 1024;
+  // The budget has room for nine answers of this size.
+  constexpr size_t kMustEnd = 90;
+  IoThreads io(2);
+  const auto budget = std::make_shared<ReceiveBudget>(kBudget);
+  const auto endless = EndlessServer::Start(
+      io.context(),
+      {"HTTP/1.1 200 OK\r\n\r\n", std::string(kPieceBytes, 'a'), 14});
+  const auto client = HttpClient::Create(
+      io.context(), endless->endpoint(),
+      {.connections = kConnections, .receive_budget = budget});
+  std::vector<std::future<HttpCallResult>> calls;
+  for (size_t i = 0; i < kConnections; ++i) {
+    calls.push_back(StartCall(*client));
+  }
+  const auto end = std::chrono::steady_clock::now() + kTimeToReachALimit;
+  size_t ended = 0;
+  size_t most_reserved = 0;
+  while (ended < kMustEnd && std::chrono::steady_clock::now() < end) {
+    most_reserved = std::max(most_reserved, budget->reserved());
+    ended = 0;
+    for (const auto& call : calls) {
+      ended += call.wait_for(Ms(0)) == std::future_status::ready ? 1 : 0;
+    }
+  }
+  cr_assert(most_reserved > kBudget / 2 && most_reserved <= kBudget);
+  cr_assert(ended >= kMustEnd);
+  const auto ordinary = ScriptedServer::Start(
+      io.context(), "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false);
+  const auto other = HttpClient::Create(io.context(), ordinary->endpoint(),
+                                        {.receive_budget = budget});
+  cr_assert(StartCall(*other).get().response->body == "ok");
+}
+
+// Guards against the same fault in the requests of callers.
+Test(EndlessAnswer, RejectsARequestWhoseChunkLineNeverEnds) {
+  IoThreads io(2);
+  const auto server = *HttpServer::Listen(
+      io.context(), {"127.0.0.1", 0}, {},
+      [](const HttpRequest&, const std::shared_ptr<HttpExchange>& exchange) {
+        exchange->Reply({});
+      });
+  const std::string head =
+      "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string piece(1000, 'a');
+  cr_assert(AnswerToEndlessRequest(server->endpoint(), head + "5;", piece) ==
+            "HTTP/1.1 413");
+  cr_assert(AnswerToEndlessRequest(server->endpoint(), head + "0\r\n",
+                                   "Name: value\r\n") == "HTTP/1.1 413");
+}
+
+}  // namespace greengage
