Send a repeat at the same searcher on a connection that has carried no call

What callers saw: requests that may run once ran at two searchers, or got 503, which promises that they did not run, although they did.

Cause: an answer was recognised by the id of the request, which all attempts share. After both searchers had rejected a request, it was sent to the first one again on the same connection, and a late copy of the rejection counted as the answer to the run. An answer without an id counted as that to whatever request came next.

Change: an attempt at a searcher that had the request before needs an unused connection; whatever arrives there belongs to this attempt. An answer without an id is accepted only as the first on its connection, which is then closed; later it ends the attempt as one that may have run.

--- a/include/greengage/coordination/request_plan.h
+++ b/include/greengage/coordination/request_plan.h
@@ -63,6 +63,9 @@
   AttemptReason reason = AttemptReason::kFirst;
   TimePoint deadline;
   Duration expected{};  // Estimated latency at the time of the choice.
+  // The searcher had an earlier attempt of this request. A late copy of its
+  // answer to that one must not be taken for the answer to this one.
+  bool is_repeat = false;
 };
 
 struct RequestActions {
@@ -132,8 +135,9 @@
   // A service whose answer is part of the result.
   struct Part {
     std::string service;
-    std::vector<RoutedSearcherPtr> tried;
-    uint32_t in_flight = 0;  // Attempts that have not ended.
+    std::vector<RoutedSearcherPtr> tried;    // Not to be tried now.
+    std::vector<RoutedSearcherPtr> sent_to;  // By any attempt so far.
+    uint32_t in_flight = 0;                  // Attempts that have not ended.
     // Attempts, in flight or ended, that are not known not to have run.
     uint32_t may_have_run_count = 0;
     uint32_t sent_count = 0;
--- a/include/greengage/protocol/routed_call_codec.h
+++ b/include/greengage/protocol/routed_call_codec.h
@@ -47,6 +47,9 @@
                           std::chrono::milliseconds time_left,
                           const std::string& searcher_id);
 
+// Returns true if the answer echoes the id of a request.
+bool NamesRequest(const CallDialect& dialect, const HeaderList& headers);
+
 // Returns true if the answer echoes an id other than `request_id`. An answer
 // without an id is not a mismatch.
 bool IsMismatchedAnswer(const CallDialect& dialect,
--- a/include/greengage/transport/http_client.h
+++ b/include/greengage/transport/http_client.h
@@ -45,6 +45,9 @@
 enum class HttpResponseMatch : uint8_t {
   kMatch,     // The response belongs to the call.
   kMismatch,  // It belongs to an earlier call; the right one may follow.
+  // It does not say to which call it belongs. It is accepted only as the first
+  // response on a connection, which is then not used again.
+  kUnidentified,
 };
 
 struct HttpCall {
@@ -57,6 +60,11 @@
   HeaderList headers = {};
   // Checks that a response belongs to this call. If empty, every response does.
   std::function<HttpResponseMatch(const HttpResponse&)> check = {};
+  // If set, the call is sent on a connection that no call was sent on before.
+  // Required if `check` cannot tell the response from those to earlier calls,
+  // which may arrive late. The call fails without being sent if no connection
+  // can be opened.
+  bool needs_unused_connection = false;
 };
 
 // Result of a call. `sent` is false only if no byte of the request was written
--- a/src/coordination/request_plan.cc
+++ b/src/coordination/request_plan.cc
@@ -256,7 +256,10 @@
   }
   const uint64_t id = next_attempt_();
   attempts_[id] = Attempt{index, searcher, reason, now};
+  const bool is_repeat = std::find(part.sent_to.begin(), part.sent_to.end(),
+                                   searcher) != part.sent_to.end();
   part.tried.push_back(searcher);
+  part.sent_to.push_back(searcher);
   ++part.in_flight;
   ++part.may_have_run_count;
   ++part.sent_count;
@@ -265,7 +268,7 @@
   searcher->OnSent(now, id, context_->LimitShareOf(*searcher));
   actions.sends.push_back({id, searcher, reason,
                            response_deadline_ + kResponseMargin,
-                           choice.expected});
+                           choice.expected, is_repeat});
   return true;
 }
 
--- a/src/protocol/routed_call_codec.cc
+++ b/src/protocol/routed_call_codec.cc
@@ -175,6 +175,10 @@
   return headers;
 }
 
+bool NamesRequest(const CallDialect& dialect, const HeaderList& headers) {
+  return FindHeader(headers, dialect.request_id).has_value();
+}
+
 bool IsMismatchedAnswer(const CallDialect& dialect,
                         const HeaderList& headers,
                         std::string_view request_id) {
--- a/src/transport/http_client_connection.cc
+++ b/src/transport/http_client_connection.cc
@@ -145,6 +145,7 @@
   request_.prepare_payload();
   serializer_.emplace(request_);
   check_ = call.check;
+  ++calls_;
   skip_body_ = call.method == "HEAD";
   ExpectResponse();
   sent_ = false;
@@ -267,13 +268,23 @@
 
 void HttpClientConnection::OnParsed() {
   ReleaseBudget();
-  const bool reusable = parser_->get().keep_alive() && !parser_->need_eof() &&
-                        input_.size() == 0 && !serializer_;
+  bool reusable = parser_->get().keep_alive() && !parser_->need_eof() &&
+                  input_.size() == 0 && !serializer_;
   const bool more_may_follow =
       parser_->get().keep_alive() && !parser_->need_eof();
   HttpCallResult result{TakeResponse(), true};
   parser_.reset();
-  if (check_ && check_(*result.response) == HttpResponseMatch::kMismatch) {
+  const HttpResponseMatch match =
+      check_ ? check_(*result.response) : HttpResponseMatch::kMatch;
+  if (match == HttpResponseMatch::kUnidentified) {
+    if (calls_ > 1) {
+      Close(Describe(FailureKind::kMalformedMessage,
+                     "the answer may belong to an earlier request"));
+      return;
+    }
+    reusable = false;
+  }
+  if (match == HttpResponseMatch::kMismatch) {
     if (!more_may_follow) {
       Close(Describe(FailureKind::kMalformedMessage,
                      "the answer belongs to another request"));
--- a/src/transport/http_client_connection.h
+++ b/src/transport/http_client_connection.h
@@ -65,6 +65,9 @@
   Id id() const { return id_; }
   bool closed() const { return closed_; }
 
+  // Returns true if a call was sent on the connection.
+  bool used() const { return calls_ > 0; }
+
   // Returns true if the server refused the connection.
   bool refused() const { return refused_; }
 
@@ -104,6 +107,7 @@
   std::optional<Serializer> serializer_;
   std::optional<Parser> parser_;  // Set while a response is expected.
   size_t reserved_bytes_ = 0;     // Share of the receive budget.
+  size_t calls_ = 0;              // Calls sent on the connection.
   bool connected_ = false;
   bool refused_ = false;
   bool sent_ = false;
--- a/src/transport/http_client_maintenance.cc
+++ b/src/transport/http_client_maintenance.cc
@@ -37,7 +37,7 @@
       consider(connection.idle_since + IdleTimeout(connection));
     }
   }
-  if (connect_after_ && waiting_count_ > 0) {
+  if (connect_after_ && waiting_count() > 0) {
     consider(*connect_after_);
   }
   if (!limits_.probe_target.empty()) {
--- a/src/transport/http_client_pool.cc
+++ b/src/transport/http_client_pool.cc
@@ -122,14 +122,15 @@
 
 void HttpClientPool::Add(CallId id, Call call) {
   deadlines_.Add(call.request.deadline, id);
+  WaitingCalls& queue = QueueOf(call);
   calls_.emplace(id, std::move(call));
+  queue.ids.push_back(id);
+  ++queue.count;
   if (closed_) {
     EndCall(id,
             {Describe(FailureKind::kConnectionClosed, "client closed"), false});
     return;
   }
-  waiting_.push_back(id);
-  ++waiting_count_;
   ArmDeadlines();
 }
 
@@ -175,43 +176,84 @@
   if (node.empty()) {
     return;
   }
-  if (node.mapped().connection == 0) {
-    --waiting_count_;
+  if (node.mapped().waiting) {
+    --QueueOf(node.mapped()).count;
   }
   node.mapped().done(std::move(result));
 }
 
 void HttpClientPool::Dispatch() {
-  while (waiting_count_ > 0) {
+  while (waiting_for_unused_.count > 0) {
+    Connection* const connection = TakeUnused();
+    if (connection == nullptr) {
+      break;
+    }
+    SendCall(*connection, *TakeWaiting(waiting_for_unused_));
+  }
+  MakeRoomForUnused();
+  while (waiting_.count > 0) {
     Connection* const connection = TakeIdle();
     if (connection == nullptr) {
       break;
     }
-    const auto id = TakeWaiting();
-    SendCall(*connection, *id);
+    SendCall(*connection, *TakeWaiting(waiting_));
   }
   const TimePoint now = Now();
-  while (connecting_ < waiting_count_ && CanConnect(now)) {
+  while (connecting_ < waiting_count() && CanConnect(now)) {
     Connect(now, false);
   }
-  if (closed_ && waiting_count_ == 0) {
+  if (closed_ && waiting_count() == 0) {
     CloseIdle();
   }
   ArmMaintenance(now);
 }
 
-std::optional<HttpClient::CallId> HttpClientPool::TakeWaiting() {
-  while (!waiting_.empty()) {
-    const CallId id = waiting_.front();
-    waiting_.pop_front();
-    if (calls_.contains(id)) {
-      --waiting_count_;
+HttpClientPool::WaitingCalls& HttpClientPool::QueueOf(const Call& call) {
+  return call.request.needs_unused_connection ? waiting_for_unused_ : waiting_;
+}
+
+std::optional<HttpClient::CallId> HttpClientPool::TakeWaiting(
+    WaitingCalls& queue) {
+  while (!queue.ids.empty()) {
+    const CallId id = queue.ids.front();
+    queue.ids.pop_front();
+    const auto found = calls_.find(id);
+    if (found != calls_.end()) {
+      found->second.waiting = false;
+      --queue.count;
       return id;
     }
   }
   return std::nullopt;
 }
 
+HttpClientPool::Connection* HttpClientPool::TakeUnused() {
+  const auto unused = [this](ConnectionId id) {
+    const std::shared_ptr<HttpClientConnection>& http =
+        connections_.at(id).http;
+    return !http->used() && http->IsUsable();
+  };
+  const auto found = std::find_if(idle_.begin(), idle_.end(), unused);
+  if (found == idle_.end()) {
+    return nullptr;
+  }
+  Connection& connection = connections_.at(*found);
+  idle_.erase(found);
+  return &connection;
+}
+
+void HttpClientPool::MakeRoomForUnused() {
+  if (waiting_for_unused_.count == 0 || connecting_ > 0 || making_room_ ||
+      idle_.empty() || open_ < MaxOpen()) {
+    return;
+  }
+  making_room_ = true;
+  Connection& connection = connections_.at(idle_.front());
+  idle_.erase(idle_.begin());
+  connection.http->Close(
+      Describe(FailureKind::kConnectionClosed, "makes room for a new one"));
+}
+
 HttpClientPool::Connection* HttpClientPool::TakeIdle() {
   while (!idle_.empty()) {
     Connection& connection = connections_.at(idle_.back());
@@ -234,11 +276,13 @@
   connection.http->Send(call.request, host_);
 }
 
+size_t HttpClientPool::MaxOpen() const {
+  return limits_.dynamic_connection_limit ? limits_.dynamic_connection_limit()
+                                          : limits_.connections;
+}
+
 bool HttpClientPool::CanConnect(TimePoint now) const {
-  const size_t max_open = limits_.dynamic_connection_limit
-                              ? limits_.dynamic_connection_limit()
-                              : limits_.connections;
-  return open_ < max_open && connecting_ < limits_.connecting &&
+  return open_ < MaxOpen() && connecting_ < limits_.connecting &&
          (!connect_after_ || *connect_after_ <= now);
 }
 
@@ -319,6 +363,7 @@
   auto node = connections_.extract(id);
   const Connection& connection = node.mapped();
   --open_;
+  making_room_ = false;
   std::erase(idle_, id);
   monitor_.OnClosed(id);
   if (connection.opened_to_probe) {
@@ -333,6 +378,7 @@
       FailWaiting({reason.kind, host_, reason.detail});
     } else {
       connect_after_ = Now() + kConnectRetryDelay;
+      FailWaiting(waiting_for_unused_, {reason.kind, host_, reason.detail});
     }
   }
   EndCall(connection.call, {Failure{reason.kind, host_, reason.detail}, sent});
@@ -340,8 +386,12 @@
 }
 
 void HttpClientPool::FailWaiting(const Failure& reason) {
-  while (const auto id = TakeWaiting()) {
-    ++waiting_count_;
+  FailWaiting(waiting_, reason);
+  FailWaiting(waiting_for_unused_, reason);
+}
+
+void HttpClientPool::FailWaiting(WaitingCalls& queue, const Failure& reason) {
+  while (const auto id = TakeWaiting(queue)) {
     EndCall(*id, {reason, false});
   }
 }
--- a/src/transport/http_client_pool.h
+++ b/src/transport/http_client_pool.h
@@ -43,6 +43,13 @@
     HttpCall request;
     Callback done;
     ConnectionId connection = 0;  // 0 while waiting.
+    bool waiting = true;
+  };
+
+  // Calls that wait for a connection, in the order of their start.
+  struct WaitingCalls {
+    std::deque<CallId> ids;  // May contain ids of ended calls.
+    size_t count = 0;
   };
 
   enum class Operation : uint8_t { kStart, kCancel, kClose };
@@ -72,13 +79,23 @@
 
   // Sends waiting calls on idle connections and opens connections as needed.
   void Dispatch();
-  std::optional<CallId> TakeWaiting();
+  std::optional<CallId> TakeWaiting(WaitingCalls& queue);
+  WaitingCalls& QueueOf(const Call& call);
+  size_t waiting_count() const {
+    return waiting_.count + waiting_for_unused_.count;
+  }
   Connection* TakeIdle();
+  Connection* TakeUnused();
   void SendCall(Connection& connection, CallId id);
+  // Closes an idle connection at the connection limit if a call waits for an
+  // unused one.
+  void MakeRoomForUnused();
+  size_t MaxOpen() const;
   bool CanConnect(TimePoint now) const;
   void Connect(TimePoint now, bool to_probe);
   void EndCall(CallId id, HttpCallResult result);
   void FailWaiting(const Failure& reason);
+  void FailWaiting(WaitingCalls& queue, const Failure& reason);
   void ArmDeadlines();
   void ExpireCall(CallId id);
 
@@ -113,8 +130,8 @@
   std::atomic<size_t> open_ = 0;
 
   std::unordered_map<CallId, Call> calls_;
-  std::deque<CallId> waiting_;  // May contain ids of ended calls.
-  size_t waiting_count_ = 0;
+  WaitingCalls waiting_;
+  WaitingCalls waiting_for_unused_;  // Calls that need an unused connection.
   std::unordered_map<ConnectionId, Connection> connections_;
   std::vector<ConnectionId> idle_;  // Most recently used last.
   size_t connecting_ = 0;
@@ -125,6 +142,7 @@
   ConnectionMonitor monitor_;
   boost::asio::steady_timer maintenance_timer_;
   std::optional<TimePoint> maintenance_at_;
+  bool making_room_ = false;  // MakeRoomForUnused() closes a connection.
   bool closed_ = false;
 };
 
--- a/src/transport/request_router.cc
+++ b/src/transport/request_router.cc
@@ -429,7 +429,12 @@
   call.headers =
       AttemptHeaders(dialect_, active.headers,
                      ToMilliseconds(send.deadline - now), searcher.id);
+  // The answer names the request, but not the attempt that it answers.
+  call.needs_unused_connection = send.is_repeat;
   call.check = [this, id = active.caller.id](const HttpResponse& response) {
+    if (!NamesRequest(dialect_, response.headers)) {
+      return HttpResponseMatch::kUnidentified;
+    }
     return IsMismatchedAnswer(dialect_, response.headers, id)
                ? HttpResponseMatch::kMismatch
                : HttpResponseMatch::kMatch;
--- a/tests/harness/raw_server.cc
+++ b/tests/harness/raw_server.cc
@@ -13,11 +13,14 @@
 namespace asio = boost::asio;
 
 struct RawServer::Session {
-  explicit Session(asio::ip::tcp::socket accepted)
-      : socket(std::move(accepted)), timer(socket.get_executor()) {}
+  Session(asio::ip::tcp::socket accepted, size_t number)
+      : socket(std::move(accepted)),
+        timer(socket.get_executor()),
+        connection(number) {}
 
   asio::ip::tcp::socket socket;
   asio::steady_timer timer;
+  const size_t connection;
   std::string input;
   RawReply reply;
 };
@@ -81,7 +84,8 @@
       self->Accept();
       return;
     }
-    const auto session = std::make_shared<Session>(std::move(socket));
+    const auto session =
+        std::make_shared<Session>(std::move(socket), self->accepted_);
     self->sessions_.push_back(session);
     self->ReadHead(session);
     self->Accept();
@@ -102,6 +106,7 @@
                          size_t head_bytes) {
   RawRequest request;
   request.head = session->input.substr(0, head_bytes);
+  request.connection = session->connection;
   const std::string length = request.Header("Content-Length");
   const size_t body_bytes = length.empty() ? 0 : std::stoul(length);
   const size_t have = session->input.size() - head_bytes;
--- a/tests/harness/raw_server.h
+++ b/tests/harness/raw_server.h
@@ -22,8 +22,9 @@
 namespace greengage {
 
 struct RawRequest {
-  std::string head;  // Request line and headers, including the empty line.
-  std::string body;  // Its length is Content-Length.
+  std::string head;       // Request line and headers, including the empty line.
+  std::string body;       // Its length is Content-Length.
+  size_t connection = 0;  // Counts the accepted connections, from 1.
 
   std::string Line() const { return head.substr(0, head.find('\r')); }
 
--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -5,8 +5,10 @@
 #include <future>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "greengage/transport/http_server.h"
@@ -28,10 +30,12 @@
 class Call {
  public:
   Call(HttpClient& client, std::string target, Ms timeout = Ms(10000))
+      : Call(client, HttpCall{.target = std::move(target)}, timeout) {}
+
+  // Sets the deadline of `call` to the end of `timeout`.
+  Call(HttpClient& client, HttpCall call, Ms timeout = Ms(10000))
       : state_(std::make_shared<std::promise<HttpCallResult>>()),
         ended_(state_->get_future()) {
-    HttpCall call;
-    call.target = std::move(target);
     call.deadline = std::chrono::steady_clock::now() + timeout;
     id_ =
         client.Start(std::move(call), [state = state_](HttpCallResult result) {
@@ -67,9 +71,19 @@
   Endpoint endpoint() const { return server_->endpoint(); }
   size_t connections() const { return server_->connections(); }
 
+  // Number of connections on which a request arrived.
+  size_t first_requests() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return used_.size();
+  }
+
  private:
   void Handle(const HttpRequest& request,
               const std::shared_ptr<HttpExchange>& exchange) {
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      used_.insert(exchange->connection());
+    }
     if (request.path == "/hold") {
       const std::lock_guard<std::mutex> lock(mutex_);
       held_.push_back(exchange);
@@ -80,6 +94,7 @@
 
   std::mutex mutex_;
   std::vector<std::shared_ptr<HttpExchange>> held_;
+  std::set<uint64_t> used_;  // Numbers of connections.
   std::shared_ptr<HttpServer> server_;
 };
 
@@ -204,6 +219,77 @@
   cr_assert(server->accepted() == 2);
 }
 
+// Guards against a response to an earlier call that counts as that to a later
+// one because it does not name its call.
+Test(HttpClient, UnidentifiedResponseIsTheFirstAndLastOfItsConnection) {
+  IoThreads io(kThreads);
+  const auto server =
+      ScriptedServer::Start(io.context(), kCompleteResponse, false);
+  const auto client =
+      HttpClient::Create(io.context(), server->endpoint(), {.connections = 1});
+  for (size_t i = 1; i <= 3; ++i) {
+    HttpCall call;
+    call.check = [](const HttpResponse&) {
+      return HttpResponseMatch::kUnidentified;
+    };
+    cr_assert(Call(*client, std::move(call)).Wait().response.ok());
+    cr_assert(server->accepted() == i);
+  }
+}
+
+Test(HttpClient, UnidentifiedResponseEndsACallOnAUsedConnection) {
+  IoThreads io(kThreads);
+  const auto server =
+      ScriptedServer::Start(io.context(), kCompleteResponse, false);
+  const auto client =
+      HttpClient::Create(io.context(), server->endpoint(), {.connections = 1});
+  cr_assert(Call(*client, "/").Wait().response.ok());
+  HttpCall call;
+  call.check = [](const HttpResponse&) {
+    return HttpResponseMatch::kUnidentified;
+  };
+  const HttpCallResult result = Call(*client, std::move(call)).Wait();
+  cr_assert(KindOf(result) == FailureKind::kMalformedMessage && result.sent);
+}
+
+Test(HttpClient, CallsGetAnUnusedConnectionWithinTheConnectionLimit) {
+  for (const size_t connections : {size_t{1}, size_t{3}}) {
+    IoThreads io(kThreads);
+    Server server(io);
+    const auto client =
+        HttpClient::Create(io.context(), server.endpoint(),
+                           {.connections = connections, .connecting = 2});
+    std::deque<Call> calls;
+    for (int i = 0; i < 200; ++i) {
+      HttpCall call;
+      call.target = "/" + std::to_string(i);
+      call.needs_unused_connection = i % 4 == 3;
+      calls.emplace_back(*client, std::move(call));
+    }
+    for (int i = 0; i < 200; ++i) {
+      const HttpCallResult result = calls[i].Wait();
+      cr_assert(result.response->body == "/" + std::to_string(i));
+      cr_assert(client->open_connections() <= connections);
+    }
+    cr_assert(server.first_requests() >= 50);
+  }
+}
+
+Test(HttpClient, CallThatNeedsAnUnusedConnectionFailsUnsentWithoutOne) {
+  IoThreads io(kThreads);
+  Server server(io);
+  const auto relay = TcpRelay::Start(io.context(), server.endpoint());
+  const auto client =
+      HttpClient::Create(io.context(), relay->endpoint(), {.connections = 2});
+  Call busy(*client, "/hold");
+  cr_assert(!busy.EndsWithin(Ms(50)));
+  relay->StopAccepting();
+  HttpCall call;
+  call.needs_unused_connection = true;
+  const HttpCallResult result = Call(*client, std::move(call)).Wait();
+  cr_assert(KindOf(result) == FailureKind::kConnectFailed && !result.sent);
+}
+
 Test(HttpClient, IdleConnectionsExpire) {
   IoThreads io(kThreads);
   Server server(io);
--- a/tests/request_plan_test.cc
+++ b/tests/request_plan_test.cc
@@ -118,6 +118,21 @@
   cr_assert(again.sends.size() == 1);
 }
 
+// Guards against a late copy of an answer that counts as that to the repeat.
+Test(RequestPlan, MarksRepeatsAtASearcherThatHadTheRequest) {
+  PlanFixture fixture(1, 2);
+  RequestPlan plan =
+      fixture.Plan(SingleRoute(RequestKind::kNonIdempotent), kDeadline);
+  const RequestActions first = plan.Start(kPlanStart);
+  const RequestActions second = plan.OnAttemptEnded(
+      kPlanStart, first.sends[0].id, Ended(AttemptEnd::kRejected));
+  cr_assert(!first.sends[0].is_repeat && !second.sends[0].is_repeat);
+  (void)plan.OnAttemptEnded(kPlanStart, second.sends[0].id,
+                            Ended(AttemptEnd::kRejected));
+  const RequestActions third = plan.OnTimer(*plan.next_timer());
+  cr_assert(third.sends.size() == 1 && third.sends[0].is_repeat);
+}
+
 Test(RequestPlan, KeepsTheMaximumAttemptsOfTheRoute) {
   PlanFixture fixture(1, 5);
   RequestPlan plan =
