--- a/include/greengage/coordination/request_plan.h
+++ b/include/greengage/coordination/request_plan.h
@@ -66,6 +66,8 @@
   // The searcher had an earlier attempt of this request. A late copy of its
   // answer to that one must not be taken for the answer to this one.
   bool is_repeat = false;
+  // What the attempt needs if the searcher names a limit.
+  TokenDemand tokens;
 };
 
 struct RequestActions {
@@ -107,6 +109,13 @@
   // Reports that the caller closed its connection. The outcome is kCallerLeft.
   RequestActions OnCallerLeft(TimePoint now);
 
+  // Reports that the request must not be sent any more, as `cause` says. The
+  // outcome is kNotRun if no searcher may have run it, otherwise kUnknown.
+  // `actions` are those of the last event, whose attempts are withdrawn.
+  RequestActions OnForbidden(RequestActions actions,
+                             Duration retry_after,
+                             std::string_view cause);
+
   // Returns when to call OnTimer() next. Empty once there is a result.
   std::optional<TimePoint> next_timer() const;
 
@@ -182,6 +191,8 @@
   void FinishSingleIfDone(TimePoint now, RequestActions& actions);
   void FinishGatherIfDone(TimePoint now, RequestActions& actions);
   void Finish(RequestResult result, RequestActions& actions);
+  // Takes back attempts that are not sent yet.
+  void Withdraw(std::vector<AttemptToSend>& sends);
   void Reject(Duration wait, RequestResult result, RequestActions& actions);
   void FinishWithoutAnswer(TimePoint now, RequestActions& actions);
   RequestResult Merge();
--- a/include/greengage/coordination/routed_searcher.h
+++ b/include/greengage/coordination/routed_searcher.h
@@ -51,6 +51,14 @@
   // Withdraws an attempt that was not sent after all.
   void OnWithdrawn(AttemptId attempt);
 
+  // Returns whether the limit of the searcher allows sending an attempt now
+  // that has waited since OnSent(). A token that the attempt took then may have
+  // to be replaced by a new one.
+  bool RenewToken(TimePoint now,
+                  AttemptId attempt,
+                  double limit_share,
+                  const TokenDemand& demand);
+
   // `typical` is the usual latency of such requests at other searchers;
   // `distance` is the extra network latency to the searcher's data centre.
   void OnEnded(TimePoint now,
@@ -88,7 +96,20 @@
   // missing from the registry for longer than the grace time.
   bool IsExpired(TimePoint now) const;
 
+  // Returns true if the searcher must not get any more requests.
+  bool IsLeaving(TimePoint now) const {
+    return entry_.draining || IsExpired(now);
+  }
+
  private:
+  struct Outstanding {
+    AttemptId attempt = 0;
+    TimePoint sent;
+    // When the attempt took a token. Empty if the searcher named no limit.
+    std::optional<TimePoint> token_at;
+  };
+
+  std::vector<Outstanding>::iterator Find(AttemptId attempt);
   bool HasStalled(TimePoint now, Duration typical) const;
   void OnFailure(TimePoint now, bool not_sent);
   void OnSuccess(TimePoint now);
@@ -102,8 +123,7 @@
   TimePoint warm_at_;
   std::optional<TimePoint> expires_at_;  // Set while unregistered.
   bool gone_ = false;
-  // Send times of the attempts in flight, oldest first.
-  std::vector<std::pair<AttemptId, TimePoint>> outstanding_;
+  std::vector<Outstanding> outstanding_;  // Attempts in flight, oldest first.
   TimePoint last_answer_at_;
   uint32_t failures_ = 0;  // Consecutive attempts without an answer.
   std::optional<TimePoint> ejected_until_;
--- a/include/greengage/coordination/searcher_rate_limit.h
+++ b/include/greengage/coordination/searcher_rate_limit.h
@@ -51,9 +51,12 @@
   // when a limit is named for the first time.
   void OnAnswer(TimePoint now, std::optional<double> limit);
 
-  // Takes a token.
+  // Counts a request and takes its token.
   void OnSent(TimePoint now, double share);
 
+  // Takes a token for a request that was counted before.
+  void TakeToken(TimePoint now, double share);
+
   // Returns the token of a request that has reached nobody.
   void OnNotSent();
 
--- a/include/greengage/protocol/routed_call_codec.h
+++ b/include/greengage/protocol/routed_call_codec.h
@@ -47,6 +47,12 @@
                           std::chrono::milliseconds time_left,
                           const std::string& searcher_id);
 
+// Sets the header of a call that says how long the caller will wait from now
+// on.
+void SetTimeLeft(const CallDialect& dialect,
+                 std::chrono::milliseconds time_left,
+                 HeaderList& headers);
+
 // Returns true if the answer echoes the id of a request.
 bool NamesRequest(const CallDialect& dialect, const HeaderList& headers);
 
--- a/include/greengage/state/searcher_answer.h
+++ b/include/greengage/state/searcher_answer.h
@@ -35,6 +35,8 @@
                  // request.
   kLost,         // Sent without a valid answer; it may have run.
   kNotSent,      // No byte of the request was sent.
+  kWithheld,     // Not sent, since the searcher or the request no longer
+                 // allowed it when a connection was free.
   kAbandoned,    // This instance ended the attempt after sending.
 };
 
@@ -54,14 +56,20 @@
 // Returns whether `end` proves that the searcher did not run the request.
 inline bool ProvesNotRun(AttemptEnd end) {
   return end == AttemptEnd::kRejected || end == AttemptEnd::kMisdirected ||
-         end == AttemptEnd::kNotSent;
+         end == AttemptEnd::kNotSent || end == AttemptEnd::kWithheld;
+}
+
+// Returns whether `end` proves that nothing was sent.
+inline bool ProvesNotSent(AttemptEnd end) {
+  return end == AttemptEnd::kNotSent || end == AttemptEnd::kWithheld;
 }
 
 // Returns whether `end` proves that the request reached no searcher of its
 // service. An address that another searcher has is usually one of another
 // service.
 inline bool ProvesNotArrived(AttemptEnd end) {
-  return end == AttemptEnd::kMisdirected || end == AttemptEnd::kNotSent;
+  return end == AttemptEnd::kMisdirected || end == AttemptEnd::kNotSent ||
+         end == AttemptEnd::kWithheld;
 }
 
 }  // namespace greengage
--- a/include/greengage/transport/http_client.h
+++ b/include/greengage/transport/http_client.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "greengage/coordination/receive_budget.h"
@@ -60,6 +61,11 @@
   HeaderList headers = {};
   // Checks that a response belongs to this call. If empty, every response does.
   std::function<HttpResponseMatch(const HttpResponse&)> check = {};
+  // Runs right before the call is sent, for what may have changed while it
+  // waited for a connection. May replace headers. If it returns a reason, the
+  // call fails with it and is not sent.
+  std::function<std::optional<Failure>(TimePoint now, HeaderList& headers)>
+      before_send = {};
   // If set, the call is sent on a connection that no call was sent on before.
   // Required if `check` cannot tell the response from those to earlier calls,
   // which may arrive late. The call fails without being sent if no connection
@@ -106,7 +112,8 @@
   // destroyed before.
   virtual void CheckServer(std::function<void(ServerState)> done) = 0;
 
-  // Closes idle connections. Calls already started may finish; new calls fail.
+  // Closes idle connections. Calls that were sent may finish. Calls that wait
+  // and new calls fail with kUnavailable, without being sent.
   virtual void Close() = 0;
 
   virtual const Endpoint& server() const = 0;
--- a/include/greengage/transport/request_router.h
+++ b/include/greengage/transport/request_router.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -138,6 +139,12 @@
   void RecordReach(const AttemptToSend& sent, const HttpCallResult& result);
   void ExecuteActions(uint64_t number, RequestActions actions);
   void SendAttempt(ActiveRequest& active, const AttemptToSend& send);
+  // Decides again whether an attempt may be sent, which has waited for a
+  // connection. Sets the time that is left. Returns why it must not be sent.
+  std::optional<Failure> CheckBeforeSend(uint64_t number,
+                                         const AttemptToSend& send,
+                                         TimePoint now,
+                                         HeaderList& headers);
   void OnAttemptEnded(uint64_t number,
                       const AttemptToSend& sent,
                       const HttpCallResult& result);
--- a/src/coordination/request_plan.cc
+++ b/src/coordination/request_plan.cc
@@ -268,7 +268,7 @@
   searcher->OnSent(now, id, context_->LimitShareOf(*searcher));
   actions.sends.push_back({id, searcher, reason,
                            response_deadline_ + kResponseMargin,
-                           choice.expected, is_repeat});
+                           choice.expected, is_repeat, TokensFor(reason)});
   return true;
 }
 
@@ -432,6 +432,21 @@
   return actions;
 }
 
+RequestActions RequestPlan::OnForbidden(RequestActions actions,
+                                        Duration retry_after,
+                                        std::string_view cause) {
+  if (!finished_) {
+    Withdraw(actions.sends);
+    RequestResult result;
+    result.outcome =
+        MayHaveRun() ? RequestOutcome::kUnknown : RequestOutcome::kNotRun;
+    result.retry_after = retry_after;
+    result.cause = cause;
+    Finish(std::move(result), actions);
+  }
+  return actions;
+}
+
 std::optional<TimePoint> RequestPlan::next_timer() const {
   if (finished_) {
     return std::nullopt;
@@ -526,6 +541,16 @@
   });
 }
 
+void RequestPlan::Withdraw(std::vector<AttemptToSend>& sends) {
+  for (const AttemptToSend& send : sends) {
+    const auto found = attempts_.find(send.id);
+    found->second.searcher->OnWithdrawn(send.id);
+    --parts_[found->second.part].in_flight;
+    attempts_.erase(found);
+  }
+  sends.clear();
+}
+
 RequestResult RequestPlan::Merge() {
   RequestResult result;
   result.outcome = RequestOutcome::kMerged;
@@ -581,13 +606,7 @@
   finished_ = true;
   actions.result = std::move(result);
   // Attempts that were to be sent in the same step are no longer needed.
-  for (const AttemptToSend& send : actions.sends) {
-    const auto found = attempts_.find(send.id);
-    found->second.searcher->OnWithdrawn(send.id);
-    --parts_[found->second.part].in_flight;
-    attempts_.erase(found);
-  }
-  actions.sends.clear();
+  Withdraw(actions.sends);
   actions.cancels.clear();
   CancelAttempts(std::nullopt, actions);
 }
--- a/src/coordination/routed_searcher.cc
+++ b/src/coordination/routed_searcher.cc
@@ -37,6 +37,11 @@
 // Latency over the typical latency while a searcher warms up.
 constexpr double kWarmUpLatencyRatio = 1.6;
 
+// How long a request that waits for a connection may keep its token. Requests
+// that wait for longer would be sent at once, beside those that get tokens
+// then.
+constexpr Duration kTokenLifetime = std::chrono::seconds(1);
+
 // A load report is ignored once it is older than this.
 constexpr Duration kLoadReportLifetime = milliseconds(100);
 
@@ -80,15 +85,46 @@
 void RoutedSearcher::OnSent(TimePoint now,
                             AttemptId attempt,
                             double limit_share) {
-  outstanding_.emplace_back(attempt, now);
+  outstanding_.push_back(
+      {attempt, now, rate_limit_.limit() ? std::optional(now) : std::nullopt});
   rate_limit_.OnSent(now, limit_share);
 }
 
+std::vector<RoutedSearcher::Outstanding>::iterator RoutedSearcher::Find(
+    AttemptId attempt) {
+  return std::find_if(outstanding_.begin(), outstanding_.end(),
+                      [attempt](const Outstanding& outstanding) {
+                        return outstanding.attempt == attempt;
+                      });
+}
+
 void RoutedSearcher::OnWithdrawn(AttemptId attempt) {
-  std::erase_if(outstanding_, [attempt](const auto& entry) {
-    return entry.first == attempt;
-  });
-  rate_limit_.OnNotSent();
+  const auto found = Find(attempt);
+  if (found == outstanding_.end()) {
+    return;
+  }
+  if (found->token_at) {
+    rate_limit_.OnNotSent();
+  }
+  outstanding_.erase(found);
+}
+
+bool RoutedSearcher::RenewToken(TimePoint now,
+                                AttemptId attempt,
+                                double limit_share,
+                                const TokenDemand& demand) {
+  const auto found = Find(attempt);
+  if (!rate_limit_.limit() || found == outstanding_.end() ||
+      (found->token_at && now - *found->token_at < kTokenLifetime)) {
+    return true;
+  }
+  found->token_at.reset();
+  if (rate_limit_.WaitFor(now, limit_share, demand) > Duration::zero()) {
+    return false;
+  }
+  found->token_at = now;
+  rate_limit_.TakeToken(now, limit_share);
+  return true;
 }
 
 void RoutedSearcher::OnEnded(TimePoint now,
@@ -96,14 +132,15 @@
                              const AttemptOutcome& outcome,
                              Duration typical,
                              Duration distance) {
-  const auto found = std::find_if(
-      outstanding_.begin(), outstanding_.end(),
-      [attempt](const auto& entry) { return entry.first == attempt; });
+  const auto found = Find(attempt);
   if (found == outstanding_.end()) {
     return;
   }
-  const TimePoint sent = found->second;
+  const TimePoint sent = found->sent;
   const Duration latency = now - sent;
+  if (ProvesNotSent(outcome.end) && found->token_at) {
+    rate_limit_.OnNotSent();
+  }
   outstanding_.erase(found);
   if (outcome.load) {
     load_ = *outcome.load;
@@ -134,7 +171,8 @@
       break;
     case AttemptEnd::kNotSent:
       OnFailure(now, true);
-      rate_limit_.OnNotSent();
+      break;
+    case AttemptEnd::kWithheld:
       break;
     case AttemptEnd::kAbandoned:
       RecordLatency(
@@ -187,15 +225,15 @@
 }
 
 Duration RoutedSearcher::UnansweredFor(TimePoint now) const {
-  if (outstanding_.empty() || last_answer_at_ >= outstanding_.front().second) {
+  if (outstanding_.empty() || last_answer_at_ >= outstanding_.front().sent) {
     return Duration::zero();
   }
-  return now - outstanding_.front().second;
+  return now - outstanding_.front().sent;
 }
 
 bool RoutedSearcher::AllowsProbe(TimePoint now) const {
   return outstanding_.empty() ||
-         now - outstanding_.back().second >= kProbeInterval;
+         now - outstanding_.back().sent >= kProbeInterval;
 }
 
 bool RoutedSearcher::HasStalled(TimePoint now, Duration typical) const {
--- a/src/coordination/searcher_rate_limit.cc
+++ b/src/coordination/searcher_rate_limit.cc
@@ -44,6 +44,10 @@
 
 void SearcherRateLimit::OnSent(TimePoint now, double share) {
   ++sent_;
+  TakeToken(now, share);
+}
+
+void SearcherRateLimit::TakeToken(TimePoint now, double share) {
   if (limit_) {
     tokens_ = TokensAt(now, share) - 1;
   }
--- a/src/protocol/request_trace.cc
+++ b/src/protocol/request_trace.cc
@@ -71,7 +71,8 @@
 
 // `trouble` is the most frequent outcome of the attempts without an answer.
 RequestCause CauseOfAttemptOutcome(std::string_view trouble) {
-  if (trouble == kNoSearcherTrouble) {
+  if (trouble == kNoSearcherTrouble ||
+      trouble == AttemptEndName(AttemptEnd::kWithheld)) {
     return RequestCause::kNoSearcher;
   }
   if (trouble == kShardsNotAnsweringTrouble) {
--- a/src/protocol/routed_call_codec.cc
+++ b/src/protocol/routed_call_codec.cc
@@ -175,6 +175,15 @@
   return headers;
 }
 
+void SetTimeLeft(const CallDialect& dialect,
+                 std::chrono::milliseconds time_left,
+                 HeaderList& headers) {
+  std::erase_if(headers, [&dialect](const auto& header) {
+    return IsSameHeader(header.first, dialect.time_left);
+  });
+  headers.emplace_back(dialect.time_left, std::to_string(time_left.count()));
+}
+
 bool NamesRequest(const CallDialect& dialect, const HeaderList& headers) {
   return FindHeader(headers, dialect.request_id).has_value();
 }
--- a/src/state/searcher_answer.cc
+++ b/src/state/searcher_answer.cc
@@ -16,6 +16,8 @@
       return "lost";
     case AttemptEnd::kNotSent:
       return "not_sent";
+    case AttemptEnd::kWithheld:
+      return "withheld";
     case AttemptEnd::kAbandoned:
       return "abandoned";
   }
--- a/src/transport/http_client_pool.cc
+++ b/src/transport/http_client_pool.cc
@@ -19,6 +19,8 @@
 // opened while others are open.
 constexpr std::chrono::milliseconds kConnectRetryDelay{100};
 
+constexpr char kClosedDetail[] = "the client is closed";
+
 // Returns the timeout of the Keep-Alive header, which is in whole seconds.
 std::optional<Duration> AnnouncedIdleTimeout(const HttpResponse& response) {
   constexpr std::string_view kTimeout = "timeout=";
@@ -115,6 +117,7 @@
         break;
       case Operation::kClose:
         closed_ = true;
+        FailWaiting(Describe(FailureKind::kUnavailable, kClosedDetail));
         break;
     }
   }
@@ -127,8 +130,7 @@
   queue.ids.push_back(id);
   ++queue.count;
   if (closed_) {
-    EndCall(id,
-            {Describe(FailureKind::kConnectionClosed, "client closed"), false});
+    EndCall(id, {Describe(FailureKind::kUnavailable, kClosedDetail), false});
     return;
   }
   ArmDeadlines();
@@ -188,7 +190,9 @@
     if (connection == nullptr) {
       break;
     }
-    SendCall(*connection, *TakeWaiting(waiting_for_unused_));
+    if (!SendNext(*connection, waiting_for_unused_)) {
+      idle_.push_back(connection->http->id());
+    }
   }
   MakeRoomForUnused();
   while (waiting_.count > 0) {
@@ -196,7 +200,9 @@
     if (connection == nullptr) {
       break;
     }
-    SendCall(*connection, *TakeWaiting(waiting_));
+    if (!SendNext(*connection, waiting_)) {
+      idle_.push_back(connection->http->id());
+    }
   }
   const TimePoint now = Now();
   while (connecting_ < waiting_count() && CanConnect(now)) {
@@ -267,13 +273,23 @@
   return nullptr;
 }
 
-void HttpClientPool::SendCall(Connection& connection, CallId id) {
+bool HttpClientPool::SendNext(Connection& connection, WaitingCalls& queue) {
+  const CallId id = *TakeWaiting(queue);
   Call& call = calls_.at(id);
+  if (call.request.before_send) {
+    const std::optional<Failure> reason =
+        call.request.before_send(Now(), call.request.headers);
+    if (reason) {
+      EndCall(id, {*reason, false});
+      return false;
+    }
+  }
   call.connection = connection.http->id();
   connection.call = id;
   monitor_.OnRequest(Now(), call.connection,
                      ConnectionMonitor::RequestKind::kCall);
   connection.http->Send(call.request, host_);
+  return true;
 }
 
 size_t HttpClientPool::MaxOpen() const {
--- a/src/transport/http_client_pool.h
+++ b/src/transport/http_client_pool.h
@@ -86,7 +86,9 @@
   }
   Connection* TakeIdle();
   Connection* TakeUnused();
-  void SendCall(Connection& connection, CallId id);
+  // Sends the first call of `queue`. Returns false if the call no longer may be
+  // sent; the connection is then still idle.
+  bool SendNext(Connection& connection, WaitingCalls& queue);
   // Closes an idle connection at the connection limit if a call waits for an
   // unused one.
   void MakeRoomForUnused();
--- a/src/transport/request_router.cc
+++ b/src/transport/request_router.cc
@@ -44,6 +44,9 @@
 // Maximum number of attempts that are logged for one request.
 constexpr size_t kMaxAttemptLines = 12;
 
+constexpr char kSuspectDetail[] =
+    "searchers ended while they had such a request";
+
 // Logged as the end of an attempt that is still in flight when its request
 // ends.
 constexpr std::string_view kInFlightEnd = "open";
@@ -88,8 +91,13 @@
   if (reason.kind == FailureKind::kCancelled ||
       (reason.kind == FailureKind::kTimedOut && result.sent)) {
     outcome.end = AttemptEnd::kAbandoned;
+  } else if (result.sent) {
+    outcome.end = AttemptEnd::kLost;
   } else {
-    outcome.end = result.sent ? AttemptEnd::kLost : AttemptEnd::kNotSent;
+    // The client was closed, or CheckBeforeSend() withheld the request.
+    const bool withheld = reason.kind == FailureKind::kUnavailable ||
+                          reason.kind == FailureKind::kOverloaded;
+    outcome.end = withheld ? AttemptEnd::kWithheld : AttemptEnd::kNotSent;
   }
   outcome.detail = Describe(reason);
   return outcome;
@@ -270,8 +278,14 @@
   query.call.body = request.body;
   query.call.deadline = now + time_left;
   query.call.headers = ForwardedHeaders(dialect_, request.headers);
-  query.call.headers.emplace_back(dialect_.time_left,
-                                  std::to_string(time_left.count()));
+  query.call.before_send = [weak = weak_from_this(),
+                            deadline = query.call.deadline](
+                               TimePoint sent, HeaderList& headers) {
+    if (const auto self = weak.lock()) {
+      SetTimeLeft(self->dialect_, ToMilliseconds(deadline - sent), headers);
+    }
+    return std::optional<Failure>();
+  };
   forward(std::move(query), exchange,
           [weak = weak_from_this(), request = std::move(request),
            caller = std::move(caller), table, route, now, time_left,
@@ -429,6 +443,12 @@
   call.headers =
       AttemptHeaders(dialect_, active.headers,
                      ToMilliseconds(send.deadline - now), searcher.id);
+  call.before_send = [weak = weak_from_this(), number = active.number, send](
+                         TimePoint sent, HeaderList& headers) {
+    const auto self = weak.lock();
+    return self ? self->CheckBeforeSend(number, send, sent, headers)
+                : Failure{FailureKind::kUnavailable, "instance", "it ended"};
+  };
   // The answer names the request, but not the attempt that it answers.
   call.needs_unused_connection = send.is_repeat;
   call.check = [this, id = active.caller.id](const HttpResponse& response) {
@@ -448,6 +468,34 @@
                   });
 }
 
+std::optional<Failure> RequestRouter::CheckBeforeSend(uint64_t number,
+                                                      const AttemptToSend& send,
+                                                      TimePoint now,
+                                                      HeaderList& headers) {
+  const std::string& searcher = send.searcher->entry().id;
+  const auto found = active_requests_.find(number);
+  if (found == active_requests_.end() || found->second->plan->has_result()) {
+    return Failure{FailureKind::kCancelled, searcher, "no longer needed"};
+  }
+  if (send.searcher->IsLeaving(now)) {
+    return Failure{FailureKind::kUnavailable, searcher, "it is leaving"};
+  }
+  if (suspects_->Judge(now, found->second->digest).decision ==
+      SuspectDecision::kReject) {
+    return Failure{FailureKind::kUnavailable, searcher, kSuspectDetail};
+  }
+  if (now >= send.deadline) {
+    return Failure{FailureKind::kTimedOut, searcher, "no time is left"};
+  }
+  if (!send.searcher->RenewToken(
+          now, send.id, plans_->LimitShareOf(*send.searcher), send.tokens)) {
+    return Failure{FailureKind::kOverloaded, searcher,
+                   "its request limit is used up"};
+  }
+  SetTimeLeft(dialect_, ToMilliseconds(send.deadline - now), headers);
+  return std::nullopt;
+}
+
 void RequestRouter::OnAttemptEnded(uint64_t number,
                                    const AttemptToSend& sent,
                                    const HttpCallResult& result) {
@@ -472,8 +520,19 @@
       result.response.last_reason().kind == FailureKind::kConnectionClosed) {
     CheckForCrash(found->second, sent.searcher);
   }
-  ExecuteActions(number, found->second->plan->OnAttemptEnded(
-                             Now(), sent.id, std::move(outcome)));
+  RequestPlan& plan = *found->second->plan;
+  const bool withheld = outcome.end == AttemptEnd::kWithheld;
+  const TimePoint now = Now();
+  RequestActions actions =
+      plan.OnAttemptEnded(now, sent.id, std::move(outcome));
+  if (withheld) {
+    const SuspectVerdict verdict = suspects_->Judge(now, found->second->digest);
+    if (verdict.decision == SuspectDecision::kReject) {
+      actions = plan.OnForbidden(std::move(actions), verdict.retry_after,
+                                 kSuspectDetail);
+    }
+  }
+  ExecuteActions(number, std::move(actions));
 }
 
 void RequestRouter::RecordReach(const AttemptToSend& sent,
--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -1,10 +1,12 @@
 #include "greengage/transport/http_client.h"
 
+#include <atomic>
 #include <chrono>
 #include <deque>
 #include <future>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <thread>
@@ -146,6 +148,45 @@
   cr_assert(!busy.EndsWithin(Ms(0)));
 }
 
+// Guards against calls that reach a server after its client was closed.
+Test(HttpClient, CloseEndsQueuedCallsUnsentAndLetsSentOnesFinish) {
+  IoThreads io(kThreads);
+  Server server(io);
+  const auto client =
+      HttpClient::Create(io.context(), server.endpoint(), {.connections = 1});
+  Call busy(*client, "/hold");
+  cr_assert(!busy.EndsWithin(Ms(50)));
+  Call queued(*client, "/x");
+  client->Close();
+  const HttpCallResult result = queued.Wait();
+  cr_assert(KindOf(result) == FailureKind::kUnavailable && !result.sent);
+  cr_assert(!busy.EndsWithin(Ms(0)));
+}
+
+Test(HttpClient, BeforeSendDecidesWhenAConnectionIsFree) {
+  IoThreads io(kThreads);
+  Server server(io);
+  const auto client =
+      HttpClient::Create(io.context(), server.endpoint(), {.connections = 1});
+  Call busy(*client, "/hold", Ms(200));
+  std::atomic<bool> allowed = true;
+  const auto check = [&allowed](TimePoint, HeaderList& headers) {
+    headers = {{"X-Now", "1"}};
+    return allowed ? std::nullopt
+                   : std::optional<Failure>(
+                         {FailureKind::kOverloaded, "call", "not now"});
+  };
+  Call withheld(*client, HttpCall{.target = "/a", .before_send = check});
+  cr_assert(!withheld.EndsWithin(Ms(50)));
+  allowed = false;
+  const HttpCallResult result = withheld.Wait();
+  cr_assert(KindOf(result) == FailureKind::kOverloaded && !result.sent);
+  allowed = true;
+  cr_assert(Call(*client, HttpCall{.target = "/b", .before_send = check})
+                .Wait()
+                .response->body == "/b");
+}
+
 Test(HttpClient, CancelAndDeadlineCloseTheBusyConnection) {
   IoThreads io(kThreads);
   Server server(io);
--- a/tests/request_plan_test.cc
+++ b/tests/request_plan_test.cc
@@ -1,6 +1,7 @@
 #include "greengage/coordination/request_plan.h"
 
 #include <chrono>
+#include <utility>
 #include <vector>
 
 #include "tests/harness/plan_fixture.h"
@@ -133,6 +134,35 @@
   cr_assert(third.sends.size() == 1 && third.sends[0].is_repeat);
 }
 
+// Guards against requests that wait for a connection and are sent although they
+// must not be any more.
+Test(RequestPlan, ForbiddenRequestIsNotSentToAnotherSearcher) {
+  PlanFixture fixture(1, 2);
+  RequestPlan plan =
+      fixture.Plan(SingleRoute(RequestKind::kNonIdempotent), kDeadline);
+  const RequestActions first = plan.Start(kPlanStart);
+  RequestActions again = plan.OnAttemptEnded(kPlanStart, first.sends[0].id,
+                                             Ended(AttemptEnd::kWithheld));
+  cr_assert(again.sends.size() == 1);
+  const RequestActions forbidden =
+      plan.OnForbidden(std::move(again), Ms(500), "forbidden");
+  cr_assert(forbidden.sends.empty() && forbidden.cancels.empty());
+  cr_assert(forbidden.result->outcome == RequestOutcome::kNotRun);
+  cr_assert(forbidden.result->retry_after == Ms(500));
+  cr_assert(plan.open_attempts() == 0);
+}
+
+Test(RequestPlan, WithheldAttemptGoesToAnotherSearcherAtOnce) {
+  PlanFixture fixture(1, 2, 0);
+  RequestPlan plan =
+      fixture.Plan(SingleRoute(RequestKind::kNonIdempotent), kDeadline);
+  const RequestActions first = plan.Start(kPlanStart);
+  const RequestActions second = plan.OnAttemptEnded(
+      kPlanStart, first.sends[0].id, Ended(AttemptEnd::kWithheld));
+  cr_assert(second.sends.size() == 1);
+  cr_assert(second.sends[0].searcher != first.sends[0].searcher);
+}
+
 Test(RequestPlan, KeepsTheMaximumAttemptsOfTheRoute) {
   PlanFixture fixture(1, 5);
   RequestPlan plan =
--- a/tests/request_trace_test.cc
+++ b/tests/request_trace_test.cc
@@ -45,6 +45,7 @@
   for (const auto& [trouble, cause] :
        {std::pair{"lost", RequestCause::kConnectionLost},
         {"not_sent", RequestCause::kConnectionLost},
+        {"withheld", RequestCause::kNoSearcher},
         {"misdirected", RequestCause::kConnectionLost},
         {"turned_away", RequestCause::kRejected},
         {"failed", RequestCause::kSearcherFailed},
--- a/tests/searcher_directory_test.cc
+++ b/tests/searcher_directory_test.cc
@@ -197,4 +197,36 @@
   cr_assert(ListingGracePeriod(kLeaveTime, kLeaveTime) == kListingGracePeriod);
 }
 
+// Guards against requests that wait for a connection and then exceed a limit
+// that the searcher has named meanwhile.
+Test(SearcherDirectory, RequestThatWaitedNeedsATokenOfALimitNamedMeanwhile) {
+  RoutedSearcher searcher(kStart, MakeEntry("a"));
+  constexpr uint64_t kWaiting = 20;
+  for (uint64_t attempt = 1; attempt <= kWaiting; ++attempt) {
+    searcher.OnSent(kStart, attempt);
+  }
+  searcher.rate_limit().OnAnswer(kStart, 2.0);
+  const auto allowed_until = [&searcher](TimePoint now) {
+    size_t allowed = 0;
+    for (uint64_t attempt = 1; attempt <= kWaiting; ++attempt) {
+      allowed += searcher.RenewToken(now, attempt, 1, {}) ? 1 : 0;
+    }
+    return allowed;
+  };
+  cr_assert(allowed_until(kStart) == 0);
+  cr_assert(allowed_until(kStart + std::chrono::seconds(1)) == 2);
+}
+
+Test(SearcherDirectory, TokenOfARequestThatWaitedForLongIsReplaced) {
+  RoutedSearcher searcher(kStart, MakeEntry("a"));
+  searcher.rate_limit().OnAnswer(kStart, 1.0);
+  searcher.OnSent(kStart, 1);
+  const TimePoint soon = kStart + std::chrono::milliseconds(500);
+  cr_assert(searcher.RenewToken(soon, 1, 1, {}));
+  const TimePoint later = kStart + std::chrono::seconds(3);
+  searcher.OnSent(later, 2);
+  cr_assert(!searcher.RenewToken(later, 1, 1, {}));
+  cr_assert(searcher.RenewToken(later, 2, 1, {}));
+}
+
 }  // namespace greengage
