Skip interim answers, and end a call whose skipped answers never end

What callers saw: after 100 or 103 of a searcher, the interim answer instead of the final one. A searcher that sends interim answers, or answers to other calls, again and again held a call until its deadline.

Cause: the first complete message counted as the answer, and nothing bounded the number of skipped ones.

Change: interim answers are skipped, with answers to other calls 16 at most for a call; beyond it the attempt counts as lost.

--- a/src/transport/http_client_connection.cc
+++ b/src/transport/http_client_connection.cc
@@ -24,6 +24,10 @@
 // acknowledge sent bytes for this time. The searcher process has no influence.
 constexpr std::chrono::milliseconds kAcknowledgeTimeout{800};
 
+// Interim answers and late answers to other calls that are skipped before the
+// answer to a call.
+constexpr size_t kMaxSkippedResponses = 16;
+
 // TCP keep-alive detects an unresponsive connection that is idle or waits for a
 // response within about 3 s.
 constexpr int kKeepAliveIntervalSeconds = 1;
@@ -146,6 +150,7 @@
   serializer_.emplace(request_);
   check_ = call.check;
   ++calls_;
+  skipped_responses_ = 0;
   skip_body_ = call.method == "HEAD";
   ExpectResponse();
   sent_ = false;
@@ -266,8 +271,24 @@
   }
 }
 
+void HttpClientConnection::SkipResponse(const char* reason) {
+  if (++skipped_responses_ > kMaxSkippedResponses) {
+    Close(Describe(FailureKind::kMalformedMessage, reason));
+    return;
+  }
+  ExpectResponse();
+  if (input_.size() > 0) {
+    Parse();
+  }
+}
+
 void HttpClientConnection::OnParsed() {
   ReleaseBudget();
+  if (http::to_status_class(parser_->get().result_int()) ==
+      http::status_class::informational) {
+    SkipResponse("too many interim answers");
+    return;
+  }
   bool reusable = parser_->get().keep_alive() && !parser_->need_eof() &&
                   input_.size() == 0 && !serializer_;
   const bool more_may_follow =
@@ -290,10 +311,7 @@
                      "the answer belongs to another request"));
       return;
     }
-    ExpectResponse();
-    if (input_.size() > 0) {
-      Parse();
-    }
+    SkipResponse("too many answers to other requests");
     return;
   }
   if (!reusable) {
--- a/src/transport/http_client_connection.h
+++ b/src/transport/http_client_connection.h
@@ -85,6 +85,9 @@
   void OnRead(const boost::system::error_code& error, size_t size);
   void Parse();
   void OnParsed();
+  // Goes on to the next response, since the last one was not that to the call.
+  // Closes the connection if there were too many of these.
+  void SkipResponse(const char* reason);
   void ExpectResponse();
   void OnEndOfStream(const boost::system::error_code& error);
   void OnParseError(const boost::system::error_code& error);
@@ -107,6 +110,7 @@
   std::optional<Serializer> serializer_;
   std::optional<Parser> parser_;  // Set while a response is expected.
   size_t reserved_bytes_ = 0;     // Share of the receive budget.
+  size_t skipped_responses_ = 0;  // Since the call was sent.
   size_t calls_ = 0;              // Calls sent on the connection.
   bool connected_ = false;
   bool refused_ = false;
--- a/tests/endless_answer_test.cc
+++ b/tests/endless_answer_test.cc
@@ -5,11 +5,14 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
+#include <functional>
 #include <future>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "greengage/transport/http_client.h"
@@ -33,10 +36,13 @@
 const char kChunkedHead[] =
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
-std::future<HttpCallResult> StartCall(HttpClient& client) {
+std::future<HttpCallResult> StartCall(
+    HttpClient& client,
+    std::function<HttpResponseMatch(const HttpResponse&)> check = {}) {
   const auto ended = std::make_shared<std::promise<HttpCallResult>>();
   HttpCall call;
   call.target = "/";
+  call.check = std::move(check);
   call.deadline = std::chrono::steady_clock::now() + kDeadline;
   client.Start(std::move(call), [ended](HttpCallResult result) {
     ended->set_value(std::move(result));
@@ -114,6 +120,27 @@
             FailureKind::kTooLarge);
 }
 
+// Guards against a call that never ends since interim answers, or answers to
+// other calls, come again and again.
+Test(EndlessAnswer, EndsInterimAnswersThatNeverEnd) {
+  cr_assert(EndOfAnswer("", "HTTP/1.1 103 Early Hints\r\n\r\n") ==
+            FailureKind::kMalformedMessage);
+}
+
+Test(EndlessAnswer, EndsAnswersToOtherCallsThatNeverEnd) {
+  IoThreads io(2);
+  const auto server = EndlessServer::Start(
+      io.context(),
+      {"", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", SIZE_MAX});
+  const auto client = HttpClient::Create(io.context(), server->endpoint(), {});
+  std::future<HttpCallResult> call = StartCall(
+      *client,
+      [](const HttpResponse&) { return HttpResponseMatch::kMismatch; });
+  cr_assert(call.wait_for(kTimeToReachALimit) == std::future_status::ready);
+  cr_assert(call.get().response.last_reason().kind ==
+            FailureKind::kMalformedMessage);
+}
+
 // Guards against many connections that are within their limits and exceed the
 // memory limit of the instance together.
 Test(EndlessAnswer, ManyUnfinishedAnswersKeepToTheSharedBudget) {
--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -240,6 +240,18 @@
   cr_assert(KindOf(truncated) == FailureKind::kConnectionClosed);
 }
 
+// Guards against an interim answer that is passed on as the final one.
+Test(HttpClient, InterimAnswersAreNotTheAnswer) {
+  for (const char* const interim :
+       {"HTTP/1.1 100 Continue\r\n\r\n",
+        "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"}) {
+    const HttpCallResult result =
+        CallScripted(std::string(interim) + interim + kCompleteResponse, 100);
+    cr_assert(result.response.ok() && result.response->status == 200);
+    cr_assert(result.response->body == "ok");
+  }
+}
+
 Test(HttpClient, ResponsesOverTheLimitsAreRejected) {
   const HttpCallResult body =
       CallScripted("HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n", 100);
