--- a/include/greengage/protocol/feed_codec.h
+++ b/include/greengage/protocol/feed_codec.h
@@ -12,8 +12,10 @@
 
 std::string SerializeFeedPage(const FeedPage& page);
 
-// Fails with kMalformedMessage if `message` is not a page or holds an object
-// that cannot be used; no part of it may be used then.
+// Fails with kMalformedMessage if `message` is not a page. An object whose
+// value is invalid is returned without one, as if its entry were missing from
+// the registry. Objects of unknown kinds are left out: a later version may send
+// them.
 Result<FeedPage> ParseFeedPage(std::string_view message);
 
 }  // namespace greengage
--- a/src/protocol/feed_codec.cc
+++ b/src/protocol/feed_codec.cc
@@ -102,6 +102,8 @@
                      message.searcher(), milliseconds(message.started_ms())};
 }
 
+// Returns nothing for an object of a kind that this version does not know. An
+// object whose value is invalid has no value.
 std::optional<FeedObject> Read(const wire::FeedObject& message) {
   if (message.kind() >= kFeedKinds || message.name().empty()) {
     return std::nullopt;
@@ -120,28 +122,25 @@
     case wire::FeedObject::kSearcher: {
       kind_of_value = FeedKind::kSearcher;
       auto entry = Read(object.name, message.searcher());
-      if (!entry) {
-        return std::nullopt;
+      if (entry) {
+        object.value = *std::move(entry);
       }
-      object.value = *std::move(entry);
       break;
     }
     case wire::FeedObject::kInstance: {
       kind_of_value = FeedKind::kInstance;
       auto record = Read(object.name, message.instance());
-      if (!record) {
-        return std::nullopt;
+      if (record) {
+        object.value = *std::move(record);
       }
-      object.value = *std::move(record);
       break;
     }
     case wire::FeedObject::kCrashReport: {
       kind_of_value = FeedKind::kCrashReport;
       auto report = Read(message.crash_report());
-      if (!report) {
-        return std::nullopt;
+      if (report) {
+        object.value = *std::move(report);
       }
-      object.value = *std::move(report);
       break;
     }
     case wire::FeedObject::VALUE_NOT_SET:
@@ -186,10 +185,9 @@
   for (const auto* const objects : {&read.objects(), &read.newer_objects()}) {
     for (const wire::FeedObject& object : *objects) {
       std::optional<FeedObject> decoded = Read(object);
-      if (!decoded) {
-        return malformed;
+      if (decoded) {
+        page.objects.push_back(*std::move(decoded));
       }
-      page.objects.push_back(*std::move(decoded));
     }
   }
   return page;
