Take requests during a stop only if they can end, and answer the rest

What callers saw: in a planned stop in calm, requests that came late were taken and passed on, and at its end cut off without an answer, among them such that may run once only.

Cause: StopSequence decided by the time of the stop only, not by how long a request may last, and what was in flight at the end was dropped with the process.

Change: in the first half of a stop all requests are taken; after that only those whose deadline and timeout end before the process does. Others are refused as not run, also to peers that pass them on. At the end, requests in flight are answered, as not run if no searcher can have run them, otherwise with 502.

--- a/include/greengage/coordination/stop_sequence.h
+++ b/include/greengage/coordination/stop_sequence.h
@@ -35,10 +35,17 @@
   // shutdown.
   StopStep Next(TimePoint now, TimePoint last_request, bool has_work);
 
+  // Returns whether to take a request that arrives now and may last for
+  // `longest`. In the first half of the shutdown all are taken, since the load
+  // balancer still sends new ones; the other half is left for them. After that,
+  // only those are taken that end before the process does.
+  bool Takes(TimePoint now, Duration longest) const;
+
  private:
   const TimePoint started_;
   const Duration notice_;
   const Duration grace_;
+  const TimePoint end_;
   StopStep step_ = StopStep::kServe;
 };
 
--- a/include/greengage/state/decision_event.h
+++ b/include/greengage/state/decision_event.h
@@ -14,6 +14,7 @@
 enum class DecisionEvent : uint8_t {
   kInstanceStarted,
   kInstanceStopping,
+  kRequestsEndedByStop,
   kInstanceStopped,
   kSettingsReloaded,
   kInstancesCounted,
--- a/include/greengage/transport/gather_forwarder.h
+++ b/include/greengage/transport/gather_forwarder.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "greengage/coordination/gatherers.h"
@@ -97,7 +98,11 @@
                const std::shared_ptr<HttpExchange>& exchange,
                GatherHere gather_here);
 
-  size_t in_flight() const { return in_flight_; }
+  // Answers all queries that are in flight with an error, because the process
+  // ends: their gatherers may have run them.
+  void EndAll();
+
+  size_t in_flight() const { return queries_.size(); }
 
  private:
   class Query;
@@ -111,7 +116,7 @@
   std::minstd_rand* const random_;
   const Hooks hooks_;
   std::map<Endpoint, std::shared_ptr<HttpClient>> clients_;
-  size_t in_flight_ = 0;
+  std::set<Query*> queries_;  // Without a result yet.
 };
 
 }  // namespace greengage
--- a/include/greengage/transport/request_router.h
+++ b/include/greengage/transport/request_router.h
@@ -47,8 +47,9 @@
   struct Hooks {
     // Returns the active routes, or null if there are none yet.
     std::function<RouteTablePtr()> active_routes;
-    // Returns true if new requests must be rejected, as during shutdown.
-    std::function<bool()> rejecting;
+    // Returns whether to take a request that may last for `longest`. A shutdown
+    // takes none that would not end in time.
+    std::function<bool(TimePoint now, Duration longest)> takes;
     // Returns the age of the searcher registry, for logs.
     std::function<Duration()> registry_age;
     // Returns true if other instances gather the queries that arrive here.
@@ -88,6 +89,10 @@
   void HandleForwarded(HttpRequest request,
                        const std::shared_ptr<HttpExchange>& exchange);
 
+  // Answers all requests that are in flight, because the process ends. Those
+  // that no searcher can have run are rejected as not run.
+  void EndAll();
+
   // Number of requests that have not been answered yet.
   size_t in_flight() const { return in_flight_; }
 
@@ -138,6 +143,10 @@
                  const Route* route);
   void RecordReach(const AttemptToSend& sent, const HttpCallResult& result);
   void ExecuteActions(uint64_t number, RequestActions actions);
+  // Returns whether a request that arrives now is taken.
+  bool Takes(TimePoint now,
+             const CallerRequest& caller,
+             const Route& route) const;
   void SendAttempt(ActiveRequest& active, const AttemptToSend& send);
   // Decides again whether an attempt may be sent, which has waited for a
   // connection. Sets the time that is left. Returns why it must not be sent.
--- a/src/coordination/stop_sequence.cc
+++ b/src/coordination/stop_sequence.cc
@@ -30,7 +30,13 @@
                            Duration kill_timeout)
     : started_(started),
       notice_(ScaleToLimit(notice, notice + grace, kill_timeout)),
-      grace_(ScaleToLimit(grace, notice + grace, kill_timeout)) {}
+      grace_(ScaleToLimit(grace, notice + grace, kill_timeout)),
+      end_(started_ + notice_ + grace_) {}
+
+bool StopSequence::Takes(TimePoint now, Duration longest) const {
+  const bool in_first_half = now - started_ < end_ - now;
+  return step_ == StopStep::kServe && (in_first_half || now + longest <= end_);
+}
 
 StopStep StopSequence::Next(TimePoint now,
                             TimePoint last_request,
@@ -43,7 +49,7 @@
   } else if (step_ == StopStep::kDrain && !has_work) {
     step_ = StopStep::kFinished;
   }
-  if (now >= started_ + notice_ + grace_) {
+  if (now >= end_) {
     step_ = StopStep::kFinished;
   }
   return step_;
--- a/src/routed_instance.cc
+++ b/src/routed_instance.cc
@@ -110,7 +110,10 @@
       RequestRouter::Limits{settings_.http_in_flight}, &plan_context_,
       &suspects_, &reach_, clients_, &metrics_,
       RequestRouter::Hooks{
-          [this] { return route_table_; }, [this] { return rejecting_; },
+          [this] { return route_table_; },
+          [this](TimePoint now, Duration longest) {
+            return !stop_sequence_ || stop_sequence_->Takes(now, longest);
+          },
           [this] { return RegistryAge(); },
           [this] { return !gatherers_.gathers_itself(); },
           [this](const CrashReport& report, CrashedRequest request) {
--- a/src/routed_instance_impl.h
+++ b/src/routed_instance_impl.h
@@ -147,6 +147,7 @@
   void RunHousekeeping();
   void LogRateLimits();
   void AdvanceStop();
+  void EndRequests();
   void FinishStop();
 
   template <typename Item>
--- a/src/routed_instance_stop.cc
+++ b/src/routed_instance_stop.cc
@@ -13,6 +13,9 @@
 // Interval of the checks whether the shutdown can advance.
 constexpr std::chrono::milliseconds kStopPollInterval{50};
 
+// Time for the last answers to be written before the process ends.
+constexpr std::chrono::milliseconds kLastAnswersTime{100};
+
 // Interval at which expired searchers are removed and the log is flushed.
 constexpr std::chrono::milliseconds kHousekeepingInterval{250};
 
@@ -132,7 +135,7 @@
     caller_server_->StopAccepting();
   }
   if (step == StopStep::kFinished) {
-    FinishStop();
+    EndRequests();
     return;
   }
   stop_timer_.expires_after(kStopPollInterval);
@@ -140,6 +143,26 @@
       [self = shared_from_this()](auto) { self->AdvanceStop(); });
 }
 
+// A request that is cut off without an answer leaves its caller waiting and may
+// not be repeated.
+void RoutedInstanceImpl::EndRequests() {
+  const size_t in_flight = router_->in_flight() + forwarder_->in_flight() +
+                           peer_forwarder_->in_flight();
+  if (in_flight == 0) {
+    FinishStop();
+    return;
+  }
+  LogLine(DecisionEvent::kRequestsEndedByStop)
+      .Add("in_flight", in_flight)
+      .Write();
+  forwarder_->EndAll();
+  peer_forwarder_->EndAll();
+  router_->EndAll();
+  stop_timer_.expires_after(kLastAnswersTime);
+  stop_timer_.async_wait(
+      [self = shared_from_this()](auto) { self->FinishStop(); });
+}
+
 void RoutedInstanceImpl::FinishStop() {
   feed_timer_.cancel();
   StopStoreWatches();
--- a/src/state/decision_event.cc
+++ b/src/state/decision_event.cc
@@ -12,6 +12,10 @@
        "version, data_centre", "The process listens."},
       {kInstanceStopping, "instance_stopping", LogLevel::kInfo, "in_flight",
        "A graceful stop begins; the balancer is told."},
+      {kRequestsEndedByStop, "requests_ended_by_stop", LogLevel::kWarning,
+       "in_flight",
+       "The time of the stop is over; requests in flight are answered as not "
+       "run or with an error."},
       {kInstanceStopped, "instance_stopped", LogLevel::kInfo, "in_flight",
        "The process ends; requests in flight would be cut off."},
       {kSettingsReloaded, "settings_reloaded", LogLevel::kInfo,
--- a/src/transport/gather_forwarder.cc
+++ b/src/transport/gather_forwarder.cc
@@ -120,7 +120,12 @@
         gather_here_(std::move(gather_here)),
         started_(Now()),
         timer_(forwarder_->context_) {
-    ++forwarder_->in_flight_;
+    forwarder_->queries_.insert(this);
+  }
+
+  void EndUnanswered() {
+    client_->Cancel(call_);
+    Fail(kBadGateway, Now());
   }
 
   void Start(HttpExchange& caller) {
@@ -263,7 +268,7 @@
   void End() {
     ended_ = true;
     timer_.cancel();
-    --forwarder_->in_flight_;
+    forwarder_->queries_.erase(this);
   }
 
   const std::shared_ptr<GatherForwarder> forwarder_;
@@ -299,6 +304,12 @@
   forwarded->Start(*exchange);
 }
 
+void GatherForwarder::EndAll() {
+  for (Query* const query : std::set<Query*>(queries_)) {
+    query->EndUnanswered();
+  }
+}
+
 std::shared_ptr<HttpClient> GatherForwarder::ClientFor(
     const Endpoint& endpoint) {
   std::shared_ptr<HttpClient>& client = clients_[endpoint];
--- a/src/transport/request_router.cc
+++ b/src/transport/request_router.cc
@@ -178,11 +178,10 @@
     return;
   }
   const RouteTablePtr table = hooks_.active_routes();
-  if (hooks_.rejecting() || !table) {
+  if (!table) {
     Reject(caller->id, exchange,
-           Failure{
-               table ? FailureKind::kShuttingDown : FailureKind::kUnavailable,
-               "instance", table ? "it stops" : "it has no configuration yet"});
+           Failure{FailureKind::kUnavailable, "instance",
+                   "it has no configuration yet"});
     return;
   }
   const Route* const route = table->Find(caller->host, request.path);
@@ -193,6 +192,12 @@
                        std::to_string(table->version()) + " matches"});
     return;
   }
+  if (!Takes(last_request_, *caller, *route)) {
+    Reject(caller->id, exchange,
+           Failure{FailureKind::kShuttingDown, "instance",
+                   "it ends before the request may have"});
+    return;
+  }
   if (in_flight_ >= limits_.in_flight) {
     Reject(caller->id, exchange,
            Failure{FailureKind::kOverloaded, "instance",
@@ -229,6 +234,29 @@
                Origin::kCaller);
 }
 
+bool RequestRouter::Takes(TimePoint now,
+                          const CallerRequest& caller,
+                          const Route& route) const {
+  return hooks_.takes(
+      now, std::min<Duration>(TimeLeft(caller, route), route.timeout));
+}
+
+void RequestRouter::EndAll() {
+  std::vector<uint64_t> numbers;
+  numbers.reserve(active_requests_.size());
+  for (const auto& [number, active] : active_requests_) {
+    numbers.push_back(number);
+  }
+  for (const uint64_t number : numbers) {
+    const auto found = active_requests_.find(number);
+    if (found != active_requests_.end() && !found->second->plan->has_result()) {
+      ExecuteActions(
+          number, found->second->plan->OnForbidden({}, kOtherInstanceRetryDelay,
+                                                   "the instance ends"));
+    }
+  }
+}
+
 void RequestRouter::HandleForwarded(
     HttpRequest request,
     const std::shared_ptr<HttpExchange>& exchange) {
@@ -243,7 +271,7 @@
                                  .headers = {{kCutOffHeader, "1"}}});
     return;
   }
-  if (!info || route == nullptr || hooks_.rejecting() ||
+  if (!info || route == nullptr || !Takes(last_request_, *caller, *route) ||
       table->version() < info->configuration ||
       in_flight_ >= limits_.in_flight) {
     exchange->Reply(HttpResponse{.status = kForwardRefusedStatus});
--- a/tests/stop_sequence_test.cc
+++ b/tests/stop_sequence_test.cc
@@ -43,4 +43,20 @@
             StopStep::kServe);
 }
 
+// Guards against requests that are taken late in a shutdown and cut off at its
+// end.
+Test(StopSequence, TakesLateRequestsOnlyIfTheyEndInTime) {
+  StopSequence stop(kStart, Ms(2500), Ms(3000), Ms(6000));
+  const auto takes = [&stop](Ms at, Ms longest) {
+    (void)stop.Next(kStart + at, kStart + at, true);
+    return stop.Takes(kStart + at, longest);
+  };
+  cr_assert(takes(Ms(0), Ms(8000)));
+  cr_assert(takes(Ms(2749), Ms(8000)));
+  cr_assert(!takes(Ms(2751), Ms(8000)));
+  cr_assert(takes(Ms(3500), Ms(2000)) && !takes(Ms(3501), Ms(2000)));
+  cr_assert(takes(Ms(3999), Ms(600)));
+  cr_assert(!takes(Ms(4000), Ms(1)));
+}
+
 }  // namespace greengage
