Send nothing more to a searcher that says in its answers that it leaves

Change: an answer with the header marks the searcher as draining, in whatever way the attempt ended but for 421, which is another searcher's. Calls that wait for a connection to it go to another one. Entries of the store do not take it back, also if the entry is removed and the same process listed again; another process with the same id or address starts anew.

--- a/include/greengage/coordination/routed_searcher.h
+++ b/include/greengage/coordination/routed_searcher.h
@@ -37,6 +37,10 @@
   // Sets a newer registry entry of the same process.
   void UpdateEntry(TimePoint now, SearcherEntry entry);
 
+  // Reports that the process drains, which later entries do not take back.
+  // Returns false if that was known, or the process has stopped.
+  bool SetDraining();
+
   // Reports that the entry is missing from the registry. The searcher may still
   // be used for `grace` if there is no other.
   void OnUnregistered(TimePoint now, Duration grace);
--- a/include/greengage/coordination/searcher_directory.h
+++ b/include/greengage/coordination/searcher_directory.h
@@ -47,7 +47,7 @@
     // or draining.
     std::function<void(const RoutedSearcher&)> on_added;
     // Called when a searcher starts to drain or is removed. `reason` is
-    // "draining", "restarted" or "gone".
+    // "draining", "announced", "restarted" or "gone".
     std::function<void(const RoutedSearcher&, std::string_view reason)>
         on_leaving;
   };
@@ -64,6 +64,10 @@
   // Applies changes in the given order, which must be that of the registry.
   void Apply(TimePoint now, const std::vector<SearcherChange>& changes);
 
+  // Reports that the searcher said in an answer that it leaves. The registry
+  // may not say so yet, or be out of reach. Older entries do not take it back.
+  void OnAnnouncedLeaving(const RoutedSearcherPtr& searcher);
+
   // Removes searchers that have been missing for longer than their grace
   // period. Must be called about once per second.
   void Expire(TimePoint now);
--- a/include/greengage/protocol/call_dialect.h
+++ b/include/greengage/protocol/call_dialect.h
@@ -21,6 +21,8 @@
   std::string load = "Greengage-Load";
   // Requests per second that a searcher takes from all instances together.
   std::string request_limit = "Greengage-Request-Limit";
+  // Present, with the value 1, in all answers of a searcher that leaves.
+  std::string leaving = "Greengage-Leaving";
   // Present in an answer if the searcher did not execute the request.
   std::string not_run = "Greengage-Not-Run";
   // Comma-separated signatures of the partial answers that were merged.
--- a/include/greengage/state/searcher_answer.h
+++ b/include/greengage/state/searcher_answer.h
@@ -50,7 +50,8 @@
   // Requests per second that the searcher takes from all instances together.
   // Empty if the answer names no limit.
   std::optional<double> request_limit;
-  std::string detail;  // Reason for the lack of an answer, for people.
+  bool leaving = false;  // The searcher says that it leaves.
+  std::string detail;    // Reason for the lack of an answer, for people.
 };
 
 // Returns whether `end` proves that the searcher did not run the request.
--- a/src/coordination/routed_searcher.cc
+++ b/src/coordination/routed_searcher.cc
@@ -72,6 +72,14 @@
   expires_at_.reset();
 }
 
+bool RoutedSearcher::SetDraining() {
+  if (gone_ || entry_.draining) {
+    return false;
+  }
+  entry_.draining = true;
+  return true;
+}
+
 void RoutedSearcher::OnUnregistered(TimePoint now, Duration grace) {
   if (!expires_at_) {
     expires_at_ = now + grace;
--- a/src/coordination/searcher_directory.cc
+++ b/src/coordination/searcher_directory.cc
@@ -66,6 +66,11 @@
     return;
   }
   const auto searcher = std::make_shared<RoutedSearcher>(now, entry);
+  const auto departed = departures_.find(entry.id);
+  if (departed != departures_.end() && departed->second.entry.draining &&
+      departed->second.entry.SameProcess(entry)) {
+    searcher->SetDraining();
+  }
   by_id_[entry.id] = searcher;
   by_service_[entry.service].push_back(searcher);
   hooks_.on_added(*searcher);
@@ -91,6 +96,12 @@
   }
 }
 
+void SearcherDirectory::OnAnnouncedLeaving(const RoutedSearcherPtr& searcher) {
+  if (searcher->SetDraining()) {
+    hooks_.on_leaving(*searcher, "announced");
+  }
+}
+
 void SearcherDirectory::Expire(TimePoint now) {
   std::vector<RoutedSearcherPtr> expired;
   for (const auto& [id, searcher] : by_id_) {
--- a/src/protocol/routed_call_codec.cc
+++ b/src/protocol/routed_call_codec.cc
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr unsigned kMisdirectedStatus = 421;
+constexpr std::string_view kLeavingValue = "1";
 
 // Hop-by-hop headers, and Content-Length, which the transport sets for the next
 // hop.
@@ -202,8 +203,11 @@
   AttemptOutcome outcome;
   outcome.load = ReadLoad(dialect, headers);
   outcome.request_limit = ReadRequestLimit(dialect, headers);
+  outcome.leaving =
+      Trim(FindHeader(headers, dialect.leaving).value_or("")) == kLeavingValue;
   if (status == kMisdirectedStatus) {
     outcome.end = AttemptEnd::kMisdirected;
+    outcome.leaving = false;  // Another searcher says so.
     outcome.detail = "another searcher has the address";
     return outcome;
   }
--- a/src/transport/request_router.cc
+++ b/src/transport/request_router.cc
@@ -544,6 +544,9 @@
     }
   }
   RecordReach(sent, result);
+  if (outcome.leaving) {
+    plans_->searchers.OnAnnouncedLeaving(sent.searcher);
+  }
   if (outcome.end == AttemptEnd::kLost && !result.response &&
       result.response.last_reason().kind == FailureKind::kConnectionClosed) {
     CheckForCrash(found->second, sent.searcher);
--- a/tests/routed_call_codec_test.cc
+++ b/tests/routed_call_codec_test.cc
@@ -55,6 +55,18 @@
   cr_assert(!ParseAnswer(200, {}).request_limit);
 }
 
+Test(RoutedCallCodec, ParsesThatASearcherLeaves) {
+  const HeaderList leaving{{"greengage-leaving", " 1"}};
+  for (const unsigned status : {200U, 500U, 503U}) {
+    cr_assert(ParseAnswer(status, leaving).leaving);
+  }
+  cr_assert(!ParseAnswer(421, leaving).leaving);
+  for (const char* const other : {"0", "", "10", "yes"}) {
+    cr_assert(!ParseAnswer(200, {{"Greengage-Leaving", other}}).leaving);
+  }
+  cr_assert(!ParseAnswer(200, {}).leaving);
+}
+
 Test(RoutedCallCodec, AnswerWithDifferentIdIsMismatched) {
   const HeaderList headers{{"greengage-request-id", "one"}};
   cr_assert(!IsMismatchedAnswer(kDialect, headers, "one"));
--- a/tests/searcher_directory_test.cc
+++ b/tests/searcher_directory_test.cc
@@ -229,4 +229,32 @@
   cr_assert(searcher.RenewToken(later, 2, 1, {}));
 }
 
+// Guards against a searcher that said that it leaves and is used again because
+// of an entry that does not say so.
+Test(SearcherDirectory, SearcherThatAnnouncedItsLeaveIsNotUsedAgain) {
+  Fixture fixture;
+  fixture.directory.Replace(kStart, {MakeEntry("a")});
+  const RoutedSearcherPtr searcher =
+      fixture.directory.ForService("shard").front();
+  fixture.directory.OnAnnouncedLeaving(searcher);
+  fixture.directory.OnAnnouncedLeaving(searcher);
+  cr_assert(fixture.leaving == std::vector<std::string>{"announced"});
+  SearcherEntry draining = MakeEntry("a");
+  draining.draining = true;
+  for (const SearcherEntry& entry :
+       {MakeEntry("a"), draining, MakeEntry("a")}) {
+    fixture.directory.Replace(kStart, {entry});
+    cr_assert(fixture.UsabilityOf(kStart) == Usability::kUnusable);
+  }
+  cr_assert(fixture.leaving.size() == 1);
+  // The store comes back from a copy that has the entry of before.
+  fixture.directory.Apply(kStart, {{"a", std::nullopt}});
+  fixture.directory.Expire(kStart + Ms(300));
+  fixture.directory.Replace(kStart + Ms(300), {MakeEntry("a")});
+  cr_assert(fixture.UsabilityOf(kStart + Ms(300)) == Usability::kUnusable);
+  // Another process with the same id and address starts anew.
+  fixture.directory.Replace(kStart + Ms(400), {MakeEntry("a", Ms(2))});
+  cr_assert(fixture.UsabilityOf(kStart + Ms(400)) == Usability::kHealthy);
+}
+
 }  // namespace greengage
