Send nothing to a searcher for the time for which it wants no requests

Change: the time is read from a 503 (seconds, with fractions, one hour at most; all else is ignored) and lengthened by up to a fifth at random, so that the instances do not come back at once. Until then no attempt goes to the searcher, nor does one that was chosen before and waits for a connection. A shorter time in a later answer does not take it back. If the searchers of a route, or of too many of its parts, want nothing, the request is rejected at once as not run, with a Retry-After that is no earlier.

--- a/include/greengage/coordination/request_plan.h
+++ b/include/greengage/coordination/request_plan.h
@@ -182,6 +182,8 @@
                     const RouteTiming& timing,
                     bool all,
                     RequestActions& actions);
+  // Returns the end of a time for which a searcher wants no requests.
+  TimePoint ClosedUntil(TimePoint now, Duration closed_for) const;
   void OnPartFailed(TimePoint now, size_t index, RequestActions& actions);
   // Cancels the attempts of `part`, or of all parts if it is empty.
   void CancelAttempts(std::optional<size_t> part,
@@ -193,7 +195,11 @@
   void Finish(RequestResult result, RequestActions& actions);
   // Takes back attempts that are not sent yet.
   void Withdraw(std::vector<AttemptToSend>& sends);
-  void Reject(Duration wait, RequestResult result, RequestActions& actions);
+  void Reject(TimePoint now,
+              Duration wait,
+              RequestResult result,
+              RequestActions& actions);
+  Duration RequiredClosedWait(TimePoint now) const;
   void FinishWithoutAnswer(TimePoint now, RequestActions& actions);
   RequestResult Merge();
   size_t RequiredParts() const;
--- a/include/greengage/coordination/routed_searcher.h
+++ b/include/greengage/coordination/routed_searcher.h
@@ -90,6 +90,16 @@
   // none is outstanding, or the last one is older than the probe interval.
   bool AllowsProbe(TimePoint now) const;
 
+  // Returns how long the searcher still wants no request from this instance.
+  Duration ClosedFor(TimePoint now) const {
+    return closed_until_ && now < *closed_until_ ? *closed_until_ - now
+                                                 : Duration::zero();
+  }
+
+  // Sets the end of that time. A later answer with an earlier end, or of a
+  // request that was sent before, does not shorten it.
+  void OnClosed(TimePoint until);
+
   // The limit that the searcher names on the requests of all instances.
   const SearcherRateLimit& rate_limit() const { return rate_limit_; }
   SearcherRateLimit& rate_limit() { return rate_limit_; }
@@ -132,6 +142,7 @@
   uint32_t failures_ = 0;  // Consecutive attempts without an answer.
   std::optional<TimePoint> ejected_until_;
   Duration ejection_time_{};
+  std::optional<TimePoint> closed_until_;
   DecayedMean latency_ratio_;  // Latency over the typical latency.
   // As latency_ratio_, from attempts that were abandoned while the searcher did
   // not answer at all. Reset once it answers.
--- a/include/greengage/coordination/searcher_chooser.h
+++ b/include/greengage/coordination/searcher_chooser.h
@@ -71,13 +71,19 @@
                              const std::string& service,
                              const TokenDemand& tokens) const;
 
+  // Returns the time until a usable searcher of `service` wants requests again:
+  // zero if one does now, or there is none.
+  Duration ClosedWait(TimePoint now,
+                      Duration typical,
+                      const std::string& service) const;
+
  private:
   Duration EstimateSearcherWait(TimePoint now,
                                 Duration typical,
                                 const RoutedSearcher& searcher,
                                 TimePoint answer_by) const;
-  // Returns the time until the limit of `searcher` leaves a request to this
-  // instance.
+  // Returns the time until `searcher` wants requests and its limit leaves one
+  // to this instance.
   Duration LimitWait(TimePoint now,
                      const RoutedSearcher& searcher,
                      const TokenDemand& tokens) const;
--- a/include/greengage/state/searcher_answer.h
+++ b/include/greengage/state/searcher_answer.h
@@ -2,6 +2,7 @@
 #ifndef GREENGAGE_STATE_SEARCHER_ANSWER_H_
 #define GREENGAGE_STATE_SEARCHER_ANSWER_H_
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -50,6 +51,9 @@
   // Requests per second that the searcher takes from all instances together.
   // Empty if the answer names no limit.
   std::optional<double> request_limit;
+  // How long the searcher wants no request from this instance. Empty if it does
+  // not say, or accepts requests.
+  std::optional<std::chrono::milliseconds> closed_for;
   bool leaving = false;  // The searcher says that it leaves.
   std::string detail;    // Reason for the lack of an answer, for people.
 };
--- a/src/coordination/request_plan.cc
+++ b/src/coordination/request_plan.cc
@@ -41,6 +41,10 @@
 // more urgent ones, per rank. A hedge leaves as much again.
 constexpr double kTokenReservePerRank = 0.9;
 
+// Fraction of the time for which a searcher wants no requests over which the
+// instances are spread that come back after it.
+constexpr double kClosedTimeSpread = 0.2;
+
 // A searcher that has not answered for this long counts as lost rather than
 // paused. A request that needs it ends then, or at its target latency if that
 // is later.
@@ -188,7 +192,7 @@
   std::nth_element(waits.begin(), last_required, waits.end());
   if (*last_required > Duration::zero()) {
     rejection.cause = "too few shards are likely to answer in time";
-    Reject(*last_required, std::move(rejection), actions);
+    Reject(now, *last_required, std::move(rejection), actions);
   }
 }
 
@@ -307,6 +311,9 @@
   const Duration distance = context_->distances.Of(data_centre);
   attempt.searcher->OnEnded(now, id, outcome, chooser_.TypicalLatency(now),
                             distance);
+  if (outcome.closed_for) {
+    attempt.searcher->OnClosed(ClosedUntil(now, *outcome.closed_for));
+  }
   Part& part = parts_[attempt.part];
   --part.in_flight;
   if (outcome.end == AttemptEnd::kAnswered) {
@@ -361,6 +368,13 @@
   }
 }
 
+// The instances that a searcher turned away must not all come back at once.
+TimePoint RequestPlan::ClosedUntil(TimePoint now, Duration closed_for) const {
+  std::uniform_real_distribution<double> spread(1, 1 + kClosedTimeSpread);
+  return now + std::chrono::duration_cast<Duration>(closed_for *
+                                                    spread(context_->random));
+}
+
 void RequestPlan::OnPartFailed(TimePoint now,
                                size_t index,
                                RequestActions& actions) {
@@ -565,15 +579,33 @@
   return result;
 }
 
+// Returns the time after which the searchers of enough parts accept requests.
+Duration RequestPlan::RequiredClosedWait(TimePoint now) const {
+  const Duration typical = chooser_.TypicalLatency(now);
+  std::vector<Duration> waits;
+  waits.reserve(parts_.size());
+  for (const Part& part : parts_) {
+    waits.push_back(chooser_.ClosedWait(now, typical, part.service));
+  }
+  const size_t required = route_->gather ? RequiredParts() : 1;
+  const auto last_required =
+      waits.begin() + static_cast<std::ptrdiff_t>(required) - 1;
+  std::nth_element(waits.begin(), last_required, waits.end());
+  return *last_required;
+}
+
 // Spreads the retry delays so that the callers of more urgent ranks retry
 // first.
-void RequestPlan::Reject(Duration wait,
+void RequestPlan::Reject(TimePoint now,
+                         Duration wait,
                          RequestResult result,
                          RequestActions& actions) {
   const auto rank = static_cast<double>(IndexOf(RankOf(*route_)));
   std::uniform_real_distribution<double> spread(
       1 + rank * kRetryAfterSpread, 1 + (rank + 1) * kRetryAfterSpread);
-  const Duration retry_after = std::clamp(wait, kMinRetryAfter, kMaxRetryAfter);
+  const Duration retry_after =
+      std::max(std::clamp(wait, kMinRetryAfter, kMaxRetryAfter),
+               RequiredClosedWait(now));
   result.outcome = RequestOutcome::kNotRun;
   result.retry_after = std::chrono::duration_cast<Duration>(
       retry_after * spread(context_->random));
@@ -590,9 +622,9 @@
             : chooser_.EstimateLimitWait(now, typical, parts_.front().service,
                                          TokensFor(AttemptReason::kFirst));
     result.cause = limit_wait > Duration::zero()
-                       ? "the request limits of the searchers are used up"
+                       ? "the searchers take no more requests for now"
                        : "no searcher could take it";
-    Reject(std::max(typical * 2, limit_wait), std::move(result), actions);
+    Reject(now, std::max(typical * 2, limit_wait), std::move(result), actions);
     return;
   }
   const bool timed_out = now >= response_deadline_;
--- a/src/coordination/routed_searcher.cc
+++ b/src/coordination/routed_searcher.cc
@@ -72,6 +72,10 @@
   expires_at_.reset();
 }
 
+void RoutedSearcher::OnClosed(TimePoint until) {
+  closed_until_ = std::max(closed_until_.value_or(until), until);
+}
+
 bool RoutedSearcher::SetDraining() {
   if (gone_ || entry_.draining) {
     return false;
--- a/src/coordination/searcher_chooser.cc
+++ b/src/coordination/searcher_chooser.cc
@@ -30,8 +30,9 @@
 Duration SearcherChooser::LimitWait(TimePoint now,
                                     const RoutedSearcher& searcher,
                                     const TokenDemand& tokens) const {
-  return searcher.rate_limit().WaitFor(now, context_->LimitShareOf(searcher),
-                                       tokens);
+  return std::max(searcher.ClosedFor(now),
+                  searcher.rate_limit().WaitFor(
+                      now, context_->LimitShareOf(searcher), tokens));
 }
 
 SearcherChoice SearcherChooser::Choose(
@@ -103,6 +104,20 @@
   return has_usable ? min_wait : Duration::zero();
 }
 
+Duration SearcherChooser::ClosedWait(TimePoint now,
+                                     Duration typical,
+                                     const std::string& service) const {
+  std::optional<Duration> min_wait;
+  for (const RoutedSearcherPtr& searcher :
+       context_->searchers.ForService(service)) {
+    if (searcher->UsabilityAt(now, typical) != Usability::kUnusable) {
+      const Duration wait = searcher->ClosedFor(now);
+      min_wait = std::min(min_wait.value_or(wait), wait);
+    }
+  }
+  return min_wait.value_or(Duration::zero());
+}
+
 Duration SearcherChooser::EstimateSearcherWait(TimePoint now,
                                                Duration typical,
                                                const RoutedSearcher& searcher,
--- a/src/protocol/routed_call_codec.cc
+++ b/src/protocol/routed_call_codec.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <chrono>
 #include <cmath>
 #include <optional>
 
@@ -12,6 +13,12 @@
 namespace {
 
 constexpr unsigned kMisdirectedStatus = 421;
+constexpr unsigned kUnavailableStatus = 503;
+
+// Longest time for which a searcher may want no requests. A longer one is more
+// likely an error, and the searcher would be out of use until it restarts.
+constexpr std::chrono::duration<double> kMaxClosedTime{3600};
+
 constexpr std::string_view kLeavingValue = "1";
 
 // Hop-by-hop headers, and Content-Length, which the transport sets for the next
@@ -108,6 +115,20 @@
   return limit && std::isfinite(*limit) && *limit >= 0 ? limit : std::nullopt;
 }
 
+// Returns nothing for a header that is not a number of seconds, of which there
+// may be fractions, and bounds it.
+std::optional<std::chrono::milliseconds> ReadRetryAfter(
+    const HeaderList& headers) {
+  const auto header = FindHeader(headers, "Retry-After");
+  const auto number =
+      header ? ParseNumber<double>(Trim(*header)) : std::nullopt;
+  if (!number || std::isnan(*number) || *number <= 0) {
+    return std::nullopt;
+  }
+  return std::chrono::ceil<std::chrono::milliseconds>(
+      std::chrono::duration<double>(std::min(*number, kMaxClosedTime.count())));
+}
+
 bool IsSuccess(unsigned status) {
   return status >= 200 && status < 300;
 }
@@ -205,6 +226,9 @@
   outcome.request_limit = ReadRequestLimit(dialect, headers);
   outcome.leaving =
       Trim(FindHeader(headers, dialect.leaving).value_or("")) == kLeavingValue;
+  if (status == kUnavailableStatus) {
+    outcome.closed_for = ReadRetryAfter(headers);
+  }
   if (status == kMisdirectedStatus) {
     outcome.end = AttemptEnd::kMisdirected;
     outcome.leaving = false;  // Another searcher says so.
--- a/src/transport/request_router.cc
+++ b/src/transport/request_router.cc
@@ -512,6 +512,10 @@
       SuspectDecision::kReject) {
     return Failure{FailureKind::kUnavailable, searcher, kSuspectDetail};
   }
+  if (send.searcher->ClosedFor(now) > Duration::zero()) {
+    return Failure{FailureKind::kOverloaded, searcher,
+                   "it wants no requests for now"};
+  }
   if (now >= send.deadline) {
     return Failure{FailureKind::kTimedOut, searcher, "no time is left"};
   }
--- a/tests/request_plan_test.cc
+++ b/tests/request_plan_test.cc
@@ -1,6 +1,8 @@
 #include "greengage/coordination/request_plan.h"
 
 #include <chrono>
+#include <set>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -163,6 +165,73 @@
   cr_assert(second.sends[0].searcher != first.sends[0].searcher);
 }
 
+// Guards against requests to a searcher that wants none for some time.
+Test(RequestPlan, SendsNothingToASearcherWhileItWantsNoRequests) {
+  PlanFixture fixture(1, 2);
+  AttemptOutcome closed = Ended(AttemptEnd::kRejected);
+  closed.closed_for = Ms(2000);
+  RequestPlan plan =
+      fixture.Plan(SingleRoute(RequestKind::kNonIdempotent), kDeadline);
+  const RequestActions first = plan.Start(kPlanStart);
+  const RoutedSearcherPtr searcher = first.sends[0].searcher;
+  (void)plan.OnAttemptEnded(kPlanStart, first.sends[0].id, closed);
+  // A later answer with a shorter time does not take it back.
+  searcher->OnClosed(kPlanStart + Ms(100));
+  const auto uses_it_at = [&](TimePoint now) {
+    bool uses_it = false;
+    for (int i = 0; i < 50; ++i) {
+      RequestPlan other =
+          fixture.Plan(SingleRoute(RequestKind::kIdempotent), kDeadline, now);
+      const RequestActions started = other.Start(now);
+      cr_assert(started.sends.size() == 1);
+      uses_it = uses_it || started.sends[0].searcher == searcher;
+    }
+    return uses_it;
+  };
+  cr_assert(!uses_it_at(kPlanStart + Ms(1999)));
+  cr_assert(uses_it_at(kPlanStart + Ms(2500)));
+}
+
+Test(RequestPlan, RejectsAtOnceUntilASearcherWantsRequestsAgain) {
+  PlanFixture fixture(3, 2);
+  for (const std::string service : {"s0", "s1"}) {
+    for (const RoutedSearcherPtr& searcher :
+         fixture.context.searchers.ForService(service)) {
+      searcher->OnClosed(kPlanStart + Ms(3000));
+    }
+  }
+  for (const Route& route :
+       {SingleRoute(RequestKind::kNonIdempotent), GatherRoute(3, 0.6)}) {
+    RequestPlan plan = fixture.Plan(route, kDeadline);
+    const RequestActions started = plan.Start(kPlanStart);
+    cr_assert(started.sends.empty());
+    cr_assert(started.result->outcome == RequestOutcome::kNotRun);
+    cr_assert(started.result->retry_after >= Ms(3000));
+  }
+  // One open shard is enough.
+  RequestPlan partial = fixture.Plan(GatherRoute(3, 0.3), kDeadline);
+  const RequestActions started = partial.Start(kPlanStart);
+  cr_assert(!started.result && started.sends.size() == 1);
+}
+
+Test(RequestPlan, InstancesComeBackToASearcherAtDifferentTimes) {
+  PlanFixture fixture(1, 1);
+  AttemptOutcome closed = Ended(AttemptEnd::kRejected);
+  closed.closed_for = Ms(1000);
+  std::set<Duration> waits;
+  for (int i = 0; i < 10; ++i) {
+    const TimePoint now = kPlanStart + i * Ms(10000);
+    RequestPlan plan =
+        fixture.Plan(SingleRoute(RequestKind::kIdempotent), kDeadline, now);
+    const RequestActions started = plan.Start(now);
+    (void)plan.OnAttemptEnded(now, started.sends[0].id, closed);
+    const Duration wait = started.sends[0].searcher->ClosedFor(now);
+    cr_assert(wait >= Ms(1000) && wait <= Ms(1200));
+    waits.insert(wait);
+  }
+  cr_assert(waits.size() > 5);
+}
+
 Test(RequestPlan, KeepsTheMaximumAttemptsOfTheRoute) {
   PlanFixture fixture(1, 5);
   RequestPlan plan =
--- a/tests/routed_call_codec_test.cc
+++ b/tests/routed_call_codec_test.cc
@@ -67,6 +67,26 @@
   cr_assert(!ParseAnswer(200, {}).leaving);
 }
 
+Test(RoutedCallCodec, ParsesForHowLongASearcherWantsNoRequests) {
+  const auto closed_for = [](unsigned status, const std::string& seconds) {
+    return ParseAnswer(status,
+                       {{"Greengage-Not-Run", "1"}, {"Retry-After", seconds}})
+        .closed_for;
+  };
+  cr_assert(closed_for(503, "2") == std::chrono::seconds(2));
+  cr_assert(closed_for(503, " 0.25 ") == std::chrono::milliseconds(250));
+  cr_assert(closed_for(503, "1e300") == std::chrono::hours(1));
+  cr_assert(closed_for(503, "inf") == std::chrono::hours(1));
+  for (const char* const other : {"", "0", "-1", "-inf", "nan", "soon", "2 s",
+                                  "2,3", "Sat, 05 Dec 2026 04:00:00 GMT"}) {
+    cr_assert(!closed_for(503, other), "%s", other);
+  }
+  cr_assert(!closed_for(200, "2") && !closed_for(500, "2"));
+  cr_assert(!closed_for(421, "2") && !ParseAnswer(503, {}).closed_for);
+  cr_assert(ParseAnswer(503, {{"Retry-After", "2"}}).closed_for ==
+            std::chrono::seconds(2));
+}
+
 Test(RoutedCallCodec, AnswerWithDifferentIdIsMismatched) {
   const HeaderList headers{{"greengage-request-id", "one"}};
   cr_assert(!IsMismatchedAnswer(kDialect, headers, "one"));
