--- a/tests/endless_answer_test.cc
+++ b/tests/endless_answer_test.cc
@@ -1,6 +1,7 @@
 // Answers and requests whose sender never finishes them.
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
