Keep the process when a handler throws, and avoid two ways to make it

What callers saw: after a TRACE request with a body, or parts whose signatures exceed 64 KiB together, the process ended by signal 6 with all of its requests.

Cause: prepare_payload and fields::insert of Boost.Beast throw, and nothing caught it.

Change: the length of a request is set without prepare_payload, signatures are spread over several headers, HttpSession answers 500 when a handler of a request or the encoding of its answer throws, and greengaged goes on after any other handler that throws. Each logs handler_failed.

--- a/include/greengage/state/decision_event.h
+++ b/include/greengage/state/decision_event.h
@@ -17,6 +17,7 @@
   kRequestsEndedByStop,
   kInstanceStopped,
   kSettingsReloaded,
+  kHandlerFailed,
   kInstancesCounted,
   kInstanceListFailed,
   kRegistrationMissing,
--- a/src/protocol/routed_call_codec.cc
+++ b/src/protocol/routed_call_codec.cc
@@ -8,11 +8,16 @@
 #include <chrono>
 #include <cmath>
 #include <optional>
+#include <utility>
 
 namespace greengage {
 namespace {
 
 constexpr unsigned kMisdirectedStatus = 421;
+// A list of signatures that is longer is spread over several headers. Readers
+// limit the length of one, and Beast throws beyond 64 KiB.
+constexpr size_t kMaxListBytes = size_t{8} * 1024;
+
 constexpr unsigned kUnavailableStatus = 503;
 
 // Longest time for which a searcher may want no requests. A longer one is more
@@ -259,11 +264,16 @@
                        const std::vector<SearcherAnswer>& parts,
                        size_t missing_parts) {
   std::string signatures;
+  HeaderList headers;
   for (const SearcherAnswer& part : parts) {
+    if (!signatures.empty() &&
+        signatures.size() + part.signature.size() > kMaxListBytes) {
+      headers.emplace_back(dialect.part_signatures,
+                           std::exchange(signatures, {}));
+    }
     signatures += signatures.empty() ? "" : ", ";
     signatures += part.signature;
   }
-  HeaderList headers;
   headers.emplace_back(dialect.part_signatures, std::move(signatures));
   headers.emplace_back(dialect.missing_parts, std::to_string(missing_parts));
   return headers;
--- a/src/state/decision_event.cc
+++ b/src/state/decision_event.cc
@@ -21,6 +21,9 @@
       {kSettingsReloaded, "settings_reloaded", LogLevel::kInfo,
        "log_level, needs_restart",
        "SIGHUP: what can change while running is in force."},
+      {kHandlerFailed, "handler_failed", LogLevel::kError, "where, detail",
+       "An error of this program ended what it was doing; other requests are "
+       "not affected."},
       {kInstancesCounted, "instances_counted", LogLevel::kInfo, "instances",
        "So many instances share the connections of searchers and the bound on "
        "extra arrivals."},
--- a/src/transport/http_client_connection.cc
+++ b/src/transport/http_client_connection.cc
@@ -63,6 +63,14 @@
   }
 }
 
+// Returns whether requests of this method have a body, so that an empty one
+// needs a length. Beast's prepare_payload() also knows that, but throws for a
+// TRACE request with a body, which a caller may send.
+bool DefinesBody(http::verb method) {
+  return method == http::verb::options || method == http::verb::post ||
+         method == http::verb::put;
+}
+
 Failure Describe(FailureKind kind, std::string detail) {
   return {kind, "server", std::move(detail)};
 }
@@ -146,7 +154,9 @@
   }
   SetHeaders(call.headers, request_);
   request_.body() = call.body;
-  request_.prepare_payload();
+  if (!call.body.empty() || DefinesBody(request_.method())) {
+    request_.content_length(call.body.size());
+  }
   serializer_.emplace(request_);
   check_ = call.check;
   ++calls_;
--- a/src/transport/http_session.cc
+++ b/src/transport/http_session.cc
@@ -2,8 +2,10 @@
 
 #include <atomic>
 #include <chrono>
+#include <exception>
 #include <utility>
 
+#include "greengage/transport/log_line.h"
 #include "transport/http_target.h"
 
 namespace greengage {
@@ -24,6 +26,26 @@
 // discarded.
 constexpr size_t kReadBytes = size_t{16} * 1024;
 
+constexpr unsigned kInternalError = 500;
+
+// Throws if a header is too long for a Beast message.
+http::response<http::string_body> ToMessage(HttpResponse response,
+                                            bool keep_alive) {
+  http::response<http::string_body> message;
+  message.version(11);
+  message.result(response.status);
+  message.keep_alive(keep_alive);
+  if (!response.body.empty() && !response.content_type.empty()) {
+    message.set(http::field::content_type, response.content_type);
+  }
+  for (const auto& [name, value] : response.headers) {
+    message.insert(name, value);
+  }
+  message.body() = std::move(response.body);
+  message.prepare_payload();
+  return message;
+}
+
 class Exchange : public HttpExchange {
  public:
   Exchange(std::shared_ptr<HttpSession> session,
@@ -200,7 +222,12 @@
   const auto exchange = std::make_shared<Exchange>(
       shared_from_this(), socket_.get_executor(), number);
   WatchForDisconnect();
-  host_->handler()(std::move(request), exchange);
+  try {
+    host_->handler()(std::move(request), exchange);
+  } catch (const std::exception& error) {
+    LogHandlerFailure("request", error);
+    exchange->Reply(HttpResponse{.status = kInternalError});
+  }
 }
 
 void HttpSession::RejectRequest(boost::system::error_code error) {
@@ -284,18 +311,12 @@
 
 void HttpSession::Write(HttpResponse response, bool keep_alive) {
   disconnect_hook_ = nullptr;
-  response_ = {};
-  response_.version(11);
-  response_.result(response.status);
-  response_.keep_alive(keep_alive);
-  if (!response.body.empty() && !response.content_type.empty()) {
-    response_.set(http::field::content_type, response.content_type);
-  }
-  for (const auto& [name, value] : response.headers) {
-    response_.insert(name, value);
+  try {
+    response_ = ToMessage(std::move(response), keep_alive);
+  } catch (const std::exception& error) {
+    LogHandlerFailure("response", error);
+    response_ = ToMessage(HttpResponse{.status = kInternalError}, keep_alive);
   }
-  response_.body() = std::move(response.body);
-  response_.prepare_payload();
   SetTimeout(host_->limits().write_timeout);
   http::async_write(
       socket_, response_,
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -2,7 +2,10 @@
 
 #include <boost/asio.hpp>
 
+#include <stdexcept>
+#include <string>
 #include <thread>
+#include <utility>
 
 #include "greengage/transport/http_client.h"
 
@@ -82,6 +85,34 @@
   cr_assert(server.connections() == 0);
 }
 
+// Guards against an exception of the HTTP library, or of a handler, that ends
+// the process.
+Test(Http, ErrorsOfAHandlerEndItsExchangeOnly) {
+  boost::asio::io_context context;
+  const auto server = *HttpServer::Listen(
+      context, {"127.0.0.1", 0}, {},
+      [](const HttpRequest& request,
+         const std::shared_ptr<HttpExchange>& exchange) {
+        if (request.path == "/throws") {
+          throw std::length_error("a test");
+        }
+        HttpResponse response;
+        if (request.path == "/long") {
+          response.headers = {{"X-Long", std::string(100000, 'x')}};
+        }
+        exchange->Reply(std::move(response));
+      });
+  std::thread thread([&context] { context.run(); });
+  for (const auto& [path, status] :
+       {std::pair{"/throws", 500U}, {"/long", 500U}, {"/", 200U}}) {
+    const auto response =
+        CallAndWait(server->endpoint(), HttpCall{.target = path}, kTimeout);
+    cr_assert(response.ok() && response->status == status, "%s", path);
+  }
+  context.stop();
+  thread.join();
+}
+
 Test(Http, CallToAClosedPortFailsToConnect) {
   Endpoint closed;
   {
--- a/tests/routed_call_codec_test.cc
+++ b/tests/routed_call_codec_test.cc
@@ -1,8 +1,10 @@
 #include "greengage/protocol/routed_call_codec.h"
 
+#include <algorithm>
 #include <chrono>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include <criterion/criterion.h>
 
@@ -87,6 +89,26 @@
             std::chrono::seconds(2));
 }
 
+// Guards against a list of signatures that is too long for one header.
+Test(RoutedCallCodec, SpreadsLongSignaturesOverSeveralHeaders) {
+  constexpr size_t kParts = 40;
+  constexpr size_t kSignatureBytes = 4000;
+  std::vector<SearcherAnswer> parts(kParts);
+  for (size_t i = 0; i < kParts; ++i) {
+    parts[i].signature =
+        std::string(kSignatureBytes, static_cast<char>('a' + i % 26));
+  }
+  size_t signatures = 0;
+  for (const auto& [name, value] : PartHeaders(kDialect, parts, 0)) {
+    cr_assert(value.size() <= size_t{8} * 1024 + kSignatureBytes);
+    signatures += name == kDialect.part_signatures
+                      ? 1 + static_cast<size_t>(
+                                std::count(value.begin(), value.end(), ','))
+                      : 0;
+  }
+  cr_assert(signatures == kParts);
+}
+
 Test(RoutedCallCodec, AnswerWithDifferentIdIsMismatched) {
   const HeaderList headers{{"greengage-request-id", "one"}};
   cr_assert(!IsMismatchedAnswer(kDialect, headers, "one"));
--- a/tools/greengaged/main.cc
+++ b/tools/greengaged/main.cc
@@ -2,6 +2,7 @@
 #include <CLI/CLI.hpp>
 #include <boost/asio.hpp>
 
+#include <exception>
 #include <functional>
 #include <iostream>
 #include <memory>
@@ -11,6 +12,7 @@
 #include <vector>
 
 #include "greengage/greengage.h"
+#include "greengage/transport/log_line.h"
 #include "platform/routed_platform.h"
 
 namespace greengage {
@@ -82,12 +84,23 @@
   return std::nullopt;
 }
 
+// A handler that throws must not end the process, with all other requests.
+void RunHandlers(boost::asio::io_context& context) {
+  while (!context.stopped()) {
+    try {
+      context.run();
+    } catch (const std::exception& error) {
+      LogHandlerFailure("handler", error);
+    }
+  }
+}
+
 void RunThreads(boost::asio::io_context& context, size_t count) {
   std::vector<std::thread> threads;
   for (size_t i = 1; i < count; ++i) {
-    threads.emplace_back([&context] { context.run(); });
+    threads.emplace_back([&context] { RunHandlers(context); });
   }
-  context.run();
+  RunHandlers(context);
   for (std::thread& thread : threads) {
     thread.join();
   }
