Try the way to the searchers with a request that has to be answered

What callers saw: at an instance whose connections to all searchers open and are reset when they are used, all requests got 502, while the others would have served them.

Cause: a trial only opened a connection and held it; that succeeded, and the searchers found unreachable were forgotten.

Change: a trial sends a GET request to the health path of the service, and an answer has to begin. Silence on an open connection counts only if no searcher has answered since the trial began.

--- a/include/greengage/coordination/searcher_directory.h
+++ b/include/greengage/coordination/searcher_directory.h
@@ -80,10 +80,11 @@
   std::vector<std::pair<RoutedSearcherPtr, RateLimitReport>>
   TakeRateLimitReports(TimePoint now) const;
 
-  // Returns the endpoints of up to `count` searchers, chosen at random among
-  // those that have not left.
-  std::vector<Endpoint> SampleEndpoints(size_t count,
-                                        std::minstd_rand& random) const;
+  // Returns up to `count` searchers, chosen at random among those that have not
+  // left and accept requests.
+  std::vector<SearcherEntry> Sample(TimePoint now,
+                                    size_t count,
+                                    std::minstd_rand& random) const;
 
   size_t size() const { return by_id_.size(); }
 
--- a/include/greengage/coordination/searcher_reach.h
+++ b/include/greengage/coordination/searcher_reach.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <string>
 
@@ -11,11 +12,18 @@
 
 namespace greengage {
 
+// Result of an attempt to reach a searcher on a new connection.
+enum class TrialResult : uint8_t {
+  kAnswered,
+  kUnreachable,  // No connection, or it ended without an answer.
+  kSilent,       // The connection was open, and no answer came in time.
+};
+
 struct SearcherReachOptions {
   // Searchers that must be unreachable within `window` before trials start.
   size_t min_unreachable = 2;
   Duration window = std::chrono::seconds(2);
-  // Connections of one trial, to searchers chosen at random.
+  // Searchers of one trial, chosen at random.
   size_t connections = 3;
   // Interval of the trials while the instance is cut off.
   Duration retrial_interval = std::chrono::milliseconds(500);
@@ -23,7 +31,7 @@
   Duration trial_interval = std::chrono::seconds(2);
 };
 
-// An instance that can open connections to no searcher may have lost its own
+// An instance that gets an answer from no searcher may have lost its own
 // way, or the searchers may be lost. It cannot tell by itself, but its peers
 // can: it asks them to serve its requests, and they refuse if they are cut off
 // too.
@@ -38,6 +46,7 @@
   // Reports that the searcher answered an attempt, in whichever way.
   void OnAnswered(const std::string& searcher) {
     unreachable_at_.erase(searcher);
+    answered_since_trial_ = true;
   }
 
   // Reports that the searcher could not be connected to, or that its connection
@@ -49,17 +58,19 @@
   // Returns true if peers are to serve the requests of this instance.
   bool is_cut_off() const { return is_cut_off_; }
 
-  // Returns how many connections to open now, as a trial; zero if none is due.
+  // Returns how many searchers to try to reach now; zero if no trial is due.
   size_t TakeTrial(TimePoint now);
 
-  // Reports the result of one connection of the latest trial. The majority
-  // decides.
-  void OnTrialConnection(bool succeeded);
+  // Reports one result of the latest trial. The majority decides. Searchers
+  // that have much to do may be silent; they count as unreachable only if no
+  // searcher has answered an attempt since the trial began.
+  void OnTrialResult(TrialResult result);
 
  private:
   const SearcherReachOptions options_;
   std::map<std::string, TimePoint> unreachable_at_;  // By searcher's id.
   bool is_cut_off_ = false;
+  bool answered_since_trial_ = false;
   TimePoint next_trial_;
   size_t succeeded_ = 0;
   size_t failed_ = 0;
--- a/include/greengage/state/route.h
+++ b/include/greengage/state/route.h
@@ -62,6 +62,8 @@
 struct RoutedService {
   std::string name;
   uint32_t max_connections = 1;  // Per searcher, over all instances.
+  // Target of an inexpensive GET request that searchers answer.
+  std::string health_path = "/";
 };
 
 }  // namespace greengage
--- a/include/greengage/transport/connection_trial.h
+++ b/include/greengage/transport/connection_trial.h
@@ -6,18 +6,27 @@
 
 #include <chrono>
 #include <functional>
+#include <string>
 
+#include "greengage/coordination/searcher_reach.h"
 #include "greengage/state/endpoint.h"
 
 namespace greengage {
 
-// Opens a connection and closes it. `done` receives true if the connection was
-// open within `timeout` and the server did not close it within `hold_time`.
-void TryConnection(boost::asio::io_context& context,
-                   const Endpoint& server,
-                   std::chrono::milliseconds timeout,
-                   std::chrono::milliseconds hold_time,
-                   std::function<void(bool succeeded)> done);
+// Maximum times for a connection to open and for an answer to begin.
+struct TrialTimeouts {
+  std::chrono::milliseconds connect{300};
+  std::chrono::milliseconds answer{700};
+};
+
+// Sends a GET request for `target` on a new connection and closes it once an
+// answer begins. An open connection alone proves nothing: a device on the way
+// may accept it and reset it when it is used. `done` runs once.
+void TryServer(boost::asio::io_context& context,
+               const Endpoint& server,
+               const std::string& target,
+               const TrialTimeouts& timeouts,
+               std::function<void(TrialResult result)> done);
 
 }  // namespace greengage
 
--- a/src/coordination/searcher_directory.cc
+++ b/src/coordination/searcher_directory.cc
@@ -128,21 +128,23 @@
   return reports;
 }
 
-std::vector<Endpoint> SearcherDirectory::SampleEndpoints(
+std::vector<SearcherEntry> SearcherDirectory::Sample(
+    TimePoint now,
     size_t count,
     std::minstd_rand& random) const {
-  std::vector<Endpoint> endpoints;
+  std::vector<SearcherEntry> entries;
   if (count == 0) {
-    return endpoints;
+    return entries;
   }
   for (const auto& [id, searcher] : by_id_) {
-    if (!searcher->entry().draining) {
-      endpoints.push_back(searcher->entry().endpoint);
+    if (!searcher->IsLeaving(now) &&
+        searcher->ClosedFor(now) == Duration::zero()) {
+      entries.push_back(searcher->entry());
     }
   }
-  std::shuffle(endpoints.begin(), endpoints.end(), random);
-  endpoints.resize(std::min(endpoints.size(), count));
-  return endpoints;
+  std::shuffle(entries.begin(), entries.end(), random);
+  entries.resize(std::min(entries.size(), count));
+  return entries;
 }
 
 const std::vector<RoutedSearcherPtr>& SearcherDirectory::ForService(
--- a/src/coordination/searcher_reach.cc
+++ b/src/coordination/searcher_reach.cc
@@ -14,10 +14,14 @@
       now + (is_cut_off_ ? options_.retrial_interval : options_.trial_interval);
   succeeded_ = 0;
   failed_ = 0;
+  answered_since_trial_ = false;
   return options_.connections;
 }
 
-void SearcherReach::OnTrialConnection(bool succeeded) {
+void SearcherReach::OnTrialResult(TrialResult result) {
+  const bool succeeded =
+      result == TrialResult::kAnswered ||
+      (result == TrialResult::kSilent && answered_since_trial_);
   ++(succeeded ? succeeded_ : failed_);
   const size_t majority = options_.connections / 2 + 1;
   if (failed_ == majority) {
--- a/src/routed_instance_impl.h
+++ b/src/routed_instance_impl.h
@@ -97,7 +97,7 @@
                                                  GathererChooser* chooser);
   // Finds out whether the searchers can be reached, if there is a doubt.
   void TrySearchers();
-  void OnTrialConnection(bool succeeded);
+  void OnTrialResult(TrialResult result);
   void OnForwarded(const std::string& request_id,
                    const std::string& gatherer,
                    unsigned status,
--- a/src/routed_instance_stop.cc
+++ b/src/routed_instance_stop.cc
@@ -19,11 +19,6 @@
 // Interval at which expired searchers are removed and the log is flushed.
 constexpr std::chrono::milliseconds kHousekeepingInterval{250};
 
-// A trial connection to a searcher opens within one round trip. It stays open
-// for a moment, as a device on the way may accept and then reset it.
-constexpr std::chrono::milliseconds kTrialTimeout{300};
-constexpr std::chrono::milliseconds kTrialHoldTime{250};
-
 }  // namespace
 
 void RoutedInstanceImpl::ScheduleHousekeeping() {
@@ -82,22 +77,23 @@
 }
 
 void RoutedInstanceImpl::TrySearchers() {
-  const std::vector<Endpoint> endpoints =
-      plan_context_.searchers.SampleEndpoints(reach_.TakeTrial(Now()),
-                                              plan_context_.random);
-  for (const Endpoint& endpoint : endpoints) {
-    TryConnection(context_, endpoint, kTrialTimeout, kTrialHoldTime,
-                  [weak = weak_from_this()](bool succeeded) {
-                    if (const auto self = weak.lock()) {
-                      self->OnTrialConnection(succeeded);
-                    }
-                  });
+  const TimePoint now = Now();
+  for (const SearcherEntry& searcher : plan_context_.searchers.Sample(
+           now, reach_.TakeTrial(now), plan_context_.random)) {
+    const RoutedService* const service =
+        route_table_ ? route_table_->FindService(searcher.service) : nullptr;
+    TryServer(context_, searcher.endpoint, service ? service->health_path : "/",
+              TrialTimeouts{}, [weak = weak_from_this()](TrialResult result) {
+                if (const auto self = weak.lock()) {
+                  self->OnTrialResult(result);
+                }
+              });
   }
 }
 
-void RoutedInstanceImpl::OnTrialConnection(bool succeeded) {
+void RoutedInstanceImpl::OnTrialResult(TrialResult result) {
   const bool was_cut_off = reach_.is_cut_off();
-  reach_.OnTrialConnection(succeeded);
+  reach_.OnTrialResult(result);
   if (reach_.is_cut_off() != was_cut_off) {
     LogLine(was_cut_off ? DecisionEvent::kSearchersReachedAgain
                         : DecisionEvent::kSearchersUnreachable)
--- a/src/transport/connection_trial.cc
+++ b/src/transport/connection_trial.cc
@@ -2,10 +2,13 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 
 #include <array>
 #include <memory>
+#include <string_view>
 #include <utility>
 
 #include "transport/socket_address.h"
@@ -15,43 +18,65 @@
 
 namespace asio = boost::asio;
 
+// The first bytes of every answer.
+constexpr std::string_view kAnswerStart = "HTTP/1.";
+
 class Trial : public std::enable_shared_from_this<Trial> {
  public:
-  Trial(asio::io_context& context, std::function<void(bool)> done)
-      : socket_(context), timer_(context), done_(std::move(done)) {}
-
-  void Start(const asio::ip::tcp::endpoint& server,
-             std::chrono::milliseconds timeout,
-             std::chrono::milliseconds hold_time) {
-    EndAfter(timeout, false);
-    socket_.async_connect(server,
-                          [self = shared_from_this(), hold_time](auto error) {
-                            if (error) {
-                              self->End(false);
-                            } else {
-                              self->Hold(hold_time);
-                            }
-                          });
+  Trial(asio::io_context& context,
+        std::string request,
+        const TrialTimeouts& timeouts,
+        std::function<void(TrialResult)> done)
+      : socket_(context),
+        timer_(context),
+        request_(std::move(request)),
+        timeouts_(timeouts),
+        done_(std::move(done)) {}
+
+  void Start(const asio::ip::tcp::endpoint& server) {
+    EndAfter(timeouts_.connect, TrialResult::kUnreachable);
+    socket_.async_connect(server, [self = shared_from_this()](auto error) {
+      if (error) {
+        self->End(TrialResult::kUnreachable);
+      } else {
+        self->Send();
+      }
+    });
   }
 
  private:
-  void Hold(std::chrono::milliseconds hold_time) {
-    EndAfter(hold_time, true);
-    socket_.async_read_some(
-        asio::buffer(input_),
-        [self = shared_from_this()](auto, size_t) { self->End(false); });
+  void Send() {
+    EndAfter(timeouts_.answer, TrialResult::kSilent);
+    asio::async_write(socket_, asio::buffer(request_),
+                      [self = shared_from_this()](auto error, size_t) {
+                        if (error) {
+                          self->End(TrialResult::kUnreachable);
+                        } else {
+                          self->Read();
+                        }
+                      });
+  }
+
+  void Read() {
+    asio::async_read(socket_, asio::buffer(input_),
+                     [self = shared_from_this()](auto error, size_t size) {
+                       const std::string_view start(self->input_.data(), size);
+                       self->End(!error && start == kAnswerStart
+                                     ? TrialResult::kAnswered
+                                     : TrialResult::kUnreachable);
+                     });
   }
 
-  void EndAfter(std::chrono::milliseconds delay, bool succeeded) {
+  void EndAfter(std::chrono::milliseconds delay, TrialResult result) {
     timer_.expires_after(delay);
-    timer_.async_wait([self = shared_from_this(), succeeded](auto error) {
+    timer_.async_wait([self = shared_from_this(), result](auto error) {
       if (!error) {
-        self->End(succeeded);
+        self->End(result);
       }
     });
   }
 
-  void End(bool succeeded) {
+  void End(TrialResult result) {
     const auto done = std::exchange(done_, nullptr);
     if (!done) {
       return;
@@ -59,29 +84,34 @@
     timer_.cancel();
     boost::system::error_code ignored;
     socket_.close(ignored);
-    done(succeeded);
+    done(result);
   }
 
   asio::ip::tcp::socket socket_;
   asio::steady_timer timer_;
-  std::array<char, 1> input_{};
-  std::function<void(bool)> done_;
+  const std::string request_;
+  const TrialTimeouts timeouts_;
+  std::array<char, kAnswerStart.size()> input_{};
+  std::function<void(TrialResult)> done_;
 };
 
 }  // namespace
 
-void TryConnection(asio::io_context& context,
-                   const Endpoint& server,
-                   std::chrono::milliseconds timeout,
-                   std::chrono::milliseconds hold_time,
-                   std::function<void(bool succeeded)> done) {
+void TryServer(asio::io_context& context,
+               const Endpoint& server,
+               const std::string& target,
+               const TrialTimeouts& timeouts,
+               std::function<void(TrialResult result)> done) {
   const auto address = ToTcp(server);
   if (!address) {
-    done(false);
+    done(TrialResult::kUnreachable);
     return;
   }
-  std::make_shared<Trial>(context, std::move(done))
-      ->Start(*address, timeout, hold_time);
+  const std::string request = "GET " + target +
+                              " HTTP/1.1\r\nHost: " + ToString(server) +
+                              "\r\nConnection: close\r\n\r\n";
+  std::make_shared<Trial>(context, request, timeouts, std::move(done))
+      ->Start(*address);
 }
 
 }  // namespace greengage
--- a/tests/searcher_reach_test.cc
+++ b/tests/searcher_reach_test.cc
@@ -22,7 +22,8 @@
 void RunTrial(SearcherReach& reach, TimePoint now, int succeeded) {
   cr_assert(reach.TakeTrial(now) == 3);
   for (int i = 0; i < 3; ++i) {
-    reach.OnTrialConnection(i < succeeded);
+    reach.OnTrialResult(i < succeeded ? TrialResult::kAnswered
+                                      : TrialResult::kUnreachable);
   }
 }
 
@@ -92,4 +93,21 @@
   cr_assert(reach.TakeTrial(kStart + Ms(5000)) == 0);
 }
 
+// Guards against a device on the way that accepts connections and then passes
+// nothing on.
+Test(SearcherReach, SilentConnectionsAreACutIfNoSearcherAnswers) {
+  for (const bool one_answers : {false, true}) {
+    SearcherReach reach{SearcherReachOptions{}};
+    LoseSearchers(reach, kStart, 2);
+    cr_assert(reach.TakeTrial(kStart) == 3);
+    if (one_answers) {
+      reach.OnAnswered("other");
+    }
+    for (int i = 0; i < 3; ++i) {
+      reach.OnTrialResult(TrialResult::kSilent);
+    }
+    cr_assert(reach.is_cut_off() == !one_answers);
+  }
+}
+
 }  // namespace greengage
