--- a/tests/endless_answer_test.cc
+++ b/tests/endless_answer_test.cc
@@ -21,6 +21,7 @@
 #include "tests/harness/endless_server.h"
 #include "tests/harness/io_threads.h"
 #include "tests/harness/scripted_server.h"
+#include "tests/harness/start_call.h"
 #include "transport/socket_address.h"
 
 #include <criterion/criterion.h>
@@ -37,18 +38,14 @@
 const char kChunkedHead[] =
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
-std::future<HttpCallResult> StartCall(
+std::future<HttpCallResult> StartGet(
     HttpClient& client,
     std::function<HttpResponseMatch(const HttpResponse&)> check = {}) {
-  const auto ended = std::make_shared<std::promise<HttpCallResult>>();
   HttpCall call;
   call.target = "/";
   call.check = std::move(check);
   call.deadline = std::chrono::steady_clock::now() + kDeadline;
-  client.Start(std::move(call), [ended](HttpCallResult result) {
-    ended->set_value(std::move(result));
-  });
-  return ended->get_future();
+  return StartCall(client, std::move(call));
 }
 
 // Returns the kind of failure with which an endless answer ends, or nothing if
@@ -58,7 +55,7 @@
   IoThreads io(2);
   const auto server = EndlessServer::Start(io.context(), {start, piece});
   const auto client = HttpClient::Create(io.context(), server->endpoint(), {});
-  std::future<HttpCallResult> call = StartCall(*client);
+  std::future<HttpCallResult> call = StartGet(*client);
   if (call.wait_for(kTimeToReachALimit) != std::future_status::ready) {
     return std::nullopt;
   }
@@ -134,9 +131,9 @@
       io.context(),
       {"", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", SIZE_MAX});
   const auto client = HttpClient::Create(io.context(), server->endpoint(), {});
-  std::future<HttpCallResult> call = StartCall(
-      *client,
-      [](const HttpResponse&) { return HttpResponseMatch::kMismatch; });
+  std::future<HttpCallResult> call = StartGet(*client, [](const HttpResponse&) {
+    return HttpResponseMatch::kMismatch;
+  });
   cr_assert(call.wait_for(kTimeToReachALimit) == std::future_status::ready);
   cr_assert(call.get().response.last_reason().kind ==
             FailureKind::kMalformedMessage);
@@ -160,7 +157,7 @@
       {.connections = kConnections, .receive_budget = budget});
   std::vector<std::future<HttpCallResult>> calls;
   for (size_t i = 0; i < kConnections; ++i) {
-    calls.push_back(StartCall(*client));
+    calls.push_back(StartGet(*client));
   }
   const auto end = std::chrono::steady_clock::now() + kTimeToReachALimit;
   size_t ended = 0;
@@ -178,7 +175,7 @@
       io.context(), "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false);
   const auto other = HttpClient::Create(io.context(), ordinary->endpoint(),
                                         {.receive_budget = budget});
-  cr_assert(StartCall(*other).get().response->body == "ok");
+  cr_assert(StartGet(*other).get().response->body == "ok");
 }
 
 // Guards against the same fault in the requests of callers.
--- a/tests/harness/raw_server.cc
+++ b/tests/harness/raw_server.cc
@@ -133,7 +133,11 @@
   session->timer.async_wait([self = shared_from_this(), session](auto) {
     asio::async_write(session->socket, asio::buffer(session->reply.bytes),
                       [self, session](auto error, size_t) {
-                        if (!error && !session->reply.close) {
+                        if (!error && session->reply.reset) {
+                          session->socket.set_option(
+                              asio::socket_base::linger(true, 0), error);
+                          session->socket.close(error);
+                        } else if (!error && !session->reply.close) {
                           self->ReadHead(session);
                         }
                       });
--- a/tests/harness/raw_server.h
+++ b/tests/harness/raw_server.h
@@ -37,6 +37,7 @@
   std::string bytes;
   std::chrono::milliseconds delay{0};
   bool close = false;  // Close the connection after the bytes.
+  bool reset = false;  // Reset the connection after the bytes.
 };
 
 // Formats an HTTP/1.1 response. Each header in `headers` has the form
