--- a/include/greengage/state/decision_event.h
+++ b/include/greengage/state/decision_event.h
@@ -16,6 +16,8 @@
   kInstanceStopping,
   kRequestsEndedByStop,
   kInstanceStopped,
+  kProcessEnded,
+  kConnectionCut,
   kSettingsReloaded,
   kHandlerFailed,
   kInstancesCounted,
--- a/include/greengage/transport/http_server.h
+++ b/include/greengage/transport/http_server.h
@@ -67,6 +67,10 @@
 
   virtual size_t connections() const = 0;
 
+  // Returns the number of requests that were read and whose response has not
+  // been written whole. Those whose connection has ended don't count.
+  virtual size_t unanswered() const = 0;
+
   // Replaces the limits. A request that is being read keeps the previous ones.
   virtual void SetLimits(const HttpServerLimits& limits) = 0;
 
--- a/src/routed_instance_stop.cc
+++ b/src/routed_instance_stop.cc
@@ -167,6 +167,8 @@
   clients_->CloseAll();
   LogLine(DecisionEvent::kInstanceStopped)
       .Add("in_flight", router_->in_flight())
+      .Add("connections", caller_server_->connections())
+      .Add("unanswered", caller_server_->unanswered())
       .Write();
   FlushLog();
   on_stopped_();
--- a/src/state/decision_event.cc
+++ b/src/state/decision_event.cc
@@ -16,8 +16,18 @@
        "in_flight",
        "The time of the stop is over; requests in flight are answered as not "
        "run or with an error."},
-      {kInstanceStopped, "instance_stopped", LogLevel::kInfo, "in_flight",
-       "The process ends; requests in flight would be cut off."},
+      {kInstanceStopped, "instance_stopped", LogLevel::kInfo,
+       "in_flight, connections, unanswered",
+       "The graceful stop is over: requests in flight, open connections of "
+       "callers, and requests there without a whole answer, which are cut "
+       "off."},
+      {kProcessEnded, "process_ended", LogLevel::kInfo, "exit_code",
+       "All connections are closed; the process exits."},
+      {kConnectionCut, "connection_cut", LogLevel::kWarning,
+       "connection, request, state, cause",
+       "A connection was closed although a request on it had no whole answer: "
+       "its number in the order of acceptance, the number of the request on "
+       "it, whether the request was being read, handled or answered, and why."},
       {kSettingsReloaded, "settings_reloaded", LogLevel::kInfo,
        "log_level, needs_restart",
        "SIGHUP: what can change while running is in force."},
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -53,6 +53,8 @@
     return sessions_.size();
   }
 
+  size_t unanswered() const override { return unanswered_; }
+
   void DisableKeepAlive() override { keep_alive_disabled_ = true; }
 
   bool keep_alive_disabled() const override { return keep_alive_disabled_; }
@@ -71,6 +73,10 @@
     sessions_.erase(session);
   }
 
+  void OnExchangeStarted() override { ++unanswered_; }
+
+  void OnExchangeEnded() override { --unanswered_; }
+
   HttpServerLimits limits() const override {
     const std::lock_guard lock(mutex_);
     return limits_;
@@ -159,6 +165,7 @@
   std::unordered_set<HttpSession*> sessions_;
   bool stopped_ = false;
   std::atomic<uint64_t> accepted_{0};
+  std::atomic<size_t> unanswered_{0};
   std::atomic<bool> keep_alive_disabled_{false};
 };
 
--- a/src/transport/http_session.cc
+++ b/src/transport/http_session.cc
@@ -95,6 +95,10 @@
       number_(number) {}
 
 HttpSession::~HttpSession() {
+  if (socket_.is_open()) {
+    LogCut("end_of_server");
+  }
+  EndExchange();
   host_->Remove(this);
 }
 
@@ -109,12 +113,40 @@
     const std::shared_ptr<HttpSession> self = weak.lock();
     // If the timer was set again, this wait ends with an error.
     if (!error && self) {
+      self->LogCut("timeout");
       self->Close();
     }
   });
 }
 
+void HttpSession::StartExchange() {
+  handling_ = true;
+  host_->OnExchangeStarted();
+}
+
+void HttpSession::EndExchange() {
+  writing_ = false;
+  if (std::exchange(handling_, false)) {
+    host_->OnExchangeEnded();
+  }
+}
+
+void HttpSession::LogCut(std::string_view cause) const {
+  if (!handling_ && !parser_) {
+    return;
+  }
+  LogLine(DecisionEvent::kConnectionCut)
+      .Add("connection", number_)
+      .Add("request", handling_ ? exchange_ : exchange_ + 1)
+      .Add("state", writing_    ? "answered"
+                    : handling_ ? "handled"
+                                : "read")
+      .Add("cause", cause)
+      .Write();
+}
+
 void HttpSession::Close() {
+  EndExchange();
   boost::system::error_code ignored;
   socket_.close(ignored);
   timer_.cancel();
@@ -216,7 +248,7 @@
   keep_alive_ = parser_->get().keep_alive();
   request.body = std::move(parser_->get().body());
   parser_.reset();
-  handling_ = true;
+  StartExchange();
   disconnect_hook_ = nullptr;
   const uint64_t number = ++exchange_;
   const auto exchange = std::make_shared<Exchange>(
@@ -253,7 +285,8 @@
   response.body = "{\"error\": {\"kind\": \"" + std::string(kind) +
                   "\", \"subject\": \"request\", \"detail\": \"" +
                   error.message() + "\"}}";
-  handling_ = true;
+  parser_.reset();
+  StartExchange();
   Write(std::move(response), false);
 }
 
@@ -317,11 +350,12 @@
     LogHandlerFailure("response", error);
     response_ = ToMessage(HttpResponse{.status = kInternalError}, keep_alive);
   }
+  writing_ = true;
   SetTimeout(host_->limits().write_timeout);
   http::async_write(
       socket_, response_,
       [self = shared_from_this(), keep_alive](auto error, size_t) {
-        self->handling_ = false;
+        self->EndExchange();
         self->timer_.cancel();
         if (error) {
           self->Close();
--- a/src/transport/http_session.h
+++ b/src/transport/http_session.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string_view>
 
 #include "greengage/transport/http_server.h"
 
@@ -29,6 +30,11 @@
   // Returns true if the connection must be closed after each response.
   virtual bool keep_alive_disabled() const = 0;
 
+  // Called when a request has been read, and when its response has been written
+  // or its connection has been closed.
+  virtual void OnExchangeStarted() = 0;
+  virtual void OnExchangeEnded() = 0;
+
   // Called by the destructor of `session`.
   virtual void Remove(HttpSession* session) = 0;
 };
@@ -70,6 +76,11 @@
   void CloseUnusedConnection();
   void Linger();
   void DiscardInput();
+  void StartExchange();
+  void EndExchange();
+  // Logs the request, if any, that the close of the connection leaves without
+  // a whole answer.
+  void LogCut(std::string_view cause) const;
   void Close();
 
   boost::asio::ip::tcp::socket socket_;
@@ -83,7 +94,8 @@
   boost::beast::http::response<boost::beast::http::string_body> response_;
   std::function<void()> disconnect_hook_;
   uint64_t exchange_ = 0;
-  bool handling_ = false;
+  bool handling_ = false;  // A request has been read, but not answered whole.
+  bool writing_ = false;   // Its response is being written.
   bool keep_alive_ = true;
   bool close_when_idle_ = false;
 };
--- a/tools/greengaged/main.cc
+++ b/tools/greengaged/main.cc
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "greengage/greengage.h"
+#include "greengage/transport/log.h"
 #include "greengage/transport/log_line.h"
 #include "platform/routed_platform.h"
 
@@ -155,9 +156,13 @@
 }
 
 int Run(const InstanceSettings& settings, const std::string& path) {
-  return settings.dialect == PlatformDialect::kObjects
-             ? RunRoutedInstance(settings, path)
-             : RunEntryInstance(settings, path);
+  if (settings.dialect != PlatformDialect::kObjects) {
+    return RunEntryInstance(settings, path);
+  }
+  const int exit_code = RunRoutedInstance(settings, path);
+  LogLine(DecisionEvent::kProcessEnded).Add("exit_code", exit_code).Write();
+  FlushLog();
+  return exit_code;
 }
 
 int Main(int argc, char** argv) {
