Don't close a connection by an expiry that was cancelled

Callers saw a request that was read and passed on, and its connection closed without an answer; the searcher ran it to its end. Cause: cancelling an Asio timer does not stop a handler that is already queued. Where a request and the expiry of the connection's timeout come in one turn of the loop, the request was read and the stale expiry closed the connection: at the idle timeout, and 500 ms after a stop began for connections without a request. It takes a process that is late, as after a suspension or short of processor time.

A Timeout counts its settings and drops the handler of an earlier one. If the expiry comes first, input that waits to be read keeps the connection: a late process must not decide that a request came too late.

--- a/src/transport/http_session.cc
+++ b/src/transport/http_session.cc
@@ -90,7 +90,7 @@
                          std::shared_ptr<HttpSessionHost> host,
                          uint64_t number)
     : socket_(std::move(socket)),
-      timer_(socket_.get_executor()),
+      timeout_(socket_.get_executor()),
       host_(std::move(host)),
       number_(number) {}
 
@@ -108,17 +108,23 @@
 }
 
 void HttpSession::SetTimeout(std::chrono::milliseconds timeout) {
-  timer_.expires_after(timeout);
-  timer_.async_wait([weak = weak_from_this()](boost::system::error_code error) {
-    const std::shared_ptr<HttpSession> self = weak.lock();
-    // If the timer was set again, this wait ends with an error.
-    if (!error && self) {
-      self->LogCut("timeout");
-      self->Close();
+  timeout_.Set(timeout, [weak = weak_from_this()] {
+    if (const std::shared_ptr<HttpSession> self = weak.lock()) {
+      self->OnTimeout();
     }
   });
 }
 
+// Input that is not read yet may be a request, which came in time if the
+// process is late.
+void HttpSession::OnTimeout() {
+  if (awaiting_request_ && HasInput()) {
+    return;
+  }
+  LogCut("timeout");
+  Close();
+}
+
 void HttpSession::StartExchange() {
   handling_ = true;
   host_->OnExchangeStarted();
@@ -149,7 +155,7 @@
   EndExchange();
   boost::system::error_code ignored;
   socket_.close(ignored);
-  timer_.cancel();
+  timeout_.Cancel();
 }
 
 void HttpSession::CloseWhenIdle() {
@@ -209,6 +215,7 @@
     return;
   }
   SetTimeout(host_->limits().idle_timeout);
+  awaiting_request_ = true;
   socket_.async_wait(tcp::socket::wait_read,
                      [self = shared_from_this()](auto error) {
                        if (!error) {
@@ -218,6 +225,7 @@
 }
 
 void HttpSession::ReadRequest() {
+  awaiting_request_ = false;
   const HttpServerLimits limits = host_->limits();
   SetTimeout(limits.read_timeout);
   parser_.emplace();
@@ -237,7 +245,7 @@
     RejectRequest(error);
     return;
   }
-  timer_.cancel();
+  timeout_.Cancel();
   HttpRequest request;
   request.method = std::string(parser_->get().method_string());
   request.target = std::string(parser_->get().target());
@@ -356,7 +364,7 @@
       socket_, response_,
       [self = shared_from_this(), keep_alive](auto error, size_t) {
         self->EndExchange();
-        self->timer_.cancel();
+        self->timeout_.Cancel();
         if (error) {
           self->Close();
         } else if (!keep_alive) {
--- a/src/transport/http_session.h
+++ b/src/transport/http_session.h
@@ -13,6 +13,7 @@
 #include <string_view>
 
 #include "greengage/transport/http_server.h"
+#include "transport/timeout.h"
 
 namespace greengage {
 
@@ -72,6 +73,7 @@
   void WatchForDisconnect();
   void Write(HttpResponse response, bool keep_alive);
   void SetTimeout(std::chrono::milliseconds timeout);
+  void OnTimeout();
   bool HasInput() const;
   void CloseUnusedConnection();
   void Linger();
@@ -84,7 +86,7 @@
   void Close();
 
   boost::asio::ip::tcp::socket socket_;
-  boost::asio::steady_timer timer_;
+  Timeout timeout_;
   std::shared_ptr<HttpSessionHost> host_;
   const uint64_t number_;
   boost::beast::flat_buffer buffer_;
@@ -94,6 +96,7 @@
   boost::beast::http::response<boost::beast::http::string_body> response_;
   std::function<void()> disconnect_hook_;
   uint64_t exchange_ = 0;
+  bool awaiting_request_ = false;  // For its first byte.
   bool handling_ = false;  // A request has been read, but not answered whole.
   bool writing_ = false;   // Its response is being written.
   bool keep_alive_ = true;
