Serve a connection that was accepted as its listener closed

Callers of an instance that stops saw a new connection reset, with their request unread. Cause: the completion of an accept ran after the listener had been closed, and dropped the connection; a session that started after the list of sessions was made was dropped as well.

--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -90,15 +90,17 @@
 
  private:
   void OnAccept(boost::system::error_code error, tcp::socket socket) {
-    if (error == asio::error::operation_aborted || !acceptor_.is_open()) {
+    if (!error) {
+      StartSession(std::move(socket));
+    }
+    if (!acceptor_.is_open()) {
       return;
     }
     if (error) {
       ScheduleAccept();
-      return;
+    } else {
+      Accept();
     }
-    StartSession(std::move(socket));
-    Accept();
   }
 
   void ScheduleAccept() {
@@ -146,14 +148,17 @@
     socket.set_option(tcp::no_delay(true), ignored);
     const auto session = std::make_shared<HttpSession>(
         std::move(socket), shared_from_this(), ++accepted_);
+    bool stopped = false;
     {
       const std::lock_guard lock(mutex_);
-      if (stopped_) {
-        return;
-      }
+      stopped = stopped_;
       sessions_.insert(session.get());
     }
     session->Start();
+    // Its accept may have been completed before the listener was closed.
+    if (stopped) {
+      session->CloseWhenIdle();
+    }
   }
 
   const HttpHandler handler_;
