End the process without waiting for threads of the log library

Cause: the destructors of static objects. Prints around each step of the end of a process showed that the instance and the io_context are destroyed, main() ends, and log4cplus::deinitialize() does not return: it joins four threads that the library starts when it is loaded, and that block all signals.

Nothing is lost: all objects of ours are destroyed and the log is flushed before. The build with the address sanitizer exits as before, for its leak check.

--- a/tools/greengaged/main.cc
+++ b/tools/greengaged/main.cc
@@ -2,6 +2,8 @@
 #include <CLI/CLI.hpp>
 #include <boost/asio.hpp>
 
+#include <cstdio>
+#include <cstdlib>
 #include <exception>
 #include <functional>
 #include <iostream>
@@ -199,9 +201,21 @@
   return check || print ? kExitOk : Run(*settings, path);
 }
 
+// Ends the process without the destructors of static objects. That of the log
+// library waits for threads which block all signals, and may never end.
+[[noreturn]] void Exit(int exit_code) {
+  std::cout.flush();
+  std::fflush(nullptr);
+#ifdef __SANITIZE_ADDRESS__
+  std::exit(exit_code);  // Checks for leaks.
+#else
+  std::_Exit(exit_code);
+#endif
+}
+
 }  // namespace
 }  // namespace greengage
 
 int main(int argc, char** argv) {
-  return greengage::Main(argc, argv);
+  greengage::Exit(greengage::Main(argc, argv));
 }
