Write the last answers of a stop whole before the process ends

Callers that read slowly saw an answer end half way at the end of a planned stop. Cause: at the end of its time a stop ended the process at once if no request was in flight, whatever was still being written, and 100 ms after the last answers were given otherwise.

The stop now waits until the server has no request without a whole answer, for at most a second and at the latest at 23/24 of the time until the kill, which leaves it 250 ms of the users' six seconds for its end.

--- a/include/greengage/coordination/stop_sequence.h
+++ b/include/greengage/coordination/stop_sequence.h
@@ -41,11 +41,16 @@
   // only those are taken that end before the process does.
   bool Takes(TimePoint now, Duration longest) const;
 
+  // Returns until when answers may be written after the last step: some time
+  // after it, but before the process is killed.
+  TimePoint answers_end() const { return answers_end_; }
+
  private:
   const TimePoint started_;
   const Duration notice_;
   const Duration grace_;
   const TimePoint end_;
+  const TimePoint answers_end_;
   StopStep step_ = StopStep::kServe;
 };
 
--- a/src/coordination/stop_sequence.cc
+++ b/src/coordination/stop_sequence.cc
@@ -11,6 +11,23 @@
 // last steps on a slow machine.
 constexpr double kUsableFractionOfLimit = 11.0 / 12;
 
+// Fraction of the kill timeout after which no answer is written any more.
+constexpr double kAnswersFractionOfLimit = 23.0 / 24;
+
+// Time for callers to read the answers that are being written at the end.
+constexpr std::chrono::milliseconds kLastAnswersTime{1000};
+
+TimePoint AnswersEnd(TimePoint started, TimePoint end, Duration limit) {
+  const TimePoint unlimited = end + kLastAnswersTime;
+  if (limit <= Duration::zero()) {
+    return unlimited;
+  }
+  return std::min(unlimited,
+                  started + std::chrono::duration_cast<Duration>(
+                                std::chrono::duration<double>(limit) *
+                                kAnswersFractionOfLimit));
+}
+
 // Scales `time`, a part of `whole`, down in proportion so that `whole` ends
 // before `limit`. Zero means no limit.
 Duration ScaleToLimit(Duration time, Duration whole, Duration limit) {
@@ -31,7 +48,8 @@
     : started_(started),
       notice_(ScaleToLimit(notice, notice + grace, kill_timeout)),
       grace_(ScaleToLimit(grace, notice + grace, kill_timeout)),
-      end_(started_ + notice_ + grace_) {}
+      end_(started_ + notice_ + grace_),
+      answers_end_(AnswersEnd(started_, end_, kill_timeout)) {}
 
 bool StopSequence::Takes(TimePoint now, Duration longest) const {
   const bool in_first_half = now - started_ < end_ - now;
--- a/src/routed_instance_impl.h
+++ b/src/routed_instance_impl.h
@@ -148,6 +148,7 @@
   void LogRateLimits();
   void AdvanceStop();
   void EndRequests();
+  void AwaitLastAnswers();
   void FinishStop();
 
   template <typename Item>
--- a/src/routed_instance_stop.cc
+++ b/src/routed_instance_stop.cc
@@ -13,8 +13,8 @@
 // Interval of the checks whether the shutdown can advance.
 constexpr std::chrono::milliseconds kStopPollInterval{50};
 
-// Time for the last answers to be written before the process ends.
-constexpr std::chrono::milliseconds kLastAnswersTime{100};
+// Interval of the checks whether the last answers have been written.
+constexpr std::chrono::milliseconds kAnswersPollInterval{10};
 
 // Interval at which expired searchers are removed and the log is flushed.
 constexpr std::chrono::milliseconds kHousekeepingInterval{250};
@@ -144,19 +144,26 @@
 void RoutedInstanceImpl::EndRequests() {
   const size_t in_flight = router_->in_flight() + forwarder_->in_flight() +
                            peer_forwarder_->in_flight();
-  if (in_flight == 0) {
+  if (in_flight > 0) {
+    LogLine(DecisionEvent::kRequestsEndedByStop)
+        .Add("in_flight", in_flight)
+        .Write();
+    forwarder_->EndAll();
+    peer_forwarder_->EndAll();
+    router_->EndAll();
+  }
+  AwaitLastAnswers();
+}
+
+void RoutedInstanceImpl::AwaitLastAnswers() {
+  if (caller_server_->unanswered() == 0 ||
+      Now() >= stop_sequence_->answers_end()) {
     FinishStop();
     return;
   }
-  LogLine(DecisionEvent::kRequestsEndedByStop)
-      .Add("in_flight", in_flight)
-      .Write();
-  forwarder_->EndAll();
-  peer_forwarder_->EndAll();
-  router_->EndAll();
-  stop_timer_.expires_after(kLastAnswersTime);
+  stop_timer_.expires_after(kAnswersPollInterval);
   stop_timer_.async_wait(
-      [self = shared_from_this()](auto) { self->FinishStop(); });
+      [self = shared_from_this()](auto) { self->AwaitLastAnswers(); });
 }
 
 void RoutedInstanceImpl::FinishStop() {
