Ignore the expired connect timeout of a trial that has connected

Seen by callers: after an instance was suspended or short of processor time for longer than the 300 ms of a connect timeout while it tried its searchers, the trials count as failed although the searchers answer. Two of three make the instance hold itself cut off: it passes its callers' requests to peers and refuses what peers pass to it.

Cause: Trial::EndAfter() arms the timer again for the answer. A wait that has expired, but whose handler is still queued, ends without an error all the same, behind the handler of the connection in the same turn of the loop, and ends the trial with kUnreachable.

The handler now acts only if the time for which the timer is armed has passed, which is not so once the timer was set again.

--- a/src/transport/connection_trial.cc
+++ b/src/transport/connection_trial.cc
@@ -11,6 +11,7 @@
 #include <string_view>
 #include <utility>
 
+#include "transport/clock.h"
 #include "transport/socket_address.h"
 
 namespace greengage {
@@ -70,7 +71,8 @@
   void EndAfter(std::chrono::milliseconds delay, TrialResult result) {
     timer_.expires_after(delay);
     timer_.async_wait([self = shared_from_this(), result](auto error) {
-      if (!error) {
+      // A wait that had expired when the timer was set again has no error.
+      if (!error && self->timer_.expiry() <= Now()) {
         self->End(result);
       }
     });
--- a/tests/connection_trial_test.cc
+++ b/tests/connection_trial_test.cc
@@ -1,9 +1,13 @@
 #include "greengage/transport/connection_trial.h"
 
+#include <boost/asio/io_context.hpp>
+
 #include <chrono>
 #include <future>
 #include <memory>
+#include <optional>
 #include <string>
+#include <thread>
 
 #include "greengage/transport/http_server.h"
 #include "tests/harness/endless_server.h"
@@ -63,4 +67,22 @@
   cr_assert(Try(io, server->endpoint()) == TrialResult::kSilent);
 }
 
+// The process was suspended while the connection opened.
+Test(ConnectionTrial, AProcessThatWasSuspendedStillFindsTheServer) {
+  IoThreads io(2);
+  const auto server = *HttpServer::Listen(
+      io.context(), {"127.0.0.1", 0}, {},
+      [](const HttpRequest&, const std::shared_ptr<HttpExchange>& exchange) {
+        exchange->Reply(HttpResponse{});
+      });
+  boost::asio::io_context suspended;
+  std::optional<TrialResult> ended;
+  TryServer(suspended, server->endpoint(), "/healthz", {Ms(50), Ms(5000)},
+            [&ended](TrialResult result) { ended = result; });
+  std::this_thread::sleep_for(Ms(200));
+  suspended.run();
+  cr_assert(ended == TrialResult::kAnswered, "result %d",
+            ended ? static_cast<int>(*ended) : -1);
+}
+
 }  // namespace greengage
