Answer the queries that are in flight when the stop of an entry instance ends

Seen by callers: a query that lasts for longer than the rest of a stop ends without an answer when the process ends, whether it was taken before or after the signal. Deadlines may be 60 s, a stop by default less.

Cause: at the limit of the stop, AdvanceStop() only completed the streams of other instances. The queries of callers were in flight when the context was stopped, and an answer given at the last moment was not waited for.

HttpApiService now keeps the queries in flight and answers each with unknown at the end, which says nothing false: they may have run. The instance then waits, for at most the 2 s that peers' streams had, until no caller has a connection and the streams have ended. One timer decides this, so the limit and the end of the streams can no longer both finish the stop.

--- a/include/greengage/transport/http_api_service.h
+++ b/include/greengage/transport/http_api_service.h
@@ -4,8 +4,11 @@
 
 #include <atomic>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <vector>
 
@@ -55,6 +58,9 @@
   void Handle(const HttpRequest& request,
               const std::shared_ptr<HttpExchange>& exchange);
 
+  // Answers all queries in flight: whether they ran is unknown.
+  void EndAll();
+
   // Number of queries that have not been answered yet.
   size_t in_flight() const { return in_flight_; }
 
@@ -62,16 +68,22 @@
   TimePoint last_request() const { return last_request_; }
 
  private:
+  struct ActiveQuery {
+    Answer unfinished;  // The answer if the instance ends first.
+    ConfigurationPtr configuration;
+    TimePoint received;
+    std::shared_ptr<HttpExchange> exchange;
+  };
+
   void HandleQuery(const HttpRequest& request,
                    const std::shared_ptr<HttpExchange>& exchange);
   HttpResponse HandleReadiness() const;
   HttpResponse HandleEvents(const HttpRequest& request) const;
   HttpResponse RejectInvalid(const Failure& failure);
   HttpResponse RejectUnread(Refusal refusal) const;
-  void OnAnswer(const Answer& answer,
-                const ConfigurationPtr& configuration,
-                TimePoint received,
-                const std::shared_ptr<HttpExchange>& exchange);
+  uint64_t Add(ActiveQuery active);
+  void OnAnswer(uint64_t number, const Answer& answer);
+  void Reply(const ActiveQuery& active, const Answer& answer);
   std::string MakeRequestId();
 
   const std::string instance_;
@@ -83,6 +95,9 @@
   std::atomic<size_t> in_flight_{0};
   std::atomic<TimePoint> last_request_{TimePoint{}};
   std::atomic<uint64_t> next_request_{1};
+  std::mutex mutex_;
+  std::map<uint64_t, ActiveQuery> active_queries_;
+  uint64_t last_query_ = 0;
 };
 
 }  // namespace greengage
--- a/src/entry_instance_impl.h
+++ b/src/entry_instance_impl.h
@@ -89,7 +89,8 @@
   void OnConfiguration(const ConfigurationPtr& configuration);
   void AdvanceStop();
   bool HasWork() const;
-  void StopPeerServer();
+  void EndRequests();
+  void AwaitLastAnswers(TimePoint now);
   void FinishStop();
 
   boost::asio::io_context& context_;
@@ -123,7 +124,8 @@
   boost::asio::steady_timer seed_timer_;
   std::optional<StopSequence> stop_sequence_;
   std::function<void()> on_stopped_;
-  std::atomic<bool> finished_{false};
+  TimePoint last_steps_end_;
+  std::atomic<bool> peers_stopped_{false};
 };
 
 }  // namespace greengage
--- a/src/entry_instance_stop.cc
+++ b/src/entry_instance_stop.cc
@@ -9,8 +9,10 @@
 // Interval of the checks whether the shutdown can advance.
 constexpr std::chrono::milliseconds kStopPollInterval{20};
 
-// Time limit for the streams of other instances to end.
-constexpr std::chrono::milliseconds kPeerStopTimeout{2000};
+// Time limit for the last answers to be written and the streams of other
+// instances to end. It keeps a client that has stopped reading from delaying
+// the shutdown.
+constexpr std::chrono::milliseconds kLastStepsTimeout{2000};
 
 }  // namespace
 
@@ -38,7 +40,7 @@
     http_server_->StopAccepting();
   }
   if (step == StopStep::kFinished) {
-    StopPeerServer();
+    EndRequests();
     return;
   }
   stop_timer_.expires_after(kStopPollInterval);
@@ -52,22 +54,29 @@
          http_server_->connections() > 0;
 }
 
-// Completes the streams of other instances. The time limit keeps a peer that
-// has stopped reading from delaying the shutdown.
-void EntryInstanceImpl::StopPeerServer() {
-  stop_timer_.expires_after(kPeerStopTimeout);
-  stop_timer_.async_wait([self = shared_from_this()](auto error) {
-    if (!error) {
-      self->FinishStop();
-    }
-  });
-  peer_server_->Stop([self = shared_from_this()] { self->FinishStop(); });
+// Callers get an answer to what is still in flight, and the streams of other
+// instances are completed.
+void EntryInstanceImpl::EndRequests() {
+  http_api_->EndAll();
+  last_steps_end_ = std::chrono::steady_clock::now() + kLastStepsTimeout;
+  peer_server_->Stop(
+      [self = shared_from_this()] { self->peers_stopped_ = true; });
+  AwaitLastAnswers(std::chrono::steady_clock::now());
 }
 
-void EntryInstanceImpl::FinishStop() {
-  if (finished_.exchange(true)) {
+void EntryInstanceImpl::AwaitLastAnswers(TimePoint now) {
+  const bool written = peers_stopped_ && http_server_->connections() == 0;
+  if (written || now >= last_steps_end_) {
+    FinishStop();
     return;
   }
+  stop_timer_.expires_after(kStopPollInterval);
+  stop_timer_.async_wait([self = shared_from_this()](auto) {
+    self->AwaitLastAnswers(std::chrono::steady_clock::now());
+  });
+}
+
+void EntryInstanceImpl::FinishStop() {
   router_->Close();
   configuration_->Stop();
   upstream_watch_->Stop();
--- a/src/transport/http_api_service.cc
+++ b/src/transport/http_api_service.cc
@@ -1,5 +1,7 @@
 #include "greengage/transport/http_api_service.h"
 
+#include <utility>
+
 #include "greengage/protocol/caller_codec.h"
 #include "greengage/protocol/event_codec.h"
 #include "transport/clock.h"
@@ -53,6 +55,17 @@
   return response;
 }
 
+Answer UnfinishedAnswer(const Query& query) {
+  Answer answer;
+  answer.request_id = query.request_id;
+  answer.service = query.service;
+  answer.rank = query.rank;
+  answer.outcome = Outcome::kUnknown;
+  answer.refusal = Refusal::kDraining;
+  answer.retry_after = kDefaultRetryDelay;
+  return answer;
+}
+
 }  // namespace
 
 HttpApiService::HttpApiService(std::string instance,
@@ -160,32 +173,61 @@
     exchange->Reply(RejectInvalid(query.last_reason()));
     return;
   }
-  ++in_flight_;
+  const uint64_t number = Add({.unfinished = UnfinishedAnswer(*query),
+                               .configuration = configuration,
+                               .received = received,
+                               .exchange = exchange});
   const std::shared_ptr<RunningQuery> active_query =
       hooks_.run(std::move(*query), configuration,
-                 [self = shared_from_this(), configuration, received,
-                  exchange](const Answer& answer) {
-                   self->OnAnswer(answer, configuration, received, exchange);
+                 [self = shared_from_this(), number](const Answer& answer) {
+                   self->OnAnswer(number, answer);
                  });
   if (active_query) {
     exchange->OnClientDisconnected([active_query] { active_query->Abandon(); });
   }
 }
 
-void HttpApiService::OnAnswer(const Answer& answer,
-                              const ConfigurationPtr& configuration,
-                              TimePoint received,
-                              const std::shared_ptr<HttpExchange>& exchange) {
+uint64_t HttpApiService::Add(ActiveQuery active) {
+  active.unfinished.configuration_version = active.configuration->version;
+  const std::lock_guard lock(mutex_);
+  ++in_flight_;
+  active_queries_.emplace(++last_query_, std::move(active));
+  return last_query_;
+}
+
+void HttpApiService::OnAnswer(uint64_t number, const Answer& answer) {
+  std::map<uint64_t, ActiveQuery>::node_type node;
+  {
+    const std::lock_guard lock(mutex_);
+    node = active_queries_.extract(number);
+  }
+  if (!node.empty()) {
+    Reply(node.mapped(), answer);
+  }
+}
+
+void HttpApiService::EndAll() {
+  std::map<uint64_t, ActiveQuery> unfinished;
+  {
+    const std::lock_guard lock(mutex_);
+    unfinished.swap(active_queries_);
+  }
+  for (const auto& [number, active] : unfinished) {
+    Reply(active, active.unfinished);
+  }
+}
+
+void HttpApiService::Reply(const ActiveQuery& active, const Answer& answer) {
   --in_flight_;
   const size_t rank = IndexOf(answer.rank);
   metrics_->queries[rank][static_cast<size_t>(answer.outcome)].Add();
   if (answer.outcome == Outcome::kAnswered) {
-    metrics_->query_time[rank].Record(Now() - received);
+    metrics_->query_time[rank].Record(Now() - active.received);
   }
   if (answer.outcome == Outcome::kAnswered && !answer.missing.empty()) {
     metrics_->partial_answers.Add();
   }
-  exchange->Reply(ToResponse(answer, *configuration));
+  active.exchange->Reply(ToResponse(answer, *active.configuration));
 }
 
 }  // namespace greengage
--- a/tests/graceful_stop_process_test.cc
+++ b/tests/graceful_stop_process_test.cc
@@ -1,8 +1,12 @@
 // A planned stop is a graceful shutdown: no caller loses its connection before
 // the answer to its request.
 #include <atomic>
+#include <chrono>
 #include <csignal>
+#include <future>
 #include <string>
+#include <thread>
+#include <vector>
 
 #include "tests/harness/callers.h"
 #include "tests/harness/deployment.h"
@@ -112,6 +116,36 @@
   cr_expect(balancer.lost() == 0, "%zu without a response", balancer.lost());
 }
 
+// Guards against queries that are cut off since they outlast the stop.
+Test(GracefulStop, QueriesInFlightAtTheEndAreAnswered) {
+  Deployment deployment(
+      {.instances_per_data_centre = 1,
+       .shards = 1,
+       .replicas = 1,
+       .searcher_arguments = {"--service-us", "6000000"},
+       .instance_settings = "[stop]\nnotice_ms = 200\ngrace_ms = 1000\n"});
+  std::vector<std::future<JsonReply>> replies;
+  for (const bool idempotent : {true, false}) {
+    replies.push_back(std::async(std::launch::async, [&deployment, idempotent] {
+      return deployment.Query(
+          0, {{"request_id", MakeRequestId(idempotent ? "read" : "write")},
+              {"text", "tea"},
+              {"idempotent", idempotent},
+              {"key", 1},
+              {"deadline_ms", 8000}});
+    }));
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  deployment.instance(0).Signal(SIGTERM);
+  for (std::future<JsonReply>& reply : replies) {
+    const JsonReply answer = reply.get();
+    cr_expect(answer.status == 504, "status %u", answer.status);
+    cr_expect(answer.Text("outcome") == "unknown");
+    cr_expect(answer.Text("request_id") != "");
+  }
+  cr_expect(deployment.instance(0).WaitForExit(kTestTimeout) == 0);
+}
+
 Test(GracefulStop, PlatformAndSearchersStopGracefully) {
   Deployment deployment(Shape());
   for (size_t replica = 0; replica < 2; ++replica) {
