Count answers to other instances as work of a stop

An instance that gathers or relays for others ended its stop while an answer to another instance was being written: that one answered its caller 502, or, if it stopped as well, ended without an answer. Cause: a stop looked at the requests in flight and at the connections of callers only.

Requests of other instances without a whole answer are counted now, before the end and at it. So that peers' held reads of the configuration don't keep the process, they are answered as unavailable once the instance drains, and the peers read from another one before this one has gone.

--- a/src/routed_instance.cc
+++ b/src/routed_instance.cc
@@ -75,7 +75,7 @@
   feed_server_ = std::make_shared<FeedServer>(
       context, &feed_cache_,
       FeedServerHooks{[this] {
-                        return searcher_watcher_ != nullptr &&
+                        return !rejecting_ && searcher_watcher_ != nullptr &&
                                feed_cache_.AgeAt(NowWithSuspension()) <
                                    MaxFeedAge();
                       },
--- a/src/routed_instance_stop.cc
+++ b/src/routed_instance_stop.cc
@@ -124,11 +124,13 @@
 void RoutedInstanceImpl::AdvanceStop() {
   const bool has_work =
       router_->in_flight() > 0 || forwarder_->in_flight() > 0 ||
-      peer_forwarder_->in_flight() > 0 || caller_server_->connections() > 0;
+      peer_forwarder_->in_flight() > 0 || caller_server_->connections() > 0 ||
+      peer_server_->unanswered() > 0;
   const StopStep step =
       stop_sequence_->Next(Now(), router_->last_request(), has_work);
   if (step != StopStep::kServe && !std::exchange(rejecting_, true)) {
     caller_server_->StopAccepting();
+    feed_server_->OnCacheChanged();  // Peers must read from another instance.
   }
   if (step == StopStep::kFinished) {
     EndRequests();
@@ -156,8 +158,9 @@
 }
 
 void RoutedInstanceImpl::AwaitLastAnswers() {
-  if (caller_server_->unanswered() == 0 ||
-      Now() >= stop_sequence_->answers_end()) {
+  const size_t unanswered =
+      caller_server_->unanswered() + peer_server_->unanswered();
+  if (unanswered == 0 || Now() >= stop_sequence_->answers_end()) {
     FinishStop();
     return;
   }
