--- a/src/transport/connection_trial.cc
+++ b/src/transport/connection_trial.cc
@@ -3,7 +3,6 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 #include <array>
@@ -11,8 +10,8 @@
 #include <string_view>
 #include <utility>
 
-#include "transport/clock.h"
 #include "transport/socket_address.h"
+#include "transport/timeout.h"
 
 namespace greengage {
 namespace {
@@ -29,7 +28,7 @@
         const TrialTimeouts& timeouts,
         std::function<void(TrialResult)> done)
       : socket_(context),
-        timer_(context),
+        timeout_(context.get_executor()),
         request_(std::move(request)),
         timeouts_(timeouts),
         done_(std::move(done)) {}
@@ -69,13 +68,8 @@
   }
 
   void EndAfter(std::chrono::milliseconds delay, TrialResult result) {
-    timer_.expires_after(delay);
-    timer_.async_wait([self = shared_from_this(), result](auto error) {
-      // A wait that had expired when the timer was set again has no error.
-      if (!error && self->timer_.expiry() <= Now()) {
-        self->End(result);
-      }
-    });
+    timeout_.Set(delay,
+                 [self = shared_from_this(), result] { self->End(result); });
   }
 
   void End(TrialResult result) {
@@ -83,14 +77,14 @@
     if (!done) {
       return;
     }
-    timer_.cancel();
+    timeout_.Cancel();
     boost::system::error_code ignored;
     socket_.close(ignored);
     done(result);
   }
 
   asio::ip::tcp::socket socket_;
-  asio::steady_timer timer_;
+  Timeout timeout_;
   const std::string request_;
   const TrialTimeouts timeouts_;
   std::array<char, kAnswerStart.size()> input_{};
