Keep the last steps of an entry instance within the time until the kill

A slow reader could prolong a stop by two seconds past its limit, and past the kill where one is set.

--- a/src/coordination/stop_sequence.cc
+++ b/src/coordination/stop_sequence.cc
@@ -15,7 +15,7 @@
 constexpr double kAnswersFractionOfLimit = 23.0 / 24;
 
 // Time for callers to read the answers that are being written at the end.
-constexpr std::chrono::milliseconds kLastAnswersTime{1000};
+constexpr std::chrono::milliseconds kLastAnswersTime{2000};
 
 TimePoint AnswersEnd(TimePoint started, TimePoint end, Duration limit) {
   const TimePoint unlimited = end + kLastAnswersTime;
--- a/src/entry_instance_stop.cc
+++ b/src/entry_instance_stop.cc
@@ -1,6 +1,8 @@
 // Graceful shutdown of an entry instance.
 #include <boost/asio.hpp>
 
+#include <algorithm>
+
 #include "entry_instance_impl.h"
 
 namespace greengage {
@@ -58,10 +60,12 @@
 // instances are completed.
 void EntryInstanceImpl::EndRequests() {
   http_api_->EndAll();
-  last_steps_end_ = std::chrono::steady_clock::now() + kLastStepsTimeout;
+  const TimePoint now = std::chrono::steady_clock::now();
+  last_steps_end_ =
+      std::min(now + kLastStepsTimeout, stop_sequence_->answers_end());
   peer_server_->Stop(
       [self = shared_from_this()] { self->peers_stopped_ = true; });
-  AwaitLastAnswers(std::chrono::steady_clock::now());
+  AwaitLastAnswers(now);
 }
 
 void EntryInstanceImpl::AwaitLastAnswers(TimePoint now) {
--- a/tests/stop_sequence_test.cc
+++ b/tests/stop_sequence_test.cc
@@ -45,11 +45,11 @@
 
 Test(StopSequence, LeavesTimeForTheLastAnswersBeforeTheProcessIsKilled) {
   const StopSequence unlimited(kStart, Ms(500), Ms(1000));
-  cr_assert(unlimited.answers_end() == kStart + Ms(2500));
+  cr_assert(unlimited.answers_end() == kStart + Ms(3500));
   const StopSequence limited(kStart, Ms(2500), Ms(3000), Ms(6000));
   cr_assert(limited.answers_end() == kStart + Ms(5750));
   const StopSequence early(kStart, Ms(500), Ms(1000), Ms(6000));
-  cr_assert(early.answers_end() == kStart + Ms(2500));
+  cr_assert(early.answers_end() == kStart + Ms(3500));
 }
 
 // Guards against requests that are taken late in a shutdown and cut off at its
