Write the last answers also if the process wakes after the end of its stop

The wait for unanswered requests mends that; it now lasts 50 ms at least, so that a process that wakes after the end of that wait hands its answers to the system, too.

--- a/src/routed_instance_impl.h
+++ b/src/routed_instance_impl.h
@@ -148,7 +148,8 @@
   void LogRateLimits();
   void AdvanceStop();
   void EndRequests();
-  void AwaitLastAnswers();
+  // Finishes the stop once all answers are written, or at `end`.
+  void AwaitLastAnswers(TimePoint now, TimePoint end);
   void FinishStop();
 
   template <typename Item>
--- a/src/routed_instance_stop.cc
+++ b/src/routed_instance_stop.cc
@@ -1,4 +1,5 @@
 // Housekeeping, reload and graceful shutdown of a routed instance.
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -16,6 +17,9 @@
 // Interval of the checks whether the last answers have been written.
 constexpr std::chrono::milliseconds kAnswersPollInterval{10};
 
+// Time for answers to be handed to the system after the end of a stop.
+constexpr std::chrono::milliseconds kMinLastAnswersTime{50};
+
 // Interval at which expired searchers are removed and the log is flushed.
 constexpr std::chrono::milliseconds kHousekeepingInterval{250};
 
@@ -154,19 +158,23 @@
     peer_forwarder_->EndAll();
     router_->EndAll();
   }
-  AwaitLastAnswers();
+  // A process that was suspended may be past the end already.
+  const TimePoint now = Now();
+  AwaitLastAnswers(
+      now, std::max(stop_sequence_->answers_end(), now + kMinLastAnswersTime));
 }
 
-void RoutedInstanceImpl::AwaitLastAnswers() {
+void RoutedInstanceImpl::AwaitLastAnswers(TimePoint now, TimePoint end) {
   const size_t unanswered =
       caller_server_->unanswered() + peer_server_->unanswered();
-  if (unanswered == 0 || Now() >= stop_sequence_->answers_end()) {
+  if (unanswered == 0 || now >= end) {
     FinishStop();
     return;
   }
   stop_timer_.expires_after(kAnswersPollInterval);
-  stop_timer_.async_wait(
-      [self = shared_from_this()](auto) { self->AwaitLastAnswers(); });
+  stop_timer_.async_wait([self = shared_from_this(), end](auto) {
+    self->AwaitLastAnswers(Now(), end);
+  });
 }
 
 void RoutedInstanceImpl::FinishStop() {
