Keep capacity of the log for the lines of a stop

Cause: the limit of 400 lines and 200 a second drops any line. Lines of the life of the process go to a logger of their own, which has a part of the limit and of the buffer for itself.

A reader that is slower than the log can still lose the last lines: the log never blocks on it.

--- a/include/greengage/state/decision_event.h
+++ b/include/greengage/state/decision_event.h
@@ -64,6 +64,10 @@
 
 const DecisionEventInfo& InfoOf(DecisionEvent event);
 
+// Returns whether the event is about the life of the process, and so occurs a
+// few times at most.
+bool IsLifecycleEvent(DecisionEvent event);
+
 // Returns the event named `name`, or nullopt if no event has that name, as in
 // lines of other programs.
 std::optional<DecisionEvent> FindDecisionEvent(std::string_view name);
--- a/include/greengage/transport/log.h
+++ b/include/greengage/transport/log.h
@@ -23,6 +23,13 @@
   kStandardOutput,
 };
 
+enum class LogPriority : uint8_t {
+  kNormal,
+  // The few lines about the life of the process. They have capacity of their
+  // own, so that other lines don't displace them.
+  kLifecycle,
+};
+
 // Starts logging. Must be called once, before other threads are started.
 void StartLog(std::string process,
               LogFormat format,
@@ -42,7 +49,9 @@
 
 // Logs `message` unchanged: JSON members in the JSON format, else text.
 // Thread-safe.
-void LogMessage(LogLevel level, const std::string& message);
+void LogMessage(LogLevel level,
+                const std::string& message,
+                LogPriority priority = LogPriority::kNormal);
 
 // Changes the level at run time. Thread-safe.
 void SetLogLevel(LogLevel level);
--- a/include/greengage/transport/log_line.h
+++ b/include/greengage/transport/log_line.h
@@ -46,6 +46,7 @@
  private:
   LogLine& AddJson(std::string_view name, std::string_view value);
 
+  const DecisionEvent event_;
   const LogLevel level_;
   const bool enabled_;
   std::string members_;  // JSON members without the braces.
--- a/src/state/decision_event.cc
+++ b/src/state/decision_event.cc
@@ -134,6 +134,19 @@
   return AllDecisionEvents()[static_cast<size_t>(event)];
 }
 
+bool IsLifecycleEvent(DecisionEvent event) {
+  switch (event) {
+    case DecisionEvent::kInstanceStarted:
+    case DecisionEvent::kInstanceStopping:
+    case DecisionEvent::kRequestsEndedByStop:
+    case DecisionEvent::kInstanceStopped:
+    case DecisionEvent::kProcessEnded:
+      return true;
+    default:
+      return false;
+  }
+}
+
 std::optional<DecisionEvent> FindDecisionEvent(std::string_view name) {
   const auto& all = AllDecisionEvents();
   const auto found =
--- a/src/transport/log.cc
+++ b/src/transport/log.cc
@@ -19,6 +19,7 @@
 namespace json = boost::json;
 
 constexpr char kLoggerName[] = "greengage";
+constexpr char kLifecycleLoggerName[] = "greengage.lifecycle";
 
 struct LevelEntry {
   LogLevel level;
@@ -107,6 +108,12 @@
   return logger;
 }
 
+const log4cplus::Logger& LifecycleLogger() {
+  static const log4cplus::Logger logger =
+      log4cplus::Logger::getInstance(kLifecycleLoggerName);
+  return logger;
+}
+
 void WriteLine(LogLevel level, const Line& line) {
   if (IsLogged(level)) {
     LogMessage(level, Format(line));
@@ -128,8 +135,12 @@
   return GetLogger().isEnabledFor(EntryOf(level).library_level);
 }
 
-void LogMessage(LogLevel level, const std::string& message) {
-  GetLogger().log(EntryOf(level).library_level, message);
+void LogMessage(LogLevel level,
+                const std::string& message,
+                LogPriority priority) {
+  const log4cplus::Logger& logger =
+      priority == LogPriority::kLifecycle ? LifecycleLogger() : GetLogger();
+  logger.log(EntryOf(level).library_level, message);
 }
 
 void StartLog(std::string process,
@@ -140,7 +151,7 @@
   log_format = format;
   log4cplus::SharedAppenderPtr appender;
   if (output == LogOutput::kStandardOutput) {
-    stdout_appender = new StdoutAppender(process);
+    stdout_appender = new StdoutAppender(process, kLifecycleLoggerName);
     appender = log4cplus::SharedAppenderPtr(stdout_appender);
   } else {
     appender = log4cplus::SharedAppenderPtr(
--- a/src/transport/log_line.cc
+++ b/src/transport/log_line.cc
@@ -11,7 +11,7 @@
 namespace json = boost::json;
 
 LogLine::LogLine(DecisionEvent event)
-    : level_(InfoOf(event).level), enabled_(IsLogged(level_)) {
+    : event_(event), level_(InfoOf(event).level), enabled_(IsLogged(level_)) {
   Add("event", InfoOf(event).name);
 }
 
@@ -47,7 +47,9 @@
 
 void LogLine::Write() {
   if (enabled_) {
-    LogMessage(level_, members_);
+    LogMessage(level_, members_,
+               IsLifecycleEvent(event_) ? LogPriority::kLifecycle
+                                        : LogPriority::kNormal);
   }
 }
 
--- a/src/transport/stdout_appender.cc
+++ b/src/transport/stdout_appender.cc
@@ -23,15 +23,23 @@
 constexpr double kLinesPerSecond = 200;
 constexpr double kBurstLines = 400;
 
+// Part of the burst limit that is kept for the lines of one logger, which
+// writes fewer in the life of a process.
+constexpr double kReservedLines = 20;
+
 // Number of buffered bytes that triggers a write. A write of up to PIPE_BUF
 // bytes to a pipe is atomic.
 constexpr size_t kWriteBytes = PIPE_BUF;
 constexpr size_t kMaxBufferedBytes = size_t{256} * 1024;
+constexpr size_t kReservedBytes = size_t{8} * 1024;
 
 }  // namespace
 
-StdoutAppender::StdoutAppender(std::string process)
-    : process_(std::move(process)), tokens_(kBurstLines), refilled_at_(Now()) {}
+StdoutAppender::StdoutAppender(std::string process, std::string reserved_for)
+    : process_(std::move(process)),
+      reserved_for_(std::move(reserved_for)),
+      tokens_(kBurstLines),
+      refilled_at_(Now()) {}
 
 StdoutAppender::~StdoutAppender() {
   destructorImpl();
@@ -61,9 +69,9 @@
   refilled_at_ = now;
 }
 
-bool StdoutAppender::TakeToken(TimePoint now) {
+bool StdoutAppender::TakeToken(TimePoint now, double reserved) {
   RefillTokens(now);
-  if (tokens_ < 1) {
+  if (tokens_ < 1 + reserved) {
     return false;
   }
   --tokens_;
@@ -71,7 +79,10 @@
 }
 
 void StdoutAppender::append(const log4cplus::spi::InternalLoggingEvent& event) {
-  if (!TakeToken(Now()) || buffer_.size() > kMaxBufferedBytes) {
+  const bool may_use_reserve = event.getLoggerName() == reserved_for_;
+  const size_t reserved_bytes = may_use_reserve ? 0 : kReservedBytes;
+  if (!TakeToken(Now(), may_use_reserve ? 0 : kReservedLines) ||
+      buffer_.size() + reserved_bytes > kMaxBufferedBytes) {
     ++dropped_;
     return;
   }
--- a/src/transport/stdout_appender.h
+++ b/src/transport/stdout_appender.h
@@ -12,11 +12,13 @@
 namespace greengage {
 
 // Lines are buffered and written in batches. Lines are dropped if the rate
-// limit is exceeded or the buffer is full. Flush() reports the number of
-// dropped lines in a separate line. log4cplus holds a lock during append().
+// limit is exceeded or the buffer is full. A part of both is kept for the lines
+// of one logger. Flush() reports the number of dropped lines in a separate
+// line. log4cplus holds a lock during append().
 class StdoutAppender : public log4cplus::Appender {
  public:
-  explicit StdoutAppender(std::string process);
+  // Lines of the logger `reserved_for` may use the reserved capacity.
+  StdoutAppender(std::string process, std::string reserved_for);
   ~StdoutAppender() override;
 
   void close() override;
@@ -33,11 +35,12 @@
 
  private:
   void RefillTokens(TimePoint now);
-  bool TakeToken(TimePoint now);
+  bool TakeToken(TimePoint now, double reserved);
   void WriteBuffer();
   void ReportDropped();
 
   const std::string process_;
+  const std::string reserved_for_;
   std::string buffer_;
   double tokens_;
   TimePoint refilled_at_;
