Let a late process read a request before its read timeout closes the connection

Cause: the read of the rest was complete and queued behind the expiry of the read timeout, which closed the socket; the request was then handled all the same. The guard against stale expiries does not help, as this one is in force.

A read that is under way gets 50 ms more, once, in which queued reads complete, and nothing is handled on a closed connection.

The counter of Timeout is atomic, since the last reference to a session may be released on another thread of an entry instance; that race was only suspected.

--- a/src/transport/http_session.cc
+++ b/src/transport/http_session.cc
@@ -22,6 +22,9 @@
 // Time during a shutdown for which a new connection may still send a request.
 constexpr std::chrono::milliseconds kFirstRequestTimeout{500};
 
+// Time for input that came before the read timeout to be read after it.
+constexpr std::chrono::milliseconds kReadExtension{50};
+
 // Bytes that one read may add to the head of a request, or to input that is
 // discarded.
 constexpr size_t kReadBytes = size_t{16} * 1024;
@@ -115,12 +118,16 @@
   });
 }
 
-// Input that is not read yet may be a request, which came in time if the
-// process is late.
+// A late process may find the expiry before input that came in time, so input
+// that waits is read first, and a read gets a short extension.
 void HttpSession::OnTimeout() {
   if (awaiting_request_ && HasInput()) {
     return;
   }
+  if (parser_ && !std::exchange(read_extended_, true)) {
+    SetTimeout(kReadExtension);
+    return;
+  }
   LogCut("timeout");
   Close();
 }
@@ -228,6 +235,7 @@
   awaiting_request_ = false;
   const HttpServerLimits limits = host_->limits();
   SetTimeout(limits.read_timeout);
+  read_extended_ = false;
   parser_.emplace();
   parser_->header_limit(static_cast<std::uint32_t>(limits.header_bytes));
   parser_->body_limit(limits.body_bytes);
@@ -241,6 +249,9 @@
 }
 
 void HttpSession::OnRequest(boost::system::error_code error) {
+  if (!socket_.is_open()) {
+    return;
+  }
   if (error) {
     RejectRequest(error);
     return;
--- a/src/transport/http_session.h
+++ b/src/transport/http_session.h
@@ -97,6 +97,7 @@
   std::function<void()> disconnect_hook_;
   uint64_t exchange_ = 0;
   bool awaiting_request_ = false;  // For its first byte.
+  bool read_extended_ = false;     // Beyond the read timeout.
   bool handling_ = false;  // A request has been read, but not answered whole.
   bool writing_ = false;   // Its response is being written.
   bool keep_alive_ = true;
--- a/src/transport/timeout.h
+++ b/src/transport/timeout.h
@@ -5,6 +5,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <atomic>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -16,7 +17,8 @@
 // Cancelling an Asio timer does not stop a handler that is already queued,
 // which then runs without an error. Handlers of a Timeout don't run after
 // Set(), Cancel() or its destruction. Not thread-safe: all functions must be
-// called on the executor, which must be a strand or run on one thread.
+// called on the executor, which must be a strand or run on one thread. Only the
+// destructor may run elsewhere.
 class Timeout {
  public:
   explicit Timeout(const boost::asio::any_io_executor& executor)
@@ -46,7 +48,8 @@
  private:
   boost::asio::steady_timer timer_;
   // Number of the latest Set() or Cancel().
-  const std::shared_ptr<uint64_t> current_ = std::make_shared<uint64_t>(0);
+  const std::shared_ptr<std::atomic<uint64_t>> current_ =
+      std::make_shared<std::atomic<uint64_t>>(0);
 };
 
 }  // namespace greengage
--- a/tests/http_server_race_test.cc
+++ b/tests/http_server_race_test.cc
@@ -2,6 +2,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
@@ -26,6 +27,10 @@
 constexpr std::string_view kRequest = "GET /x HTTP/1.1\r\nHost: x\r\n\r\n";
 constexpr milliseconds kShortTimeout{100};
 
+// Too large for the buffers of the sockets.
+constexpr size_t kLargeAnswerBytes = 16'000'000;
+constexpr int kReceiveBuffer = 4096;
+
 // Time for which a server keeps a new connection without a request after
 // StopAccepting().
 constexpr milliseconds kFirstRequestTimeout{500};
@@ -134,6 +139,23 @@
   cr_assert(fixture.ReceivesAnswer(), "%d handled", fixture.handled());
 }
 
+// The expiry is queued between two reads of the rest of the request.
+Test(HttpSessionTimeout, LongRequestThatEndsAsTheReadTimeoutExpiresIsAnswered) {
+  for (const size_t size : {600, 6000}) {
+    Fixture fixture({.read_timeout = kShortTimeout});
+    fixture.ConnectAndWaitUntilAccepted();
+    const std::string request =
+        "GET /x HTTP/1.1\r\nHost: x\r\nX-Pad: " + std::string(size, 'x') +
+        "\r\n\r\n";
+    fixture.Send(std::string_view(request).substr(0, 10));
+    std::this_thread::sleep_for(kShortTimeout / 4);
+    fixture.Occupy(2 * kShortTimeout);
+    fixture.Send(std::string_view(request).substr(10));
+    cr_assert(fixture.ReceivesAnswer(), "%zu bytes, %d handled", size,
+              fixture.handled());
+  }
+}
+
 // The connection is accepted while the handler that closes the listener waits.
 Test(HttpServerStop, ConnectionAcceptedAsTheListenerClosesIsServed) {
   Fixture fixture({});
--- a/tools/greengaged/main.cc
+++ b/tools/greengaged/main.cc
@@ -206,8 +206,8 @@
 [[noreturn]] void Exit(int exit_code) {
   std::cout.flush();
   std::fflush(nullptr);
-#ifdef __SANITIZE_ADDRESS__
-  std::exit(exit_code);  // Checks for leaks.
+#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
+  std::exit(exit_code);  // Sanitizers report at the end.
 #else
   std::_Exit(exit_code);
 #endif
