Don't reset an answer when the next request waits as the listener closes

A caller that pipelines and reads slowly saw its answer cut during a planned stop. Cause: an answer that was promised to keep the connection was followed by a close, although the next request was waiting unread; a close with unread input resets the connection and drops what the caller has not received. Such a request is read now and gets an answer that closes the connection.

--- a/src/transport/http_session.cc
+++ b/src/transport/http_session.cc
@@ -217,7 +217,7 @@
     ReadRequest();
     return;
   }
-  if (close_when_idle_) {
+  if (close_when_idle_ && !HasInput()) {
     Close();
     return;
   }
--- a/tests/http_server_race_test.cc
+++ b/tests/http_server_race_test.cc
@@ -168,5 +168,33 @@
   cr_assert(fixture.ReceivesAnswer(), "%d handled", fixture.handled());
 }
 
+Test(HttpServerStop, AnswerBeforeAPipelinedRequestIsWhole) {
+  IoThreads threads(1);
+  const std::string body(kLargeAnswerBytes, 'x');
+  std::atomic<int> handled = 0;
+  const auto server = *HttpServer::Listen(
+      threads.context(), {"127.0.0.1", 0}, HttpServerLimits{},
+      [&](const HttpRequest&, const std::shared_ptr<HttpExchange>& exchange) {
+        exchange->Reply(HttpResponse{.body = ++handled == 1 ? body : "{}"});
+      });
+  asio::io_context context;
+  asio::ip::tcp::socket socket(context);
+  socket.open(asio::ip::tcp::v4());
+  socket.set_option(asio::socket_base::receive_buffer_size(kReceiveBuffer));
+  socket.connect({asio::ip::address_v4::loopback(), server->endpoint().port});
+  asio::write(socket, asio::buffer(kRequest));
+  std::this_thread::sleep_for(kShortTimeout);
+  asio::write(socket, asio::buffer(kRequest));
+  std::this_thread::sleep_for(kShortTimeout);
+  server->StopAccepting();
+  std::this_thread::sleep_for(kShortTimeout);
+  std::string answer;
+  boost::system::error_code error;
+  asio::read(socket, asio::dynamic_buffer(answer), error);
+  cr_assert(answer.size() > body.size() && answer.ends_with("\r\n\r\n{}"),
+            "%zu bytes, %d handled, %s", answer.size(), handled.load(),
+            error.message().c_str());
+}
+
 }  // namespace
 }  // namespace greengage
