Ask the kernel for one connection in the test of a cut-off instance

Its fake searchers read the table of all connections of the machine for each that they accept, on the thread that answers. Socket diagnostics name the owner of one connection in the same time however many there are. The check is the same. That this was why the test fails behind all others is not shown: with 14,533 lines in the table the old test passed as well.

--- a/tests/harness/tcp_owner.h
+++ b/tests/harness/tcp_owner.h
@@ -8,8 +8,9 @@
 
 namespace greengage {
 
-// Returns true if `process` has a connection from `port` of 127.0.0.1.
-bool OwnsTcpPort(pid_t process, uint16_t port);
+// Returns true if `process` has a connection from `port` to `server_port`, both
+// of 127.0.0.1.
+bool OwnsTcpConnection(pid_t process, uint16_t port, uint16_t server_port);
 
 }  // namespace greengage
 
