--- a/tests/http_server_race_test.cc
+++ b/tests/http_server_race_test.cc
@@ -62,7 +62,7 @@
   }
 
   // Keeps the server's thread busy for `time`, from the return of this function
-  // on or, if it is busy already, from the end of that.
+  // on.
   void Occupy(milliseconds time) {
     const auto started = std::make_shared<std::atomic<bool>>(false);
     asio::post(threads_.context(), [started, time] {
@@ -74,6 +74,7 @@
     }
   }
 
+  // Keeps it busy once more, after what it does now.
   void OccupyNext(milliseconds time) {
     asio::post(threads_.context(), [this, time] {
       occupied_again_ = true;
