Write no log line before the log is started

Cause: the fake store of the tests is an HttpServer in the test's process, and HttpSession logs each connection that is cut with a request under way. There no log is started, so log4cplus wrote two lines of complaint to the standard error, once per process. How many of the 24 cases print them depends on which side sees the end first.

IsLogged() is now false and LogMessage() writes nothing before StartLog().

--- a/src/transport/log.cc
+++ b/src/transport/log.cc
@@ -9,6 +9,7 @@
 #include <boost/json.hpp>
 
 #include <array>
+#include <atomic>
 #include <chrono>
 
 #include "transport/stdout_appender.h"
@@ -75,6 +76,9 @@
   std::string_view detail;
 };
 
+// Without an appender, log4cplus writes to the standard error.
+std::atomic<bool> log_started = false;
+
 LogFormat log_format = LogFormat::kText;
 
 // Owned by the logger.
@@ -132,12 +136,15 @@
 }
 
 bool IsLogged(LogLevel level) {
-  return GetLogger().isEnabledFor(EntryOf(level).library_level);
+  return log_started && GetLogger().isEnabledFor(EntryOf(level).library_level);
 }
 
 void LogMessage(LogLevel level,
                 const std::string& message,
                 LogPriority priority) {
+  if (!log_started) {
+    return;
+  }
   const log4cplus::Logger& logger =
       priority == LogPriority::kLifecycle ? LifecycleLogger() : GetLogger();
   logger.log(EntryOf(level).library_level, message);
@@ -165,6 +172,7 @@
   }
   log4cplus::Logger::getInstance(kLoggerName).addAppender(appender);
   SetLogLevel(level);
+  log_started = true;
 }
 
 void FlushLog() {
