Keep the whole output of a test, and show it where the summary is missing

run_tests.py counts cases from Criterion's last line. CTest drops what a passed test prints beyond 1,024 bytes, so any test with more output was reported as ended without a summary, and nothing showed what it had printed.

CTest now keeps 4 MB, and the end of the output is printed where there is no summary. run_tests_test.py, run by scripts/test, failed without the options.

--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -13,6 +13,14 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 
+# CTest keeps only 1,024 bytes of a passed test by default, so a test that
+# prints more would lose the summary at its end.
+OUTPUT_OPTIONS = ["--test-output-size-passed", "4000000",
+                  "--test-output-size-failed", "4000000"]
+
+# Characters of the output that are printed for a test without a summary.
+SHOWN_OUTPUT = 4000
+
 
 def known_red_tests():
     """Returns the tests that may fail, from lines "test: SUITE/NAME"."""
@@ -29,7 +37,8 @@
         old.unlink()
     # Criterion measures wall-clock time, so the processes of one test run serially.
     subprocess.run(
-        ["ctest", "--preset", preset, "--parallel", "8", "--output-junit", reports / "ctest.xml"],
+        ["ctest", "--preset", preset, "--parallel", "8", *OUTPUT_OPTIONS,
+         "--output-junit", reports / "ctest.xml"],
         cwd=ROOT, check=False)
     return reports / "ctest.xml"
 
@@ -60,7 +69,8 @@
         output = case.findtext("system-out") or ""
         counts = count_cases(output)
         if counts is None:
-            print(f"{name}: ended without a summary")
+            print(f"{name}: ended without a summary; the end of its output:")
+            print(output[-SHOWN_OUTPUT:])
             failed += 1
             continue
         names = failed_cases(output)
