Keep the bound on extra arrivals while instances are restarted

Cause: each instance uses its share of the allowance, and shares were not conserved. While an instance was away, the others divided the allowance among fewer and spent its share; the process that came back had an empty window and spent the share again, although the one before it had.

The share now is the smallest one of the last window, so a share that grows counts once nobody else can have spent the difference within the window.

--- a/include/greengage/coordination/extra_arrival_budget.h
+++ b/include/greengage/coordination/extra_arrival_budget.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 
@@ -17,22 +18,29 @@
   double ratio = 0;      // Extra arrivals per request in the window.
   double allowance = 0;  // Extra arrivals per window, regardless of requests.
   Duration window = std::chrono::seconds(10);
+  // As `allowance`, until that has been in force for a window. Instances have
+  // it beside their shares of the whole allowance.
+  double joining_allowance = 0;
 };
 
 // Bounds the extra arrivals, which are the attempts beyond the first of each
 // request, in a sliding window by the requests in the same window. If each
 // instance gets its share of the allowance, all instances together stay within
-// the whole allowance. A window that starts between two bursts may hold more
-// extra arrivals than its own requests permit, so callers should leave part of
-// the limit unused. Not thread-safe.
+// the whole allowance, also while instances leave and join: an allowance that
+// grows is used only once it has been in force for a window, since another
+// instance, or the process before this one, may have spent the difference. A
+// process that has just started has the joining allowance. A window that starts
+// between two bursts may hold more extra arrivals than its own requests permit,
+// so callers should leave part of the limit unused. Not thread-safe.
 class ExtraArrivalBudget {
  public:
+  // `limits` hold as if they had always been in force.
   explicit ExtraArrivalBudget(ExtraArrivalLimits limits) : limits_(limits) {}
 
   const ExtraArrivalLimits& limits() const { return limits_; }
 
   // Keeps the counts unless the length of the window changes.
-  void set_limits(ExtraArrivalLimits limits);
+  void SetLimits(TimePoint now, ExtraArrivalLimits limits);
 
   void OnRequest(TimePoint now, const std::string& service);
 
@@ -57,16 +65,26 @@
   };
   using Buckets = std::array<Bucket, kBuckets + 1>;
 
+  struct PastAllowance {
+    double allowance = 0;
+    TimePoint until;
+  };
+
   struct Usage {
     double allowed = 0;
     double spent = 0;
   };
 
+  // Returns the smallest allowance that was in force within the window, or the
+  // joining allowance if that is larger.
+  double AllowanceAt(TimePoint now) const;
   int64_t BucketNumber(TimePoint now) const;
   Bucket& BucketAt(TimePoint now, const std::string& service);
   Usage UsageOf(TimePoint now, const std::string& service) const;
 
   ExtraArrivalLimits limits_;
+  // Smaller than the current one, in increasing order of both members.
+  std::deque<PastAllowance> past_allowances_;
   std::map<std::string, Buckets, std::less<>> services_;
 };
 
--- a/include/greengage/coordination/instance_share.h
+++ b/include/greengage/coordination/instance_share.h
@@ -16,6 +16,14 @@
   return whole * kSharedLimitUsage / static_cast<double>(instances);
 }
 
+// Returns the share of `whole` that an instance may use until it is known what
+// the others, and the process before it, have used of its own share. All these
+// shares are the part of `whole` beyond the shares of InstanceShare().
+// `instances` must be at least 1.
+inline double JoiningShare(double whole, size_t instances) {
+  return whole * (1 - kSharedLimitUsage) / static_cast<double>(instances);
+}
+
 }  // namespace greengage
 
 #endif  // GREENGAGE_COORDINATION_INSTANCE_SHARE_H_
--- a/include/greengage/coordination/request_plan_context.h
+++ b/include/greengage/coordination/request_plan_context.h
@@ -32,7 +32,8 @@
 inline ExtraArrivalLimits InstanceLimits(const ExtraArrivalLimits& whole,
                                          size_t instances) {
   return {whole.ratio * kSharedLimitUsage,
-          InstanceShare(whole.allowance, instances), whole.window};
+          InstanceShare(whole.allowance, instances), whole.window,
+          JoiningShare(whole.allowance, instances)};
 }
 
 // `extra_arrivals` permits none until its limits are set. Not thread-safe.
--- a/src/coordination/extra_arrival_budget.cc
+++ b/src/coordination/extra_arrival_budget.cc
@@ -4,10 +4,17 @@
 
 namespace greengage {
 
-void ExtraArrivalBudget::set_limits(ExtraArrivalLimits limits) {
+void ExtraArrivalBudget::SetLimits(TimePoint now, ExtraArrivalLimits limits) {
   if (limits.window != limits_.window) {
     services_.clear();
   }
+  std::erase_if(past_allowances_, [&](const PastAllowance& past) {
+    return past.until + limits.window <= now ||
+           past.allowance >= limits.allowance;
+  });
+  if (limits_.allowance < limits.allowance) {
+    past_allowances_.push_back({limits_.allowance, now});
+  }
   limits_ = limits;
 }
 
@@ -35,6 +42,18 @@
   return usage.allowed - usage.spent;
 }
 
+double ExtraArrivalBudget::AllowanceAt(TimePoint now) const {
+  const auto in_window =
+      std::find_if(past_allowances_.begin(), past_allowances_.end(),
+                   [&](const PastAllowance& past) {
+                     return now < past.until + limits_.window;
+                   });
+  return in_window == past_allowances_.end()
+             ? limits_.allowance
+             : std::max(in_window->allowance,
+                        std::min(limits_.joining_allowance, limits_.allowance));
+}
+
 int64_t ExtraArrivalBudget::BucketNumber(TimePoint now) const {
   const Duration bucket_length =
       limits_.window / static_cast<int64_t>(kBuckets);
@@ -57,7 +76,7 @@
     TimePoint now,
     const std::string& service) const {
   Usage usage;
-  usage.allowed = limits_.allowance;
+  usage.allowed = AllowanceAt(now);
   const auto found = services_.find(service);
   if (found == services_.end()) {
     return usage;
--- a/src/routed_instance_store.cc
+++ b/src/routed_instance_store.cc
@@ -258,7 +258,7 @@
                           kGatherersAllowanceShare;
     }
   }
-  plan_context_.extra_arrivals.set_limits(limits);
+  plan_context_.extra_arrivals.SetLimits(Now(), limits);
 }
 
 }  // namespace greengage
--- a/tests/harness/plan_fixture.h
+++ b/tests/harness/plan_fixture.h
@@ -23,7 +23,7 @@
                  [](const RoutedSearcher&, std::string_view) {}},
                 {.initial_delay = std::chrono::milliseconds(40)},
                 "here") {
-    context.extra_arrivals.set_limits({0.15, extra});
+    context.extra_arrivals = ExtraArrivalBudget({0.15, extra});
     std::vector<SearcherEntry> entries;
     for (size_t service = 0; service < services; ++service) {
       for (size_t searcher = 0; searcher < searchers; ++searcher) {
--- a/tools/bench/routed_fleet.cc
+++ b/tools/bench/routed_fleet.cc
@@ -48,7 +48,7 @@
                  [](const RoutedSearcher&, std::string_view) {}},
                 kRouteHedgeOptions,
                 data_centre) {
-    context.extra_arrivals.set_limits(
+    context.extra_arrivals = ExtraArrivalBudget(
         InstanceLimits(shape.extra_arrivals, shape.instances));
     context.limit_share = [instances = shape.instances](const std::string&) {
       return InstanceShare(1, instances);
