Close idle connections beyond a share that has fallen

Same class as the bound on extra arrivals: the connections that a searcher takes are divided among the instances that are counted. While instances were away, the others opened connections for their shares and kept them for up to 21 s after these were back, so that all together could have more than the searcher takes, and it refused those of the instances that had returned.

HttpClient::TrimConnections() closes idle connections beyond the dynamic limit, and a connection that becomes idle beyond it is closed as well; one with a call is left alone. It runs whenever the number of instances or gatherers changes.

HttpClient/IdleConnectionsBeyondALowerLimitAreClosed failed without it: four connections stayed where two were allowed.

--- a/include/greengage/transport/http_client.h
+++ b/include/greengage/transport/http_client.h
@@ -23,7 +23,7 @@
 struct HttpClientLimits {
   size_t connections = 25;  // Maximum number of open connections.
   // If set, returns the current maximum and takes precedence over
-  // `connections`.
+  // `connections`. See TrimConnections().
   std::function<size_t()> dynamic_connection_limit = {};
   size_t connecting = 4;  // Maximum number of connections being opened.
   // Maximum response headers, and maximum line or trailer of a chunked body.
@@ -112,6 +112,11 @@
   // destroyed before.
   virtual void CheckServer(std::function<void(ServerState)> done) = 0;
 
+  // Closes idle connections beyond the dynamic limit. Should be called once it
+  // has become lower. Busy connections beyond it are closed when their calls
+  // have ended.
+  virtual void TrimConnections() = 0;
+
   // Closes idle connections. Calls that were sent may finish. Calls that wait
   // and new calls fail with kUnavailable, without being sent.
   virtual void Close() = 0;
--- a/include/greengage/transport/searcher_clients.h
+++ b/include/greengage/transport/searcher_clients.h
@@ -45,6 +45,9 @@
   // have finished.
   void Close(const RoutedSearcher& searcher);
 
+  // Closes idle connections beyond `max_connections`, which has become lower.
+  void TrimConnections();
+
   void CloseAll();
 
  private:
--- a/src/routed_instance_store.cc
+++ b/src/routed_instance_store.cc
@@ -259,6 +259,7 @@
     }
   }
   plan_context_.extra_arrivals.SetLimits(Now(), limits);
+  clients_->TrimConnections();
 }
 
 }  // namespace greengage
--- a/src/transport/http_client_pool.cc
+++ b/src/transport/http_client_pool.cc
@@ -69,6 +69,10 @@
   Push({Operation::kClose, 0, {}});
 }
 
+void HttpClientPool::TrimConnections() {
+  asio::post(strand_, [self = Self()] { self->Dispatch(); });
+}
+
 void HttpClientPool::CheckServer(std::function<void(ServerState)> done) {
   asio::post(strand_, [self = Self(), done = std::move(done)]() mutable {
     self->StartServerCheck(std::move(done));
@@ -192,12 +196,30 @@
   while (connecting_ < waiting_count() && CanConnect(now)) {
     Connect(now, false);
   }
+  CloseSurplus();
   if (closed_ && waiting_count() == 0) {
     CloseIdle();
   }
   ArmMaintenance(now);
 }
 
+void HttpClientPool::CloseSurplus() {
+  if (!limits_.dynamic_connection_limit || idle_.empty() ||
+      open_ <= MaxOpen()) {
+    return;
+  }
+  const auto closing = static_cast<size_t>(std::count_if(
+      connections_.begin(), connections_.end(),
+      [](const auto& item) { return item.second.http->closed(); }));
+  const size_t kept = MaxOpen() + closing;
+  for (size_t open = open_; open > kept && !idle_.empty(); --open) {
+    Connection& connection = connections_.at(idle_.front());
+    idle_.erase(idle_.begin());
+    connection.http->Close(
+        Describe(FailureKind::kConnectionClosed, "beyond the limit"));
+  }
+}
+
 void HttpClientPool::SendWaiting(WaitingCalls& queue,
                                  Connection* (HttpClientPool::*take)()) {
   while (queue.count > 0) {
--- a/src/transport/http_client_pool.h
+++ b/src/transport/http_client_pool.h
@@ -32,6 +32,7 @@
   CallId Start(HttpCall call, Callback done) override;
   void Cancel(CallId id) override;
   void CheckServer(std::function<void(ServerState)> done) override;
+  void TrimConnections() override;
   void Close() override;
   const Endpoint& server() const override { return server_; }
   size_t open_connections() const override { return open_; }
@@ -76,6 +77,7 @@
   void Add(CallId id, Call call);
   void CancelCall(CallId id);
   void CloseIdle();
+  void CloseSurplus();
 
   // Sends waiting calls on idle connections and opens connections as needed.
   void Dispatch();
--- a/src/transport/searcher_clients.cc
+++ b/src/transport/searcher_clients.cc
@@ -90,6 +90,12 @@
   }
 }
 
+void SearcherClients::TrimConnections() {
+  for (const auto& [searcher, client] : clients_) {
+    client->TrimConnections();
+  }
+}
+
 void SearcherClients::CloseAll() {
   for (const auto& [searcher, client] : std::exchange(clients_, {})) {
     client->Close();
--- a/tests/http_client_test.cc
+++ b/tests/http_client_test.cc
@@ -100,6 +100,15 @@
   std::shared_ptr<HttpServer> server_;
 };
 
+// Waits until the server has `count` connections. Returns false if it does not
+// within five seconds.
+bool HasConnections(const Server& server, size_t count) {
+  for (int i = 0; i < 500 && server.connections() != count; ++i) {
+    std::this_thread::sleep_for(Ms(10));
+  }
+  return server.connections() == count;
+}
+
 FailureKind KindOf(const HttpCallResult& result) {
   cr_assert(!result.response.ok());
   return result.response.last_reason().kind;
@@ -343,6 +352,34 @@
   cr_assert(KindOf(result) == FailureKind::kConnectFailed && !result.sent);
 }
 
+// Guards against connections to a searcher beyond its limit in sum, once
+// instances are back whose share the others used.
+Test(HttpClient, IdleConnectionsBeyondALowerLimitAreClosed) {
+  IoThreads io(kThreads);
+  Server server(io);
+  std::atomic<size_t> limit = 4;
+  HttpClientLimits limits;
+  limits.dynamic_connection_limit = [&limit] { return limit.load(); };
+  const auto client =
+      HttpClient::Create(io.context(), server.endpoint(), limits);
+  Call held(*client, "/hold");
+  Call second(*client, "/a");
+  Call third(*client, "/b");
+  Call fourth(*client, "/c");
+  cr_assert(HasConnections(server, 4));
+  limit = 2;
+  client->TrimConnections();
+  cr_assert(HasConnections(server, 2));
+  std::this_thread::sleep_for(Ms(100));
+  cr_assert(server.connections() == 2);
+  cr_assert(Call(*client, "/d").Wait().response.ok());
+  limit = 0;
+  client->TrimConnections();
+  cr_assert(HasConnections(server, 1));
+  cr_assert(!held.EndsWithin(Ms(200)));
+  cr_assert(server.connections() == 1);
+}
+
 Test(HttpClient, IdleConnectionsExpire) {
   IoThreads io(kThreads);
   Server server(io);
--- a/tests/platform_client_test.cc
+++ b/tests/platform_client_test.cc
@@ -20,6 +20,7 @@
   void CheckServer(std::function<void(ServerState)> done) override {
     done(ServerState::kUnknown);
   }
+  void TrimConnections() override {}
   void Close() override {}
   const Endpoint& server() const override { return endpoint_; }
   size_t open_connections() const override { return 0; }
