Keep connection pools by the number of a searcher, not its address

SearcherClients kept its pools by the address of a RoutedSearcher. CheckEnded() could make a pool for a searcher that had left, and nothing removed it. A later searcher at the same place in memory was served by that pool: its requests went to the end point of the one that had left, where they got 421 or no answer.

Each RoutedSearcher now has a number that is never given out twice, and pools are kept by it. CheckEnded() of a searcher that has left opens one connection and keeps nothing.

GatherForwarder had a set of raw pointers to its queries, from which a query was removed at its end, but not if it was destroyed without one. They are kept by number now, as weak pointers (no test: nothing is known to destroy one so). The other containers with pointers as keys (HttpServer and PeerServer) remove the key before the object is destroyed.

searcher_clients_test failed before: the second searcher's request got the answer "first", and one pool was left of a searcher that had left.

--- a/include/greengage/coordination/routed_searcher.h
+++ b/include/greengage/coordination/routed_searcher.h
@@ -34,6 +34,10 @@
 
   const SearcherEntry& entry() const { return entry_; }
 
+  // Identifies the object: no two of a process have the same number, even if
+  // they are at the same address one after the other, or of the same searcher.
+  uint64_t number() const { return number_; }
+
   // Sets a newer registry entry of the same process.
   void UpdateEntry(TimePoint now, SearcherEntry entry);
 
@@ -133,6 +137,7 @@
                      DecayedMean& latency_ratio) const;
   void RecordError(TimePoint now, bool error);
 
+  const uint64_t number_;
   SearcherEntry entry_;
   TimePoint warm_at_;
   std::optional<TimePoint> expires_at_;  // Set while unregistered.
--- a/include/greengage/transport/gather_forwarder.h
+++ b/include/greengage/transport/gather_forwarder.h
@@ -11,7 +11,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
 #include "greengage/coordination/gatherers.h"
@@ -116,7 +115,8 @@
   std::minstd_rand* const random_;
   const Hooks hooks_;
   std::map<Endpoint, std::shared_ptr<HttpClient>> clients_;
-  std::set<Query*> queries_;  // Without a result yet.
+  std::map<uint64_t, std::weak_ptr<Query>> queries_;  // Without a result yet.
+  uint64_t last_query_ = 0;
 };
 
 }  // namespace greengage
--- a/include/greengage/transport/searcher_clients.h
+++ b/include/greengage/transport/searcher_clients.h
@@ -37,7 +37,8 @@
   void Cancel(uint64_t attempt);
 
   // Finds out whether the process of a searcher has ended, after it closed a
-  // connection. `done` runs once at most: not if the client is closed before.
+  // connection. `done` runs once at most. The searcher may have left: no
+  // connection pool is kept for it then.
   void CheckEnded(const RoutedSearcher& searcher,
                   std::function<void(bool ended)> done);
 
@@ -47,6 +48,9 @@
 
   void CloseAll();
 
+  // Number of searchers with a connection pool.
+  size_t size() const { return clients_.size(); }
+
  private:
   struct Attempt {
     std::shared_ptr<HttpClient> client;
@@ -54,12 +58,13 @@
   };
 
   std::shared_ptr<HttpClient> ClientFor(const RoutedSearcher& searcher);
+  std::shared_ptr<HttpClient> MakeClient(const RoutedSearcher& searcher) const;
 
   boost::asio::io_context& context_;
   const std::function<size_t(const std::string&)> max_connections_;
   const std::shared_ptr<ReceiveBudget> receive_budget_;
-  std::unordered_map<const RoutedSearcher*, std::shared_ptr<HttpClient>>
-      clients_;
+  // By the number of the searcher. Its address may be that of a later one.
+  std::unordered_map<uint64_t, std::shared_ptr<HttpClient>> clients_;
   std::unordered_map<uint64_t, Attempt> attempts_;
 };
 
--- a/src/coordination/routed_searcher.cc
+++ b/src/coordination/routed_searcher.cc
@@ -1,6 +1,7 @@
 #include "greengage/coordination/routed_searcher.h"
 
 #include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <cmath>
 
@@ -54,10 +55,16 @@
          end == AttemptEnd::kRejected;
 }
 
+uint64_t NextNumber() {
+  static std::atomic<uint64_t> last_number{0};
+  return ++last_number;
+}
+
 }  // namespace
 
 RoutedSearcher::RoutedSearcher(TimePoint now, SearcherEntry entry)
-    : entry_(std::move(entry)),
+    : number_(NextNumber()),
+      entry_(std::move(entry)),
       warm_at_(now + entry_.warm_up_left),
       latency_ratio_(now, 1, kEstimateHalfLife),
       unanswered_latency_ratio_(now, 1, kEstimateHalfLife),
--- a/src/transport/gather_forwarder.cc
+++ b/src/transport/gather_forwarder.cc
@@ -120,15 +120,18 @@
         gather_here_(std::move(gather_here)),
         started_(Now()),
         timer_(forwarder_->context_) {
-    forwarder_->queries_.insert(this);
+    number_ = ++forwarder_->last_query_;
   }
 
+  ~Query() { forwarder_->queries_.erase(number_); }
+
   void EndUnanswered() {
     client_->Cancel(call_);
     Fail(kBadGateway, Now());
   }
 
   void Start(HttpExchange& caller) {
+    forwarder_->queries_[number_] = weak_from_this();
     caller.OnClientDisconnected(
         [weak = weak_from_this(),
          relayed = std::weak_ptr<RelayedExchange>(exchange_)] {
@@ -268,7 +271,7 @@
   void End() {
     ended_ = true;
     timer_.cancel();
-    forwarder_->queries_.erase(this);
+    forwarder_->queries_.erase(number_);
   }
 
   const std::shared_ptr<GatherForwarder> forwarder_;
@@ -277,6 +280,7 @@
   const GatherForwarder::GatherHere gather_here_;
   const TimePoint started_;
   boost::asio::steady_timer timer_;
+  uint64_t number_ = 0;
   std::vector<std::string> tried_;
   std::shared_ptr<HttpClient> client_;
   HttpClient::CallId call_ = 0;
@@ -305,8 +309,11 @@
 }
 
 void GatherForwarder::EndAll() {
-  for (Query* const query : std::set<Query*>(queries_)) {
-    query->EndUnanswered();
+  for (const auto& [number, weak] :
+       std::map<uint64_t, std::weak_ptr<Query>>(queries_)) {
+    if (const auto query = weak.lock()) {
+      query->EndUnanswered();
+    }
   }
 }
 
--- a/src/transport/searcher_clients.cc
+++ b/src/transport/searcher_clients.cc
@@ -31,19 +31,24 @@
       max_connections_(std::move(max_connections)),
       receive_budget_(std::move(receive_budget)) {}
 
+std::shared_ptr<HttpClient> SearcherClients::MakeClient(
+    const RoutedSearcher& searcher) const {
+  HttpClientLimits limits;
+  limits.dynamic_connection_limit = [max_connections = max_connections_,
+                                     service = searcher.entry().service] {
+    return max_connections(service);
+  };
+  limits.receive_budget = receive_budget_;
+  limits.connect_timeout = kConnectTimeout;
+  limits.idle_timeout = kIdleTimeout;
+  return HttpClient::Create(context_, searcher.entry().endpoint, limits);
+}
+
 std::shared_ptr<HttpClient> SearcherClients::ClientFor(
     const RoutedSearcher& searcher) {
-  std::shared_ptr<HttpClient>& client = clients_[&searcher];
+  std::shared_ptr<HttpClient>& client = clients_[searcher.number()];
   if (!client) {
-    HttpClientLimits limits;
-    limits.dynamic_connection_limit = [this,
-                                       service = searcher.entry().service] {
-      return max_connections_(service);
-    };
-    limits.receive_budget = receive_budget_;
-    limits.connect_timeout = kConnectTimeout;
-    limits.idle_timeout = kIdleTimeout;
-    client = HttpClient::Create(context_, searcher.entry().endpoint, limits);
+    client = MakeClient(searcher);
   }
   return client;
 }
@@ -71,19 +76,27 @@
 
 void SearcherClients::CheckEnded(const RoutedSearcher& searcher,
                                  std::function<void(bool ended)> done) {
+  const auto found = clients_.find(searcher.number());
+  const bool has_left = found == clients_.end();
+  const auto client = has_left ? MakeClient(searcher) : found->second;
   const auto timer =
       std::make_shared<boost::asio::steady_timer>(context_, kEndOfStreamTime);
-  timer->async_wait([timer, client = ClientFor(searcher),
-                     done = std::move(done)](auto error) {
-    if (!error) {
-      client->CheckServer(
-          [done](ServerState state) { done(state == ServerState::kRefusing); });
-    }
-  });
+  timer->async_wait(
+      [timer, client, has_left, done = std::move(done)](auto error) {
+        if (error) {
+          return;
+        }
+        client->CheckServer([client, has_left, done](ServerState state) {
+          if (has_left) {
+            client->Close();
+          }
+          done(state == ServerState::kRefusing);
+        });
+      });
 }
 
 void SearcherClients::Close(const RoutedSearcher& searcher) {
-  const auto found = clients_.find(&searcher);
+  const auto found = clients_.find(searcher.number());
   if (found != clients_.end()) {
     found->second->Close();
     clients_.erase(found);
@@ -91,7 +104,7 @@
 }
 
 void SearcherClients::CloseAll() {
-  for (const auto& [searcher, client] : std::exchange(clients_, {})) {
+  for (const auto& [number, client] : std::exchange(clients_, {})) {
     client->Close();
   }
 }
