End an exchange at its own edge if a handler throws

Nothing ended the process any more if a handler threw, but what it had been doing stayed half done: a request was left to its deadline and counted as in flight for good if its answer could not be made, a connection to a searcher was not read any more, the reception of datagrams ended, a watch of the store and the reads from a peer never started again. An exception that is no std::exception ended the process.

RunGuarded() logs handler_failed, counts it (greengage_handler_failures_total) and lets its caller end the exchange: the caller gets 500, a call to a searcher fails and its connection is closed (or it fails as not sent), a peer's stream is reset, a watch lists again after a delay, a page of a peer counts as failed, the next datagram is received. Housekeeping arms its timer before its work.

--- a/include/greengage/transport/list_watcher.h
+++ b/include/greengage/transport/list_watcher.h
@@ -19,6 +19,7 @@
 #include "greengage/state/result.h"
 #include "greengage/state/store_revision.h"
 #include "greengage/state/time.h"
+#include "greengage/transport/guard.h"
 
 namespace greengage {
 
@@ -167,11 +168,21 @@
             handle = std::move(handle)](Result<Page> page) {
       const auto self = weak.lock();
       if (self && !self->stopped_ && call == self->latest_call_) {
-        handle(std::move(page));
+        self->RunStep([&handle, &page] { handle(std::move(page)); });
       }
     };
   }
 
+  // Runs a step. If it throws, lists all objects again after a delay: what the
+  // step did not apply would be missing otherwise.
+  void RunStep(const std::function<void()>& step) {
+    if (!RunGuarded("store_answer", step) && !stopped_) {
+      OnCallFailed({FailureKind::kMalformedMessage, "store",
+                    "the answer cannot be handled"});
+      RunAfter(backoff_.OnFailure(), [this] { List(); });
+    }
+  }
+
   void SchedulePoll() {
     if (!hooks_.poll) {
       return;
@@ -192,11 +203,11 @@
       if (!self || self->stopped_) {
         return;
       }
+      self->SchedulePoll();
       // A failed poll is ignored, since the watch reports the failure as well.
       if (page && self->HasUndeliveredChange(*page)) {
-        self->List();
+        self->RunStep([&self] { self->List(); });
       }
-      self->SchedulePoll();
     });
   }
 
@@ -300,7 +311,7 @@
                           boost::system::error_code error) {
       const auto self = weak.lock();
       if (!error && self && !self->stopped_) {
-        next();
+        self->RunStep(next);
       }
     });
   }
--- a/include/greengage/transport/log_line.h
+++ b/include/greengage/transport/log_line.h
@@ -5,7 +5,6 @@
 #include <chrono>
 #include <concepts>
 #include <cstdint>
-#include <exception>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -52,10 +51,6 @@
   std::string members_;  // JSON members without the braces.
 };
 
-// Logs that a handler threw, which is an error of this program. `where` names
-// what failed.
-void LogHandlerFailure(std::string_view where, const std::exception& error);
-
 // Logs that an object of the store is left out because it cannot be decoded.
 void LogUnreadableObject(std::string_view name,
                          uint64_t revision,
--- a/include/greengage/transport/request_router.h
+++ b/include/greengage/transport/request_router.h
@@ -141,6 +141,10 @@
                  const std::shared_ptr<HttpExchange>& exchange,
                  const RouteTablePtr& table,
                  const Route* route);
+  // Runs a step of a request. If it throws, the request is answered with status
+  // 500, since searchers may have run it, and its attempts are cancelled.
+  void RunStep(uint64_t number, const std::function<void()>& step);
+  void FailRequest(uint64_t number);
   void RecordReach(const AttemptToSend& sent, const HttpCallResult& result);
   void ExecuteActions(uint64_t number, RequestActions actions);
   // Returns whether a request that arrives now is taken.
@@ -179,6 +183,8 @@
                      const std::shared_ptr<HttpExchange>& exchange,
                      const RequestDigest& digest,
                      const SuspectVerdict& verdict);
+  // Counts the request as ended, once.
+  void EndRequest(ActiveRequest& active);
   // Ends the caution for a suspected request that has ended, and its suspicion
   // if it was answered.
   void ReleaseSuspect(const ActiveRequest& active);
--- a/src/entry_instance.cc
+++ b/src/entry_instance.cc
@@ -5,6 +5,7 @@
 #include "entry_instance_impl.h"
 #include "greengage/coordination/watcher_set.h"
 #include "greengage/transport/claim_store.h"
+#include "greengage/transport/guard.h"
 #include "state/gauge_names.h"
 #include "transport/configuration_fetch.h"
 #include "transport/random_base.h"
@@ -191,6 +192,7 @@
        [this] {
          return static_cast<double>(query_context_.rejected_answers.load());
        }},
+      {kHandlerFailures, [] { return static_cast<double>(HandlerFailures()); }},
   };
 }
 
--- a/src/routed_instance.cc
+++ b/src/routed_instance.cc
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <utility>
 
+#include "greengage/transport/guard.h"
 #include "greengage/transport/log_line.h"
 #include "routed_instance_impl.h"
 #include "state/gauge_names.h"
@@ -188,9 +189,12 @@
 }
 
 std::vector<Gauge> RoutedInstanceImpl::Gauges() const {
-  return {{kUnfinishedAnswerBytes, [budget = receive_budget_] {
+  return {{kUnfinishedAnswerBytes,
+           [budget = receive_budget_] {
              return static_cast<double>(budget->reserved());
-           }}};
+           }},
+          {kHandlerFailures,
+           [] { return static_cast<double>(HandlerFailures()); }}};
 }
 
 Result<Done> RoutedInstanceImpl::ListenForMetrics() {
--- a/src/routed_instance_feed.cc
+++ b/src/routed_instance_feed.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <utility>
 
+#include "greengage/transport/guard.h"
 #include "greengage/transport/log_line.h"
 #include "routed_instance_impl.h"
 
@@ -168,7 +169,8 @@
           return;
         }
         if (listed) {
-          self->OnInstances(*listed);
+          RunGuarded("instances",
+                     [&self, &listed] { self->OnInstances(*listed); });
         } else {
           LogRegistryFailure("count", listed.last_reason());
         }
@@ -305,26 +307,37 @@
         if (!self || self->stopping_) {
           return;
         }
-        if (page) {
+        if (!page) {
+          self->OnPeerPageFailed(id, page.last_reason());
+          return;
+        }
+        const auto use = [&self, &id, &page] {
           self->feed_source_.OnPeerAnswered(id);
           self->OnPeerPage(*page);
+        };
+        if (RunGuarded("peer_page", use)) {
           self->UpdateFeed();
-          return;
+        } else {
+          self->OnPeerPageFailed(id, {FailureKind::kMalformedMessage, id,
+                                      "the page cannot be handled"});
         }
-        LogLine(DecisionEvent::kFeedPeerFailed)
-            .Add("peer", id)
-            .Add("cause", FailureKindName(page.last_reason().kind))
-            .Add("detail", page.last_reason().detail)
-            .Write();
-        self->feed_source_.OnPeerFailed(
-            Now(), id,
-            page.last_reason().kind == FailureKind::kUnavailable
-                ? PeerFailure::kNoAnswer
-                : PeerFailure::kRefused);
-        self->ScheduleFeedUpdate(kPeerRetryDelay);
       });
 }
 
+void RoutedInstanceImpl::OnPeerPageFailed(const std::string& id,
+                                          const Failure& reason) {
+  LogLine(DecisionEvent::kFeedPeerFailed)
+      .Add("peer", id)
+      .Add("cause", FailureKindName(reason.kind))
+      .Add("detail", reason.detail)
+      .Write();
+  feed_source_.OnPeerFailed(Now(), id,
+                            reason.kind == FailureKind::kUnavailable
+                                ? PeerFailure::kNoAnswer
+                                : PeerFailure::kRefused);
+  ScheduleFeedUpdate(kPeerRetryDelay);
+}
+
 void RoutedInstanceImpl::OnPeerPage(const FeedPage& page) {
   if (searchers_known_ &&
       page.searchers_revision.era > searchers_revision_.era) {
--- a/src/routed_instance_impl.h
+++ b/src/routed_instance_impl.h
@@ -103,6 +103,8 @@
                    unsigned status,
                    Duration took);
   void OnPeerPage(const FeedPage& page);
+  // Reads from another source, since a page of the peer `id` was not read.
+  void OnPeerPageFailed(const std::string& id, const Failure& reason);
   InstanceRecord SelfRecord() const;
   Duration MaxFeedAge() const;
   Duration RegistryReadInterval() const;
--- a/src/routed_instance_stop.cc
+++ b/src/routed_instance_stop.cc
@@ -36,13 +36,13 @@
 }
 
 void RoutedInstanceImpl::RunHousekeeping() {
+  ScheduleHousekeeping();
   plan_context_.searchers.Expire(Now());
   LogRateLimits();
   TrySearchers();
   ShareCrashReports();
   ExpireCrashReports();
   FlushLog();
-  ScheduleHousekeeping();
 }
 
 void RoutedInstanceImpl::LogRateLimits() {
--- a/src/state/gauge_names.h
+++ b/src/state/gauge_names.h
@@ -31,6 +31,10 @@
     "greengage_rejected_answers_total", "counter",
     "Sub-answers that came late, crossed, or did not fit."};
 
+inline constexpr MetricInfo kHandlerFailures{
+    "greengage_handler_failures_total", "counter",
+    "Handlers that threw; each ended its own exchange only."};
+
 inline constexpr MetricInfo kUnfinishedAnswerBytes{
     "greengage_unfinished_answer_bytes", "gauge",
     "Memory of large answers of searchers and peers that are not complete."};
--- a/src/state/metrics.cc
+++ b/src/state/metrics.cc
@@ -143,7 +143,8 @@
                                                kGossipSent,
                                                kGossipReceived,
                                                kGossipDatagrams,
-                                               kRejectedAnswers};
+                                               kRejectedAnswers,
+                                               kHandlerFailures};
   return metrics;
 }
 
--- a/src/state/routed_metrics.cc
+++ b/src/state/routed_metrics.cc
@@ -54,11 +54,12 @@
 
 const std::vector<MetricInfo>& AllRoutedMetrics() {
   static const std::vector<MetricInfo> metrics{
-      kRequests,     kRequestTime,
-      kAttempts,     kLimitedAttempts,
-      kStoreChanges, kAdded,
-      kLeft,         kCrashed,
-      kCallersLeft,  kUnfinishedAnswerBytes};
+      kRequests,       kRequestTime,
+      kAttempts,       kLimitedAttempts,
+      kStoreChanges,   kAdded,
+      kLeft,           kCrashed,
+      kCallersLeft,    kUnfinishedAnswerBytes,
+      kHandlerFailures};
   return metrics;
 }
 
--- a/src/transport/datagram_socket.cc
+++ b/src/transport/datagram_socket.cc
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "greengage/transport/guard.h"
 #include "transport/socket_address.h"
 
 namespace greengage {
@@ -92,7 +93,9 @@
     // Other errors concern datagrams sent earlier, for example to a closed
     // port.
     if (!error && size <= kMaxDatagramBytes) {
-      handler_(FromSocket(sender_), std::string(buffer_.data(), size));
+      RunGuarded("datagram", [this, size] {
+        handler_(FromSocket(sender_), std::string(buffer_.data(), size));
+      });
     }
     Receive();
   }
--- a/src/transport/gather_forwarder.cc
+++ b/src/transport/gather_forwarder.cc
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "greengage/protocol/caller_codec.h"
+#include "greengage/transport/guard.h"
 #include "transport/clock.h"
 
 namespace greengage {
@@ -30,6 +31,7 @@
 constexpr size_t kMaxAnswerBytes = size_t{4} << 20;
 
 enum HttpStatus : unsigned {
+  kInternalError = 500,
   kBadGateway = 502,
   kGatewayTimeout = 504,
 };
@@ -169,7 +171,11 @@
     client_ = forwarder_->ClientFor(gatherer->peer);
     call_ = client_->Start(std::move(call), [self = shared_from_this()](
                                                 const HttpCallResult& result) {
-      self->OnResult(result);
+      if (!RunGuarded("forwarded_query",
+                      [&self, &result] { self->OnResult(result); })) {
+        self->exchange_->Reply(HttpResponse{.status = kInternalError});
+        self->End();
+      }
     });
     ScheduleCheck(std::max(Duration::zero(), query_.expected_by - now));
   }
--- a/src/transport/http_client_connection.cc
+++ b/src/transport/http_client_connection.cc
@@ -12,6 +12,8 @@
 #include <string>
 #include <utility>
 
+#include "greengage/transport/guard.h"
+
 namespace greengage {
 namespace {
 
@@ -144,6 +146,21 @@
 }
 
 void HttpClientConnection::Send(const HttpCall& call, const std::string& host) {
+  sent_ = false;
+  skip_body_ = call.method == "HEAD";
+  skipped_responses_ = 0;
+  check_ = call.check;
+  if (!RunGuarded("call", [&] { SetRequest(call, host); })) {
+    Close(Describe(FailureKind::kUnavailable, "the call cannot be written"));
+    return;
+  }
+  ++calls_;
+  ExpectResponse();
+  Write();
+}
+
+void HttpClientConnection::SetRequest(const HttpCall& call,
+                                      const std::string& host) {
   request_ = Request();
   request_.version(kHttp11);
   request_.method_string(call.method);
@@ -158,13 +175,6 @@
     request_.content_length(call.body.size());
   }
   serializer_.emplace(request_);
-  check_ = call.check;
-  ++calls_;
-  skipped_responses_ = 0;
-  skip_body_ = call.method == "HEAD";
-  ExpectResponse();
-  sent_ = false;
-  Write();
 }
 
 void HttpClientConnection::ExpectResponse() {
@@ -219,12 +229,18 @@
 
 void HttpClientConnection::OnRead(const boost::system::error_code& error,
                                   size_t size) {
-  if (error) {
-    OnEndOfStream(error);
-    return;
+  const auto handle = [this, &error, size] {
+    if (error) {
+      OnEndOfStream(error);
+    } else {
+      input_.commit(size);
+      Parse();
+    }
+  };
+  if (!RunGuarded("answer", handle)) {
+    Close(Describe(FailureKind::kMalformedMessage,
+                   "the answer cannot be handled"));
   }
-  input_.commit(size);
-  Parse();
   if (!closed_) {
     Read();
   }
--- a/src/transport/http_client_connection.h
+++ b/src/transport/http_client_connection.h
@@ -79,6 +79,8 @@
       boost::beast::http::response_parser<boost::beast::http::string_body>;
 
   void OnConnected(const boost::system::error_code& error);
+  // Sets the request to be written. Throws if a header is too long for Beast.
+  void SetRequest(const HttpCall& call, const std::string& host);
   void Write();
   void WaitWritable();
   void Read();
--- a/src/transport/http_client_pool.cc
+++ b/src/transport/http_client_pool.cc
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <utility>
 
+#include "greengage/transport/guard.h"
 #include "transport/clock.h"
 #include "transport/socket_address.h"
 
@@ -93,7 +94,7 @@
 
 void HttpClientPool::EndServerChecks(ServerState state) {
   for (const auto& done : std::exchange(server_checks_, {})) {
-    done(state);
+    RunGuarded("server_check", [&done, state] { done(state); });
   }
 }
 
@@ -181,7 +182,8 @@
   if (node.mapped().waiting) {
     --QueueOf(node.mapped()).count;
   }
-  node.mapped().done(std::move(result));
+  RunGuarded("end_of_call",
+             [&node, &result] { node.mapped().done(std::move(result)); });
 }
 
 void HttpClientPool::Dispatch() {
@@ -274,8 +276,11 @@
   const CallId id = *TakeWaiting(queue);
   Call& call = calls_.at(id);
   if (call.request.before_send) {
-    const std::optional<Failure> reason =
-        call.request.before_send(Now(), call.request.headers);
+    std::optional<Failure> reason =
+        Describe(FailureKind::kUnavailable, "it cannot be prepared");
+    RunGuarded("call", [&call, &reason] {
+      reason = call.request.before_send(Now(), call.request.headers);
+    });
     if (reason) {
       EndCall(id, {*reason, false});
       return false;
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -7,6 +7,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "greengage/transport/guard.h"
 #include "transport/http_session.h"
 #include "transport/socket_address.h"
 
@@ -91,7 +92,7 @@
  private:
   void OnAccept(boost::system::error_code error, tcp::socket socket) {
     if (!error) {
-      StartSession(std::move(socket));
+      RunGuarded("connection", [&] { StartSession(std::move(socket)); });
     }
     if (!acceptor_.is_open()) {
       return;
--- a/src/transport/http_session.cc
+++ b/src/transport/http_session.cc
@@ -2,9 +2,9 @@
 
 #include <atomic>
 #include <chrono>
-#include <exception>
 #include <utility>
 
+#include "greengage/transport/guard.h"
 #include "greengage/transport/log_line.h"
 #include "transport/http_target.h"
 
@@ -273,10 +273,10 @@
   const auto exchange = std::make_shared<Exchange>(
       shared_from_this(), socket_.get_executor(), number);
   WatchForDisconnect();
-  try {
+  const auto handle = [this, &request, &exchange] {
     host_->handler()(std::move(request), exchange);
-  } catch (const std::exception& error) {
-    LogHandlerFailure("request", error);
+  };
+  if (!RunGuarded("request", handle)) {
     exchange->Reply(HttpResponse{.status = kInternalError});
   }
 }
@@ -341,7 +341,7 @@
         std::exchange(self->disconnect_hook_, nullptr);
     self->Close();
     if (hook) {
-      hook();
+      RunGuarded("disconnected_caller", hook);
     }
   });
 }
@@ -363,10 +363,10 @@
 
 void HttpSession::Write(HttpResponse response, bool keep_alive) {
   disconnect_hook_ = nullptr;
-  try {
+  const auto convert = [this, &response, keep_alive] {
     response_ = ToMessage(std::move(response), keep_alive);
-  } catch (const std::exception& error) {
-    LogHandlerFailure("response", error);
+  };
+  if (!RunGuarded("response", convert)) {
     response_ = ToMessage(HttpResponse{.status = kInternalError}, keep_alive);
   }
   writing_ = true;
--- a/src/transport/log_line.cc
+++ b/src/transport/log_line.cc
@@ -53,13 +53,6 @@
   }
 }
 
-void LogHandlerFailure(std::string_view where, const std::exception& error) {
-  LogLine(DecisionEvent::kHandlerFailed)
-      .Add("where", where)
-      .Add("detail", std::string_view(error.what()))
-      .Write();
-}
-
 void LogUnreadableObject(std::string_view name,
                          uint64_t revision,
                          const Failure& reason) {
--- a/src/transport/peer_client_connection.cc
+++ b/src/transport/peer_client_connection.cc
@@ -10,6 +10,7 @@
 #include <cstring>
 #include <functional>
 
+#include "greengage/transport/guard.h"
 #include "transport/clock.h"
 #include "transport/socket_address.h"
 
@@ -235,7 +236,14 @@
   if (stream == nullptr) {
     return;
   }
-  if (!stream->decoder.Feed(bytes, stream->on_message)) {
+  bool is_within_limits = false;
+  const auto feed = [stream, bytes, &is_within_limits] {
+    is_within_limits = stream->decoder.Feed(bytes, stream->on_message);
+  };
+  if (!RunGuarded("peer_answer", feed)) {
+    Reset(*stream, Describe(FailureKind::kMalformedMessage,
+                            "the answer cannot be handled"));
+  } else if (!is_within_limits) {
     Reset(*stream, Describe(FailureKind::kTooLarge, "message of the answer"));
   }
 }
@@ -322,7 +330,9 @@
   }
   const std::unique_ptr<PeerClientStream> stream = std::move(found->second);
   streams_.erase(found);
-  stream->on_end({std::move(failure), not_run});
+  RunGuarded("end_of_peer_call", [&stream, &failure, not_run] {
+    stream->on_end({std::move(failure), not_run});
+  });
 }
 
 Failure PeerClientConnection::Describe(FailureKind kind,
--- a/src/transport/peer_server_connection.cc
+++ b/src/transport/peer_server_connection.cc
@@ -6,6 +6,8 @@
 #include <utility>
 #include <vector>
 
+#include "greengage/transport/guard.h"
+
 namespace greengage {
 namespace {
 
@@ -163,8 +165,10 @@
   request_bytes_ -= stream->request.size();
   const auto self =
       std::static_pointer_cast<PeerServerConnection>(shared_from_this());
-  handler_(std::move(stream->path), std::move(stream->request),
-           std::make_shared<Handle>(self, stream_id));
+  const auto handle = std::make_shared<Handle>(self, stream_id);
+  RunGuarded("peer_call", [this, stream, &handle] {
+    handler_(std::move(stream->path), std::move(stream->request), handle);
+  });
 }
 
 void PeerServerConnection::OnStreamClosed(int32_t stream_id,
@@ -284,7 +288,7 @@
     request_bytes_ -= stream.request.size();
   }
   if (stream.on_cancelled) {
-    stream.on_cancelled();
+    RunGuarded("cancelled_peer_call", stream.on_cancelled);
   }
 }
 
--- a/src/transport/request_router.cc
+++ b/src/transport/request_router.cc
@@ -12,6 +12,7 @@
 
 #include "greengage/coordination/record_merger.h"
 #include "greengage/protocol/caller_codec.h"
+#include "greengage/transport/guard.h"
 #include "greengage/transport/log.h"
 #include "greengage/transport/log_line.h"
 #include "transport/clock.h"
@@ -24,6 +25,7 @@
   kOk = 200,
   kBadRequest = 400,
   kNotFound = 404,
+  kInternalError = 500,
   kBadGateway = 502,
   kUnavailable = 503,
   kGatewayTimeout = 504,
@@ -133,6 +135,7 @@
   TimePoint deadline;
   Duration registry_age{};
   bool from_peer = false;  // Another instance forwarded it.
+  bool has_ended = false;  // It no longer counts as in flight.
   size_t attempts = 0;
   size_t extra_attempts = 0;
   std::vector<AttemptRecord> attempt_records;
@@ -250,9 +253,11 @@
   for (const uint64_t number : numbers) {
     const auto found = active_requests_.find(number);
     if (found != active_requests_.end() && !found->second->plan->has_result()) {
-      ExecuteActions(
-          number, found->second->plan->OnForbidden({}, kOtherInstanceRetryDelay,
-                                                   "the instance ends"));
+      RunStep(number, [this, number, &found] {
+        ExecuteActions(number,
+                       found->second->plan->OnForbidden(
+                           {}, kOtherInstanceRetryDelay, "the instance ends"));
+      });
     }
   }
 }
@@ -413,12 +418,46 @@
   exchange->OnClientDisconnected(
       [weak = weak_from_this(), number = active->number] {
         if (const auto self = weak.lock()) {
-          self->OnCallerDisconnected(number);
+          self->RunStep(
+              number, [&self, number] { self->OnCallerDisconnected(number); });
         }
       });
   active_requests_[active->number] = active;
   ++in_flight_;
-  ExecuteActions(active->number, active->plan->Start(now));
+  RunStep(active->number, [this, &active, now] {
+    ExecuteActions(active->number, active->plan->Start(now));
+  });
+}
+
+void RequestRouter::RunStep(uint64_t number,
+                            const std::function<void()>& step) {
+  if (!RunGuarded("routed_request", step)) {
+    RunGuarded("routed_request", [this, number] { FailRequest(number); });
+  }
+}
+
+void RequestRouter::FailRequest(uint64_t number) {
+  const auto found = active_requests_.find(number);
+  if (found == active_requests_.end()) {
+    return;
+  }
+  const std::shared_ptr<ActiveRequest> active = found->second;
+  const RequestActions actions = active->plan->OnCallerLeft(Now());
+  if (active->plan->open_attempts() == 0) {
+    active_requests_.erase(found);
+  }
+  for (const uint64_t attempt : actions.cancels) {
+    clients_->Cancel(attempt);
+  }
+  active->exchange->Reply(HttpResponse{.status = kInternalError});
+  EndRequest(*active);
+}
+
+void RequestRouter::EndRequest(ActiveRequest& active) {
+  if (!std::exchange(active.has_ended, true)) {
+    --in_flight_;
+    ReleaseSuspect(active);
+  }
 }
 
 void RequestRouter::ExecuteActions(uint64_t number, RequestActions actions) {
@@ -491,7 +530,9 @@
                   [weak = weak_from_this(), number = active.number,
                    send](const HttpCallResult& result) {
                     if (const auto self = weak.lock()) {
-                      self->OnAttemptEnded(number, send, result);
+                      self->RunStep(number, [&] {
+                        self->OnAttemptEnded(number, send, result);
+                      });
                     }
                   });
 }
@@ -628,17 +669,15 @@
     return;
   }
   metrics_->callers_left.Add();
-  --in_flight_;
   RequestActions actions = found->second->plan->OnCallerLeft(Now());
-  ReleaseSuspect(*found->second);
+  EndRequest(*found->second);
   LogRequestEnd(*found->second, *actions.result, 0, Now());
   actions.result.reset();  // The caller has disconnected.
   ExecuteActions(number, std::move(actions));
 }
 
 void RequestRouter::Answer(ActiveRequest& active, RequestResult result) {
-  --in_flight_;
-  ReleaseSuspect(active);
+  EndRequest(active);
   const TimePoint now = Now();
   const Route& route = active.plan->route();
   metrics_
@@ -796,12 +835,11 @@
       continue;
     }
     found->second->timer_armed_for.reset();
-    const std::optional<TimePoint> next = found->second->plan->next_timer();
-    if (next && *next <= now) {
-      ExecuteActions(number, found->second->plan->OnTimer(now));
-    } else {
-      ExecuteActions(number, {});
-    }
+    RunStep(number, [this, number, now, plan = &*found->second->plan] {
+      const std::optional<TimePoint> next = plan->next_timer();
+      ExecuteActions(
+          number, next && *next <= now ? plan->OnTimer(now) : RequestActions());
+    });
   }
   ArmTimer();
 }
--- a/tools/greengaged/main.cc
+++ b/tools/greengaged/main.cc
@@ -4,7 +4,6 @@
 
 #include <cstdio>
 #include <cstdlib>
-#include <exception>
 #include <functional>
 #include <iostream>
 #include <memory>
@@ -14,6 +13,7 @@
 #include <vector>
 
 #include "greengage/greengage.h"
+#include "greengage/transport/guard.h"
 #include "greengage/transport/log.h"
 #include "greengage/transport/log_line.h"
 #include "platform/routed_platform.h"
@@ -90,11 +90,7 @@
 // A handler that throws must not end the process, with all other requests.
 void RunHandlers(boost::asio::io_context& context) {
   while (!context.stopped()) {
-    try {
-      context.run();
-    } catch (const std::exception& error) {
-      LogHandlerFailure("handler", error);
-    }
+    RunGuarded("handler", [&context] { context.run(); });
   }
 }
 
