Reject messages in a transfer coding other than chunked

A request with, for instance, "Transfer-Encoding: gzip" was taken as one without a body, and its body as the next request on the connection: a request could be hidden in another one. With "gzip, chunked" the body was passed on without its coding. The same held for answers of searchers. Beast ignores codings that it does not know.

Such a request is now answered 400 and its connection closed; such an answer counts as none. The new test of lengths that are no numbers passed before as well.

Of the cases of BodyInAnUnknownTransferCodingIsNotTheNextRequest, those for gzip, identity, "chunked, gzip", xchunked and gzip with a length failed before: the first request was handled, for xchunked the hidden one as well. http_framing_test passes.

--- a/src/transport/http_client_connection.cc
+++ b/src/transport/http_client_connection.cc
@@ -13,6 +13,7 @@
 #include <utility>
 
 #include "greengage/transport/guard.h"
+#include "transport/http_framing.h"
 
 namespace greengage {
 namespace {
@@ -310,6 +311,10 @@
 
 void HttpClientConnection::OnParsed() {
   ReleaseBudget();
+  if (HasUnknownTransferCoding(parser_->get())) {
+    Close(Describe(FailureKind::kMalformedMessage, "unknown transfer coding"));
+    return;
+  }
   if (http::to_status_class(parser_->get().result_int()) ==
       http::status_class::informational) {
     SkipResponse("too many interim answers");
--- /dev/null
+++ b/src/transport/http_framing.h
@@ -0,0 +1,24 @@
+// Checks where an HTTP/1.1 message ends.
+#ifndef GREENGAGE_SRC_TRANSPORT_HTTP_FRAMING_H_
+#define GREENGAGE_SRC_TRANSPORT_HTTP_FRAMING_H_
+
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/field.hpp>
+
+#include <algorithm>
+
+namespace greengage {
+
+// Returns whether the message has a transfer coding other than "chunked". Beast
+// ignores those that it does not know, and takes the body for the next message.
+template <typename Fields>
+bool HasUnknownTransferCoding(const Fields& fields) {
+  return std::any_of(fields.begin(), fields.end(), [](const auto& field) {
+    return field.name() == boost::beast::http::field::transfer_encoding &&
+           !boost::beast::iequals(field.value(), "chunked");
+  });
+}
+
+}  // namespace greengage
+
+#endif  // GREENGAGE_SRC_TRANSPORT_HTTP_FRAMING_H_
--- a/src/transport/http_session.cc
+++ b/src/transport/http_session.cc
@@ -6,6 +6,7 @@
 
 #include "greengage/transport/guard.h"
 #include "greengage/transport/log_line.h"
+#include "transport/http_framing.h"
 #include "transport/http_target.h"
 
 namespace greengage {
@@ -252,6 +253,9 @@
   if (!socket_.is_open()) {
     return;
   }
+  if (!error && HasUnknownTransferCoding(parser_->get())) {
+    error = http::error::bad_transfer_encoding;
+  }
   if (error) {
     RejectRequest(error);
     return;
