Send no body in an answer to HEAD

Answers of the instance's own, such as 503 and 404, had their body also where the request was HEAD. On a kept connection the caller reads these bytes as the start of the next answer.

The session leaves the body out and keeps Content-Length. That holds for rejections too, also if the request line is too long to be parsed.

Both tests pass.

--- a/src/transport/http_session.cc
+++ b/src/transport/http_session.cc
@@ -269,6 +269,7 @@
     request.headers.emplace_back(field.name_string(), field.value());
   }
   keep_alive_ = parser_->get().keep_alive();
+  is_head_ = parser_->get().method() == http::verb::head;
   request.body = std::move(parser_->get().body());
   parser_.reset();
   StartExchange();
@@ -308,11 +309,24 @@
   response.body = "{\"error\": {\"kind\": \"" + std::string(kind) +
                   "\", \"subject\": \"request\", \"detail\": \"" +
                   error.message() + "\"}}";
+  is_head_ = IsHead();
   parser_.reset();
   StartExchange();
   Write(std::move(response), false);
 }
 
+// A request line that is too long stays in the buffer, without being parsed.
+bool HttpSession::IsHead() const {
+  const auto& request = parser_->get();
+  if (!request.method_string().empty()) {
+    return request.method() == http::verb::head;
+  }
+  constexpr std::string_view kHead = "HEAD ";
+  const auto input = buffer_.data();
+  return std::string_view(static_cast<const char*>(input.data()), input.size())
+      .starts_with(kHead);
+}
+
 // The socket may be reported as readable for bytes that have been read since,
 // so only a peek shows if the client has disconnected.
 HttpSession::Input HttpSession::PeekInput() {
@@ -373,6 +387,9 @@
   if (!RunGuarded("response", convert)) {
     response_ = ToMessage(HttpResponse{.status = kInternalError}, keep_alive);
   }
+  if (is_head_) {
+    response_.body().clear();  // Content-Length stays.
+  }
   writing_ = true;
   SetTimeout(host_->limits().write_timeout);
   http::async_write(
--- a/src/transport/http_session.h
+++ b/src/transport/http_session.h
@@ -69,6 +69,8 @@
   void ReadRequest();
   void OnRequest(boost::system::error_code error);
   void RejectRequest(boost::system::error_code error);
+  // Returns whether the request that is being read is a HEAD request.
+  bool IsHead() const;
   Input PeekInput();
   void WatchForDisconnect();
   void Write(HttpResponse response, bool keep_alive);
@@ -101,6 +103,7 @@
   bool handling_ = false;  // A request has been read, but not answered whole.
   bool writing_ = false;   // Its response is being written.
   bool keep_alive_ = true;
+  bool is_head_ = false;  // The answer must have no body.
   bool close_when_idle_ = false;
 };
 
--- a/tests/http_framing_test.cc
+++ b/tests/http_framing_test.cc
@@ -84,6 +84,24 @@
 
 }  // namespace
 
+Test(HttpFraming, AnswerToHeadHasNoBody) {
+  Server server;
+  const std::string answers = server.Exchange(
+      "HEAD / HTTP/1.1\r\nHost: h\r\n\r\n" + std::string(kNext));
+  const size_t end = answers.find("\r\n\r\n");
+  cr_assert(end != std::string::npos);
+  cr_assert(answers.substr(end + 4).starts_with("HTTP/1.1 503"), "%s",
+            answers.c_str());
+}
+
+Test(HttpFraming, RejectionOfALongHeadRequestHasNoBody) {
+  Server server;
+  const std::string answer = server.Exchange(
+      "HEAD /" + std::string(100000, 'a') + " HTTP/1.1\r\nHost: h\r\n\r\n");
+  cr_assert(answer.starts_with("HTTP/1.1 431"));
+  cr_assert(answer.ends_with("\r\n\r\n"), "%s", answer.c_str());
+}
+
 // The server does not know where such a body ends.
 Test(HttpFraming, BodyInAnUnknownTransferCodingIsNotTheNextRequest) {
   Server server;
