Reject requests with two Host headers

The first one chose the route and the last one was sent to the searcher, so that a request could be run for a host to which its route does not belong. It is answered 400 now. RequestForTwoHostsIsRejected failed before: the request was handled.

--- a/src/transport/http_session.cc
+++ b/src/transport/http_session.cc
@@ -256,6 +256,9 @@
   if (!error && HasUnknownTransferCoding(parser_->get())) {
     error = http::error::bad_transfer_encoding;
   }
+  if (!error && parser_->get().count(http::field::host) > 1) {
+    error = http::error::bad_field;
+  }
   if (error) {
     RejectRequest(error);
     return;
--- a/tests/http_framing_test.cc
+++ b/tests/http_framing_test.cc
@@ -133,6 +133,14 @@
   }
 }
 
+Test(HttpFraming, RequestForTwoHostsIsRejected) {
+  Server server;
+  const std::string answers =
+      server.Exchange("GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n");
+  cr_assert(answers.starts_with("HTTP/1.1 400"), "%s", answers.c_str());
+  cr_assert(server.TakeTargets().empty());
+}
+
 Test(HttpFraming, AnswerInAnUnknownTransferCodingIsMalformed) {
   for (const char* const coding :
        {"Transfer-Encoding: gzip, chunked",
