Take no answer with a status below 100

An answer with status 000 or 099 was passed on to the caller, for whom it is no answer in the protocol. It counts as malformed now, and its connection is closed. AnswerWithAStatusThatDoesNotExistIsMalformed failed before for both.

--- a/src/transport/http_client_connection.cc
+++ b/src/transport/http_client_connection.cc
@@ -23,6 +23,7 @@
 
 constexpr size_t kReadBytes = 4096;
 constexpr unsigned kHttp11 = 11;
+constexpr unsigned kMinStatus = 100;
 // TCP_USER_TIMEOUT: the connection is closed if the kernel of the peer does not
 // acknowledge sent bytes for this time. The searcher process has no influence.
 constexpr std::chrono::milliseconds kAcknowledgeTimeout{800};
@@ -315,6 +316,10 @@
     Close(Describe(FailureKind::kMalformedMessage, "unknown transfer coding"));
     return;
   }
+  if (parser_->get().result_int() < kMinStatus) {
+    Close(Describe(FailureKind::kMalformedMessage, "no such status"));
+    return;
+  }
   if (http::to_status_class(parser_->get().result_int()) ==
       http::status_class::informational) {
     SkipResponse("too many interim answers");
--- a/tests/http_framing_test.cc
+++ b/tests/http_framing_test.cc
@@ -152,4 +152,13 @@
   }
 }
 
+Test(HttpFraming, AnswerWithAStatusThatDoesNotExistIsMalformed) {
+  for (const char* const status : {"000", "099"}) {
+    const std::string answer =
+        AnswerFrom("HTTP/1.1 " + std::string(status) +
+                   " Any\r\nContent-Length: 2\r\n\r\nok");
+    cr_expect(answer == "malformed_message", "%s: %s", status, answer.c_str());
+  }
+}
+
 }  // namespace greengage
