Bound the idle timeout that a server announces

"Keep-Alive: timeout=" overflowed where 70 percent of it are taken, which made the time negative: each connection to that server was closed after its first answer.

LongIdleTimeoutKeepsTheConnection failed before: 3 calls took 3 connections. They take one.

--- a/src/transport/http_client_pool.cc
+++ b/src/transport/http_client_pool.cc
@@ -20,6 +20,10 @@
 // opened while others are open.
 constexpr std::chrono::milliseconds kConnectRetryDelay{100};
 
+// Longest idle timeout that is taken from a server. A multiple of a longer one
+// could overflow.
+constexpr uint32_t kMaxIdleSeconds = 24 * 3600;
+
 constexpr char kClosedDetail[] = "the client is closed";
 
 // Returns the timeout of the Keep-Alive header, which is in whole seconds.
@@ -35,7 +39,8 @@
   const auto parsed =
       std::from_chars(number.data(), number.data() + number.size(), seconds);
   return parsed.ec == std::errc()
-             ? std::optional<Duration>(std::chrono::seconds(seconds))
+             ? std::optional<Duration>(
+                   std::chrono::seconds(std::min(seconds, kMaxIdleSeconds)))
              : std::nullopt;
 }
 
--- a/tests/http_framing_test.cc
+++ b/tests/http_framing_test.cc
@@ -161,4 +161,23 @@
   }
 }
 
+// The time overflows in nanoseconds.
+Test(HttpFraming, LongIdleTimeoutKeepsTheConnection) {
+  IoThreads io(1);
+  const auto server = RawServer::Start(io.context(), [](const RawRequest&) {
+    return RawReply{HttpBytes(200, "Keep-Alive: timeout=200000000\r\n", "ok")};
+  });
+  const auto client = HttpClient::Create(io.context(), server->endpoint(), {});
+  for (int i = 0; i < 3; ++i) {
+    std::promise<void> ended;
+    HttpCall call{.target = "/"};
+    call.deadline = std::chrono::steady_clock::now() + kTimeout;
+    client->Start(std::move(call),
+                  [&ended](const HttpCallResult&) { ended.set_value(); });
+    ended.get_future().wait();
+    std::this_thread::sleep_for(std::chrono::milliseconds(60));
+  }
+  cr_assert(server->accepted() == 1, "%zu connections", server->accepted());
+}
+
 }  // namespace greengage
