Let Connection remove no header of the dialect

A caller that listed the request id or Host in its Connection header made the instance remove them: searchers ran a request without an id, or for their own address as host. A searcher that listed its signature had it removed from the answer to the caller.

Headers of the dialect, Host, Authorization, Content-Type and Content-Encoding are end to end whatever Connection lists.

--- a/src/protocol/routed_call_codec.cc
+++ b/src/protocol/routed_call_codec.cc
@@ -66,21 +66,46 @@
   return number;
 }
 
+// Returns whether the header is meant for the last receiver, whatever
+// "Connection" lists.
+bool IsEndToEnd(const CallDialect& dialect, std::string_view name) {
+  const std::array<std::string_view, 13> names{"host",
+                                               "authorization",
+                                               "content-type",
+                                               "content-encoding",
+                                               dialect.request_id,
+                                               dialect.time_left,
+                                               dialect.expected_searcher,
+                                               dialect.signature,
+                                               dialect.load,
+                                               dialect.request_limit,
+                                               dialect.leaving,
+                                               dialect.not_run,
+                                               dialect.part_signatures};
+  return std::any_of(names.begin(), names.end(), [name](auto end_to_end) {
+    return IsSameHeader(name, end_to_end);
+  });
+}
+
 // Returns the names of the hop-by-hop headers that "Connection" lists.
-std::vector<std::string> ConnectionOptions(const HeaderList& headers) {
+std::vector<std::string> ConnectionOptions(const CallDialect& dialect,
+                                           const HeaderList& headers) {
   std::vector<std::string> names;
   for (const auto& [key, value] : headers) {
     if (IsSameHeader(key, "connection")) {
       for (const std::string_view name : Split(value)) {
-        names.emplace_back(name);
+        if (!IsEndToEnd(dialect, name)) {
+          names.emplace_back(name);
+        }
       }
     }
   }
   return names;
 }
 
-HeaderList StripHopByHopHeaders(const HeaderList& headers) {
-  const std::vector<std::string> options = ConnectionOptions(headers);
+HeaderList StripHopByHopHeaders(const CallDialect& dialect,
+                                const HeaderList& headers) {
+  const std::vector<std::string> options = ConnectionOptions(dialect, headers);
   HeaderList kept;
   kept.reserve(headers.size());
   for (const auto& header : headers) {
@@ -182,7 +207,7 @@
 
 HeaderList ForwardedHeaders(const CallDialect& dialect,
                             const HeaderList& headers) {
-  HeaderList kept = StripHopByHopHeaders(headers);
+  HeaderList kept = StripHopByHopHeaders(dialect, headers);
   std::erase_if(kept, [&dialect](const auto& header) {
     return IsSameHeader(header.first, dialect.time_left) ||
            IsSameHeader(header.first, dialect.expected_searcher);
@@ -255,7 +280,7 @@
   outcome.detail = std::to_string(status);
   outcome.answer.status = status;
   outcome.answer.signature = signature.value_or("");
-  outcome.answer.headers = StripHopByHopHeaders(headers);
+  outcome.answer.headers = StripHopByHopHeaders(dialect, headers);
   outcome.answer.body = std::move(body);
   return outcome;
 }
--- a/tests/routed_call_codec_test.cc
+++ b/tests/routed_call_codec_test.cc
@@ -154,4 +154,28 @@
                         {"Greengage-Missing-Parts", "3"}}));
 }
 
+// Such a header would let a caller send a request that no id belongs to.
+Test(RoutedCallCodec, ConnectionHeaderRemovesNoHeaderOfTheDialect) {
+  const HeaderList kept =
+      ForwardedHeaders(kDialect, {{"Host", "h"},
+                                  {"Greengage-Request-Id", "id"},
+                                  {"Authorization", "a"},
+                                  {"Content-Type", "text/plain"},
+                                  {"X-Hop", "x"},
+                                  {"Connection",
+                                   "greengage-request-id, host, X-Hop, "
+                                   "authorization, content-type"}});
+  cr_assert(FindHeader(kept, "Host") && FindHeader(kept, "Authorization") &&
+            FindHeader(kept, "Content-Type") &&
+            FindHeader(kept, "Greengage-Request-Id"));
+  cr_assert(!FindHeader(kept, "X-Hop") && !FindHeader(kept, "Connection"));
+}
+
+Test(RoutedCallCodec, ConnectionHeaderDoesNotRemoveTheSignature) {
+  const AttemptOutcome outcome = ParseAnswer(
+      200,
+      {{"Greengage-Signature", "s"}, {"Connection", "Greengage-Signature"}});
+  cr_assert(FindHeader(outcome.answer.headers, "Greengage-Signature") == "s");
+}
+
 }  // namespace greengage
