Reject requests with two ids

Both were sent to searchers, which may echo either, while the instance compares the first one. Such a request is answered 400. RequestWithTwoIdsIsRejected failed before: the request was parsed.

--- a/src/protocol/routed_call_codec.cc
+++ b/src/protocol/routed_call_codec.cc
@@ -174,6 +174,13 @@
                    id && !id->empty() ? "Host" : dialect.request_id,
                    "the header is required"};
   }
+  const auto is_id = [&dialect](const auto& header) {
+    return IsSameHeader(header.first, dialect.request_id);
+  };
+  if (std::count_if(headers.begin(), headers.end(), is_id) > 1) {
+    return Failure{FailureKind::kInvalidSyntax, dialect.request_id,
+                   "a request has one id"};
+  }
   CallerRequest request;
   request.id = *id;
   request.host = *host;
--- a/tests/routed_call_codec_test.cc
+++ b/tests/routed_call_codec_test.cc
@@ -178,4 +178,13 @@
   cr_assert(FindHeader(outcome.answer.headers, "Greengage-Signature") == "s");
 }
 
+Test(RoutedCallCodec, RequestWithTwoIdsIsRejected) {
+  const auto parsed =
+      ParseCallerRequest(kDialect, {{"Host", "h"},
+                                    {"Greengage-Request-Id", "first"},
+                                    {"Greengage-Request-Id", "second"}});
+  cr_assert(!parsed &&
+            parsed.last_reason().kind == FailureKind::kInvalidSyntax);
+}
+
 }  // namespace greengage
