Bound the latency that is expected of a searcher

A searcher that reported an absurd load, as requests, counted as idle or as the fastest one: the sum of its two numbers wrapped, and the latency overflowed when it was converted. The sum is a floating-point number now, and the latency an hour at most. AbsurdLoadMakesASearcherNoBetter failed before.

--- a/src/coordination/routed_searcher.cc
+++ b/src/coordination/routed_searcher.cc
@@ -46,6 +46,9 @@
 // A load report is ignored once it is older than this.
 constexpr Duration kLoadReportLifetime = milliseconds(100);
 
+// An absurd load that a searcher reports would overflow a longer latency.
+constexpr duration<double> kMaxExpectedLatency{3600};
+
 // Cost of a failure in typical latencies: the retry at another searcher.
 constexpr double kErrorPenalty = 4;
 
@@ -283,7 +286,8 @@
   const double slots = std::max(1U, entry_.slots);
   double requests_ahead = static_cast<double>(outstanding_.size());
   if (now - load_received_at_ < kLoadReportLifetime) {
-    const double reported = load_.running + load_.waiting;
+    const double reported =
+        static_cast<double>(load_.running) + static_cast<double>(load_.waiting);
     requests_ahead = std::max(requests_ahead, reported);
   }
   double factor =
@@ -296,7 +300,8 @@
   // while they have free slots.
   factor *= 1 + 0.1 * requests_ahead / slots;
   factor += kErrorPenalty * ErrorRate(now);
-  return distance + duration_cast<Duration>(typical * factor);
+  return distance + duration_cast<Duration>(std::min<duration<double>>(
+                        typical * factor, kMaxExpectedLatency));
 }
 
 }  // namespace greengage
--- a/tests/searcher_directory_test.cc
+++ b/tests/searcher_directory_test.cc
@@ -257,4 +257,20 @@
   cr_assert(fixture.UsabilityOf(kStart + Ms(400)) == Usability::kHealthy);
 }
 
+// A latency that overflows would be negative, and the searcher the best.
+Test(RoutedSearcher, AbsurdLoadMakesASearcherNoBetter) {
+  const TimePoint now{std::chrono::seconds(100)};
+  constexpr Duration kTypicalLatency = std::chrono::milliseconds(20);
+  AttemptOutcome answered;
+  answered.end = AttemptEnd::kAnswered;
+  answered.load = ReportedLoad{UINT32_MAX, 1, 1};
+  SearcherEntry entry;
+  entry.slots = 1;
+  RoutedSearcher searcher(now, entry);
+  searcher.OnSent(now, 1);
+  searcher.OnEnded(now, 1, answered, kTypicalLatency, Duration::zero());
+  cr_assert(searcher.ExpectedLatency(now, kTypicalLatency, Duration::zero()) >=
+            std::chrono::seconds(1));
+}
+
 }  // namespace greengage
