--- a/src/transport/gather_forwarder.cc
+++ b/src/transport/gather_forwarder.cc
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "greengage/protocol/caller_codec.h"
+#include "greengage/transport/guard.h"
 #include "transport/clock.h"
 
 namespace greengage {
@@ -30,6 +31,7 @@
 constexpr size_t kMaxAnswerBytes = size_t{4} << 20;
 
 enum HttpStatus : unsigned {
+  kInternalError = 500,
   kBadGateway = 502,
   kGatewayTimeout = 504,
 };
@@ -120,15 +122,18 @@
         gather_here_(std::move(gather_here)),
         started_(Now()),
         timer_(forwarder_->context_) {
-    forwarder_->queries_.insert(this);
+    number_ = ++forwarder_->last_query_;
   }
 
+  ~Query() { forwarder_->queries_.erase(number_); }
+
   void EndUnanswered() {
     client_->Cancel(call_);
     Fail(kBadGateway, Now());
   }
 
   void Start(HttpExchange& caller) {
+    forwarder_->queries_[number_] = weak_from_this();
     caller.OnClientDisconnected(
         [weak = weak_from_this(),
          relayed = std::weak_ptr<RelayedExchange>(exchange_)] {
@@ -166,7 +171,11 @@
     client_ = forwarder_->ClientFor(gatherer->peer);
     call_ = client_->Start(std::move(call), [self = shared_from_this()](
                                                 const HttpCallResult& result) {
-      self->OnResult(result);
+      if (!RunGuarded("forwarded_query",
+                      [&self, &result] { self->OnResult(result); })) {
+        self->exchange_->Reply(HttpResponse{.status = kInternalError});
+        self->End();
+      }
     });
     ScheduleCheck(std::max(Duration::zero(), query_.expected_by - now));
   }
@@ -268,7 +277,7 @@
   void End() {
     ended_ = true;
     timer_.cancel();
-    forwarder_->queries_.erase(this);
+    forwarder_->queries_.erase(number_);
   }
 
   const std::shared_ptr<GatherForwarder> forwarder_;
@@ -277,6 +286,7 @@
   const GatherForwarder::GatherHere gather_here_;
   const TimePoint started_;
   boost::asio::steady_timer timer_;
+  uint64_t number_ = 0;
   std::vector<std::string> tried_;
   std::shared_ptr<HttpClient> client_;
   HttpClient::CallId call_ = 0;
@@ -305,8 +315,11 @@
 }
 
 void GatherForwarder::EndAll() {
-  for (Query* const query : std::set<Query*>(queries_)) {
-    query->EndUnanswered();
+  for (const auto& [number, weak] :
+       std::map<uint64_t, std::weak_ptr<Query>>(queries_)) {
+    if (const auto query = weak.lock()) {
+      query->EndUnanswered();
+    }
   }
 }
 
--- a/src/transport/http_client_connection.cc
+++ b/src/transport/http_client_connection.cc
@@ -12,6 +12,9 @@
 #include <string>
 #include <utility>
 
+#include "greengage/transport/guard.h"
+#include "transport/http_framing.h"
+
 namespace greengage {
 namespace {
 
@@ -20,6 +23,7 @@
 
 constexpr size_t kReadBytes = 4096;
 constexpr unsigned kHttp11 = 11;
+constexpr unsigned kMinStatus = 100;
 // TCP_USER_TIMEOUT: the connection is closed if the kernel of the peer does not
 // acknowledge sent bytes for this time. The searcher process has no influence.
 constexpr std::chrono::milliseconds kAcknowledgeTimeout{800};
@@ -144,6 +148,21 @@
 }
 
 void HttpClientConnection::Send(const HttpCall& call, const std::string& host) {
+  sent_ = false;
+  skip_body_ = call.method == "HEAD";
+  skipped_responses_ = 0;
+  check_ = call.check;
+  if (!RunGuarded("call", [&] { SetRequest(call, host); })) {
+    Close(Describe(FailureKind::kUnavailable, "the call cannot be written"));
+    return;
+  }
+  ++calls_;
+  ExpectResponse();
+  Write();
+}
+
+void HttpClientConnection::SetRequest(const HttpCall& call,
+                                      const std::string& host) {
   request_ = Request();
   request_.version(kHttp11);
   request_.method_string(call.method);
@@ -158,13 +177,6 @@
     request_.content_length(call.body.size());
   }
   serializer_.emplace(request_);
-  check_ = call.check;
-  ++calls_;
-  skipped_responses_ = 0;
-  skip_body_ = call.method == "HEAD";
-  ExpectResponse();
-  sent_ = false;
-  Write();
 }
 
 void HttpClientConnection::ExpectResponse() {
@@ -219,12 +231,18 @@
 
 void HttpClientConnection::OnRead(const boost::system::error_code& error,
                                   size_t size) {
-  if (error) {
-    OnEndOfStream(error);
-    return;
+  const auto handle = [this, &error, size] {
+    if (error) {
+      OnEndOfStream(error);
+    } else {
+      input_.commit(size);
+      Parse();
+    }
+  };
+  if (!RunGuarded("answer", handle)) {
+    Close(Describe(FailureKind::kMalformedMessage,
+                   "the answer cannot be handled"));
   }
-  input_.commit(size);
-  Parse();
   if (!closed_) {
     Read();
   }
@@ -294,6 +312,14 @@
 
 void HttpClientConnection::OnParsed() {
   ReleaseBudget();
+  if (HasUnknownTransferCoding(parser_->get())) {
+    Close(Describe(FailureKind::kMalformedMessage, "unknown transfer coding"));
+    return;
+  }
+  if (parser_->get().result_int() < kMinStatus) {
+    Close(Describe(FailureKind::kMalformedMessage, "no such status"));
+    return;
+  }
   if (http::to_status_class(parser_->get().result_int()) ==
       http::status_class::informational) {
     SkipResponse("too many interim answers");
--- a/src/transport/http_session.cc
+++ b/src/transport/http_session.cc
@@ -2,10 +2,11 @@
 
 #include <atomic>
 #include <chrono>
-#include <exception>
 #include <utility>
 
+#include "greengage/transport/guard.h"
 #include "greengage/transport/log_line.h"
+#include "transport/http_framing.h"
 #include "transport/http_target.h"
 
 namespace greengage {
@@ -252,6 +253,12 @@
   if (!socket_.is_open()) {
     return;
   }
+  if (!error && HasUnknownTransferCoding(parser_->get())) {
+    error = http::error::bad_transfer_encoding;
+  }
+  if (!error && parser_->get().count(http::field::host) > 1) {
+    error = http::error::bad_field;
+  }
   if (error) {
     RejectRequest(error);
     return;
@@ -265,6 +272,7 @@
     request.headers.emplace_back(field.name_string(), field.value());
   }
   keep_alive_ = parser_->get().keep_alive();
+  is_head_ = parser_->get().method() == http::verb::head;
   request.body = std::move(parser_->get().body());
   parser_.reset();
   StartExchange();
@@ -273,10 +281,10 @@
   const auto exchange = std::make_shared<Exchange>(
       shared_from_this(), socket_.get_executor(), number);
   WatchForDisconnect();
-  try {
+  const auto handle = [this, &request, &exchange] {
     host_->handler()(std::move(request), exchange);
-  } catch (const std::exception& error) {
-    LogHandlerFailure("request", error);
+  };
+  if (!RunGuarded("request", handle)) {
     exchange->Reply(HttpResponse{.status = kInternalError});
   }
 }
@@ -304,11 +312,24 @@
   response.body = "{\"error\": {\"kind\": \"" + std::string(kind) +
                   "\", \"subject\": \"request\", \"detail\": \"" +
                   error.message() + "\"}}";
+  is_head_ = IsHead();
   parser_.reset();
   StartExchange();
   Write(std::move(response), false);
 }
 
+// A request line that is too long stays in the buffer, without being parsed.
+bool HttpSession::IsHead() const {
+  const auto& request = parser_->get();
+  if (!request.method_string().empty()) {
+    return request.method() == http::verb::head;
+  }
+  constexpr std::string_view kHead = "HEAD ";
+  const auto input = buffer_.data();
+  return std::string_view(static_cast<const char*>(input.data()), input.size())
+      .starts_with(kHead);
+}
+
 // The socket may be reported as readable for bytes that have been read since,
 // so only a peek shows if the client has disconnected.
 HttpSession::Input HttpSession::PeekInput() {
@@ -341,7 +362,7 @@
         std::exchange(self->disconnect_hook_, nullptr);
     self->Close();
     if (hook) {
-      hook();
+      RunGuarded("disconnected_caller", hook);
     }
   });
 }
@@ -363,12 +384,15 @@
 
 void HttpSession::Write(HttpResponse response, bool keep_alive) {
   disconnect_hook_ = nullptr;
-  try {
+  const auto convert = [this, &response, keep_alive] {
     response_ = ToMessage(std::move(response), keep_alive);
-  } catch (const std::exception& error) {
-    LogHandlerFailure("response", error);
+  };
+  if (!RunGuarded("response", convert)) {
     response_ = ToMessage(HttpResponse{.status = kInternalError}, keep_alive);
   }
+  if (is_head_) {
+    response_.body().clear();  // Content-Length stays.
+  }
   writing_ = true;
   SetTimeout(host_->limits().write_timeout);
   http::async_write(
