--- a/tests/searcher_directory_test.cc
+++ b/tests/searcher_directory_test.cc
@@ -1,6 +1,7 @@
 #include "greengage/coordination/searcher_directory.h"
 
 #include <chrono>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -257,4 +258,20 @@
   cr_assert(fixture.UsabilityOf(kStart + Ms(400)) == Usability::kHealthy);
 }
 
+Test(SearcherDirectory, TrialsLeaveOutSearchersThatLeave) {
+  Fixture fixture;
+  SearcherEntry draining = MakeEntry("b");
+  draining.draining = true;
+  fixture.directory.Replace(
+      kStart, {MakeEntry("a"), draining, MakeEntry("c"), MakeEntry("d")});
+  fixture.directory.OnAnnouncedLeaving(
+      fixture.directory.ForService("shard").at(2));
+  fixture.directory.Apply(kStart, {{"d", std::nullopt}});
+  std::minstd_rand random(1);
+  const std::vector<SearcherEntry> sample =
+      fixture.directory.Sample(kStart + Ms(300), 4, random);
+  cr_assert(sample.size() == 1);
+  cr_assert(sample.front().id == "a");
+}
+
 }  // namespace greengage
