Ask for a slot before a suspected request is sent

A query that ends the searchers which run it was repeated at four instances within 30 ms, and each repeat ended one more searcher; three are allowed once it has ended three.

Cause: of the searchers that the first query ended only one counts, so the repeats were below the bound of three reports. CrashSuspects knows the copies under way at its own instance only, and a report takes tens of milliseconds to the others, so nothing kept four instances from sending a copy each.

A suspected request now needs one of three slots before it is sent to any searcher. A slot is an object of the store whose creation fails if it exists, so however the repeats are timed, three copies at most are out. One that gets none, or whose store does not answer within 0.5 s, is rejected as not run. A slot is given back if nothing was left unanswered or the searchers still run a second later; else its holder keeps it for the ten minutes for which such requests are rejected (HeldCrashSlots). An answer also gives back the lower slots, which killed instances may have left; all expire with the reports. Requests that are not suspected never ask the store. One admitted before the first report, which may have waited for a connection since, is not sent any more two seconds after another's report.

Not covered by a test: a stop while a slot is asked for, and a holder that is killed while it has a request (its slots are put into the store by the test). A slot whose creation was carried out but not answered stays taken until the reports expire or the request of a later slot is answered.

--- a/include/greengage/coordination/crash_suspects.h
+++ b/include/greengage/coordination/crash_suspects.h
@@ -27,6 +27,8 @@
   SuspectDecision decision = SuspectDecision::kServe;
   size_t crashes = 0;      // Searchers that ended while they had it.
   Duration retry_after{};  // With kDefer and kReject.
+  // Slots one of which the request needs, with kServeWarily.
+  size_t slots = 0;
 };
 
 struct CrashSuspectOptions {
@@ -38,6 +40,9 @@
   Duration rejection_time = std::chrono::minutes(10);
   // Retry delay of a copy of a suspected request.
   Duration deferral_time = std::chrono::milliseconds(200);
+  // A request that was not suspected when it arrived is not sent any more this
+  // long after the report of another.
+  Duration late_send_time = std::chrono::seconds(2);
   // Time after the end of a searcher in which the ends of others with the same
   // cause become known.
   Duration settle_time = std::chrono::milliseconds(300);
@@ -73,6 +78,11 @@
 // the repeats reach any of them. Reports are a set, so that it does not matter
 // in which order and how often they arrive.
 //
+// Reports take time to reach the other instances. So that copies at several of
+// them cannot end more searchers than one after the other, each copy of a
+// suspected request needs one of `max_crashes` slots, which all instances
+// share, before it is sent to any searcher.
+//
 // Not thread-safe.
 class CrashSuspects {
  public:
@@ -97,6 +107,14 @@
 
   SuspectVerdict Judge(TimePoint now, const RequestDigest& digest) const;
 
+  // Judges whether an attempt of the request `request_id`, which was admitted,
+  // may be sent now. `has_slot` is true if the request was suspected then. The
+  // decision is kServe, kDefer or kReject.
+  SuspectVerdict JudgeSend(TimePoint now,
+                           const RequestDigest& digest,
+                           const std::string& request_id,
+                           bool has_slot) const;
+
   // As Judge(), for a request that is served unless the verdict is kDefer or
   // kReject. After kServeWarily, Release() must follow.
   SuspectVerdict Admit(TimePoint now, const RequestDigest& digest);
@@ -107,8 +125,18 @@
   // reports and returns the keys of those to withdraw.
   std::vector<std::string> OnAnswered(const RequestDigest& digest);
 
-  // Forgets reports that are too old and returns their keys.
-  std::vector<std::string> Expire(TimePoint now);
+  // Returns true if there is a report of the request.
+  bool IsSuspected(const RequestDigest& digest) const {
+    return suspects_.contains(digest);
+  }
+
+  Duration deferral_time() const { return options_.deferral_time; }
+
+  // Number of slots of each request.
+  size_t max_slots() const { return options_.max_crashes; }
+
+  // Forgets reports that are too old and returns them.
+  std::vector<CrashReport> Expire(TimePoint now);
 
   size_t size() const { return suspects_.size(); }
 
--- a/include/greengage/routed_instance.h
+++ b/include/greengage/routed_instance.h
@@ -16,6 +16,7 @@
 #include "greengage/protocol/call_dialect.h"
 #include "greengage/protocol/instance_settings.h"
 #include "greengage/state/crash_report.h"
+#include "greengage/state/crash_slot.h"
 #include "greengage/state/instance_record.h"
 #include "greengage/state/result.h"
 #include "greengage/state/route_table.h"
@@ -65,6 +66,13 @@
   // Succeeds if there is no such report.
   std::function<void(const std::string& key, std::function<void(Result<Done>)>)>
       remove;
+  // Takes a slot. The result is false if it is taken already. After a failure
+  // it may be taken or not.
+  std::function<void(const CrashSlot&, std::function<void(Result<bool>)>)>
+      take_slot;
+  // Gives a slot back. Succeeds if it is not taken.
+  std::function<void(const CrashSlot&, std::function<void(Result<Done>)>)>
+      give_back_slot;
 };
 
 // A configuration and the text from which it was decoded, which another
--- a/include/greengage/transport/request_router.h
+++ b/include/greengage/transport/request_router.h
@@ -17,11 +17,14 @@
 #include <vector>
 
 #include "greengage/coordination/crash_suspects.h"
+#include "greengage/coordination/held_crash_slots.h"
 #include "greengage/coordination/request_plan.h"
 #include "greengage/coordination/searcher_reach.h"
 #include "greengage/protocol/call_dialect.h"
 #include "greengage/protocol/routed_call_codec.h"
 #include "greengage/state/crash_report.h"
+#include "greengage/state/crash_slot.h"
+#include "greengage/state/result.h"
 #include "greengage/state/route_table.h"
 #include "greengage/state/routed_metrics.h"
 #include "greengage/transport/gather_forwarder.h"
@@ -44,6 +47,11 @@
                                          const std::shared_ptr<HttpExchange>&,
                                          GatherForwarder::GatherHere)>;
 
+  // Gets the slot that was taken, or nothing if all are taken. Fails with
+  // kUnavailable if the store cannot be asked.
+  using SlotCallback =
+      std::function<void(const Result<std::optional<CrashSlot>>&)>;
+
   struct Hooks {
     // Returns the active routes, or null if there are none yet.
     std::function<RouteTablePtr()> active_routes;
@@ -60,6 +68,14 @@
     // Runs for each request that searchers answered, after some had ended while
     // they had such a request. The keys are those of the reports.
     std::function<void(const std::vector<std::string>& keys)> on_cleared;
+    // Takes one of the first `count` slots of a suspected request. `done` runs
+    // once.
+    std::function<
+        void(const RequestDigest& digest, size_t count, SlotCallback done)>
+        take_slot;
+    // Runs when a request that had a slot has ended. May run again with other
+    // use once more is known.
+    std::function<void(const CrashSlot&, SlotUse)> on_slot_ended;
     // Forward a request to a gatherer, or to any peer, as
     // GatherForwarder::Forward() does.
     ForwardHook forward_to_gatherer;
@@ -102,6 +118,8 @@
  private:
   struct AttemptRecord;
   struct ActiveRequest;
+  struct Arrival;
+  struct WaitingRequest;
   class Timers;
 
   enum class Origin : uint8_t {
@@ -115,6 +133,23 @@
                     RouteTablePtr table,
                     const Route* route,
                     Origin origin);
+  // Sends a suspected request once it has a slot.
+  void AwaitSlot(uint64_t number, Arrival arrival, size_t slots);
+  void OnSlot(uint64_t number, const Result<std::optional<CrashSlot>>& slot);
+  // Returns null if the request no longer waits.
+  std::shared_ptr<WaitingRequest> TakeWaiting(uint64_t number);
+  // Rejects a request that waits for a slot.
+  void RejectWaiting(uint64_t number,
+                     const std::string& detail,
+                     Duration retry_delay);
+  void Launch(uint64_t number,
+              Arrival arrival,
+              const std::optional<CrashSlot>& slot);
+  SuspectVerdict JudgeSend(TimePoint now, const ActiveRequest& active) const;
+  // Decides what becomes of the slot of a request whose attempts have ended.
+  void EndSlot(const std::shared_ptr<ActiveRequest>& active);
+  // Gives the slot back if the searchers that did not answer still run.
+  void CheckSlot(const std::shared_ptr<ActiveRequest>& active);
   // Serves the request here, or through a peer if the searchers cannot be
   // reached from here.
   void Serve(HttpRequest request,
@@ -158,10 +193,9 @@
                       const AttemptToSend& sent,
                       const HttpCallResult& result);
   // Finds out whether the searcher of a lost attempt has ended.
-  void CheckForCrash(std::shared_ptr<const ActiveRequest> active,
+  void CheckForCrash(std::shared_ptr<ActiveRequest> active,
                      const RoutedSearcherPtr& searcher);
-  void OnSearcherCrashed(const ActiveRequest& active,
-                         const CrashReport& report);
+  void OnSearcherCrashed(ActiveRequest& active, const CrashReport& report);
   void OnCallerDisconnected(uint64_t number);
   void Answer(ActiveRequest& active, RequestResult result);
   void LogRequestEnd(const ActiveRequest& active,
@@ -186,6 +220,7 @@
   void ArmTimer();
   void OnTimer();
 
+  boost::asio::io_context& context_;
   const CallDialect dialect_;
   const Limits limits_;
   RequestPlanContext* const plans_;
@@ -196,6 +231,8 @@
   const Hooks hooks_;
   const std::unique_ptr<Timers> timers_;
   std::unordered_map<uint64_t, std::shared_ptr<ActiveRequest>> active_requests_;
+  // Requests that wait for a slot.
+  std::unordered_map<uint64_t, std::shared_ptr<WaitingRequest>> waiting_;
   uint64_t last_number_ = 0;
   uint64_t last_attempt_id_ = 0;
   uint64_t complete_answers_ = 0;
--- a/src/coordination/crash_suspects.cc
+++ b/src/coordination/crash_suspects.cc
@@ -164,6 +164,37 @@
     verdict.retry_after = options_.deferral_time;
   } else {
     verdict.decision = SuspectDecision::kServeWarily;
+    verdict.slots =
+        verdict.crashes >= options_.max_crashes ? 1 : options_.max_crashes;
+  }
+  return verdict;
+}
+
+// A request that arrived before the first report has no slot. It may have
+// waited for a connection since, while others learned of the report.
+SuspectVerdict CrashSuspects::JudgeSend(TimePoint now,
+                                        const RequestDigest& digest,
+                                        const std::string& request_id,
+                                        bool has_slot) const {
+  SuspectVerdict verdict = Judge(now, digest);
+  if (verdict.decision == SuspectDecision::kReject) {
+    return verdict;
+  }
+  verdict.decision = SuspectDecision::kServe;
+  verdict.slots = 0;
+  verdict.retry_after = Duration::zero();
+  const auto found = suspects_.find(digest);
+  if (has_slot || found == suspects_.end()) {
+    return verdict;
+  }
+  const bool is_late = std::any_of(
+      found->second.begin(), found->second.end(), [&](const auto& item) {
+        return item.second.report.request_id != request_id &&
+               now - item.second.at >= options_.late_send_time;
+      });
+  if (is_late) {
+    verdict.decision = SuspectDecision::kDefer;
+    verdict.retry_after = options_.deferral_time;
   }
   return verdict;
 }
@@ -189,20 +220,20 @@
   return keys;
 }
 
-std::vector<std::string> CrashSuspects::Expire(TimePoint now) {
-  std::vector<std::string> keys;
+std::vector<CrashReport> CrashSuspects::Expire(TimePoint now) {
+  std::vector<CrashReport> expired;
   for (auto& [digest, entries] : suspects_) {
     std::erase_if(entries, [&](const auto& item) {
       const bool is_old = now - item.second.at >= options_.report_lifetime;
       if (is_old) {
-        keys.push_back(item.first);
+        expired.push_back(item.second.report);
       }
       return is_old;
     });
   }
   std::erase_if(suspects_,
                 [](const auto& suspect) { return suspect.second.empty(); });
-  return keys;
+  return expired;
 }
 
 }  // namespace greengage
--- a/src/routed_instance.cc
+++ b/src/routed_instance.cc
@@ -48,6 +48,7 @@
           kRouteHedgeOptions,
           settings.data_centre),
       suspects_(CrashSuspectOptions{}),
+      crash_slots_(HeldCrashSlotOptions{}),
       reach_(SearcherReachOptions{}),
       receive_budget_(
           std::make_shared<ReceiveBudget>(kMaxUnfinishedAnswerBytes)),
@@ -122,6 +123,13 @@
           [this](const std::vector<std::string>& keys) {
             WithdrawCrashReports(keys);
           },
+          [this](const RequestDigest& digest, size_t count,
+                 RequestRouter::SlotCallback done) {
+            TakeCrashSlot({digest, 0}, count, std::move(done));
+          },
+          [this](const CrashSlot& slot, SlotUse use) {
+            OnCrashSlotEnded(slot, use);
+          },
           ForwardHookOf(forwarder_), ForwardHookOf(peer_forwarder_)});
   for (const auto& step : {&RoutedInstanceImpl::ListenForCallers,
                            &RoutedInstanceImpl::ListenForReadinessChecks,
--- a/src/routed_instance_crash.cc
+++ b/src/routed_instance_crash.cc
@@ -1,6 +1,8 @@
 // The parts of a routed instance that share reports of searchers that ended
 // while they had a request.
 #include <algorithm>
+#include <optional>
+#include <unordered_set>
 #include <utility>
 
 #include "greengage/transport/log_line.h"
@@ -118,9 +120,60 @@
 }
 
 void RoutedInstanceImpl::ExpireCrashReports() {
-  const std::vector<std::string> keys = suspects_.Expire(Now());
-  if (crash_report_watcher_) {
-    WithdrawCrashReports(keys);
+  const std::vector<CrashReport> expired = suspects_.Expire(Now());
+  if (!crash_report_watcher_) {
+    return;
+  }
+  std::vector<std::string> keys;
+  std::unordered_set<RequestDigest, RequestDigestHash> forgotten;
+  for (const CrashReport& report : expired) {
+    keys.push_back(KeyOf(report));
+    if (!suspects_.IsSuspected(report.digest)) {
+      forgotten.insert(report.digest);
+    }
+  }
+  WithdrawCrashReports(keys);
+  // Slots of instances that have ended expire with the reports.
+  for (const RequestDigest& digest : forgotten) {
+    for (size_t number = 0; number < suspects_.max_slots(); ++number) {
+      crash_slots_.OnEnded(Now(), {digest, number}, SlotUse::kUnused);
+    }
+  }
+}
+
+void RoutedInstanceImpl::TakeCrashSlot(const CrashSlot& slot,
+                                       size_t count,
+                                       RequestRouter::SlotCallback done) {
+  platform_.crash_reports.take_slot(
+      slot, [weak = weak_from_this(), slot, count,
+             done = std::move(done)](const Result<bool>& taken) {
+        const auto self = weak.lock();
+        if (!taken) {
+          done(taken.last_reason());
+        } else if (*taken) {
+          done(std::optional(slot));
+        } else if (self && slot.number + 1 < count) {
+          self->TakeCrashSlot({slot.digest, slot.number + 1}, count, done);
+        } else {
+          done(std::optional<CrashSlot>());
+        }
+      });
+}
+
+void RoutedInstanceImpl::OnCrashSlotEnded(const CrashSlot& slot, SlotUse use) {
+  crash_slots_.OnEnded(Now(), slot, use);
+  GiveBackCrashSlots();
+}
+
+void RoutedInstanceImpl::GiveBackCrashSlots() {
+  for (const CrashSlot& slot : crash_slots_.TakeDue(Now())) {
+    platform_.crash_reports.give_back_slot(
+        slot, [weak = weak_from_this(), slot](const Result<Done>& given_back) {
+          const auto self = weak.lock();
+          if (self && !given_back) {
+            self->crash_slots_.OnGiveBackFailed(Now(), slot);
+          }
+        });
   }
 }
 
--- a/src/routed_instance_impl.h
+++ b/src/routed_instance_impl.h
@@ -21,6 +21,7 @@
 #include "greengage/coordination/feed_cache.h"
 #include "greengage/coordination/feed_source.h"
 #include "greengage/coordination/gatherers.h"
+#include "greengage/coordination/held_crash_slots.h"
 #include "greengage/coordination/searcher_reach.h"
 #include "greengage/coordination/stop_sequence.h"
 #include "greengage/routed_instance.h"
@@ -134,6 +135,12 @@
   void ShareCrashReport(const CrashReport& report);
   void WithdrawCrashReports(const std::vector<std::string>& keys);
   void ExpireCrashReports();
+  // Takes the slot, or the next one below `count` that is not taken.
+  void TakeCrashSlot(const CrashSlot& slot,
+                     size_t count,
+                     RequestRouter::SlotCallback done);
+  void OnCrashSlotEnded(const CrashSlot& slot, SlotUse use);
+  void GiveBackCrashSlots();
   void OnSearcherAdded(const RoutedSearcher& searcher);
   void OnSearcherLeaving(const RoutedSearcher& searcher,
                          std::string_view cause);
@@ -163,6 +170,7 @@
   RoutedMetrics metrics_;
   RequestPlanContext plan_context_;
   CrashSuspects suspects_;
+  HeldCrashSlots crash_slots_;
   SearcherReach reach_;
   // Reports that the store has not accepted yet.
   std::vector<CrashReport> unshared_reports_;
--- a/src/routed_instance_stop.cc
+++ b/src/routed_instance_stop.cc
@@ -41,6 +41,7 @@
   TrySearchers();
   ShareCrashReports();
   ExpireCrashReports();
+  GiveBackCrashSlots();
   FlushLog();
   ScheduleHousekeeping();
 }
--- a/src/transport/request_router.cc
+++ b/src/transport/request_router.cc
@@ -44,6 +44,15 @@
 // Maximum number of attempts that are logged for one request.
 constexpr size_t kMaxAttemptLines = 12;
 
+// A suspected request waits this long for its slot.
+constexpr Duration kMaxSlotWait = std::chrono::milliseconds(500);
+
+// Retry delay of a suspected request while the store cannot be asked.
+constexpr Duration kNoStoreRetryDelay = std::chrono::seconds(1);
+
+// A searcher that a request ends has ended this long after the request.
+constexpr Duration kSlotCheckDelay = std::chrono::seconds(1);
+
 constexpr char kSuspectDetail[] =
     "searchers ended while they had such a request";
 
@@ -119,6 +128,29 @@
   std::string detail;
 };
 
+// A request that was admitted.
+struct RequestRouter::Arrival {
+  HttpRequest request;
+  CallerRequest caller;
+  std::shared_ptr<HttpExchange> exchange;
+  RouteTablePtr table;
+  const Route* route = nullptr;
+  Origin origin = Origin::kCaller;
+  RequestDigest digest;
+  bool is_suspect = false;
+  TimePoint arrived;
+  TimePoint deadline;
+};
+
+// A suspected request that waits for a slot.
+struct RequestRouter::WaitingRequest {
+  WaitingRequest(boost::asio::io_context& context, Arrival waiting)
+      : arrival(std::move(waiting)), timer(context) {}
+
+  Arrival arrival;
+  boost::asio::steady_timer timer;
+};
+
 // State of one request from its arrival until all of its attempts have ended.
 struct RequestRouter::ActiveRequest {
   uint64_t number = 0;
@@ -127,6 +159,11 @@
   HeaderList headers;  // Headers forwarded to the searchers.
   RequestDigest digest;
   bool is_suspect = false;  // It may end the searchers that run it.
+  std::optional<CrashSlot> slot;
+  bool searcher_ended = false;  // While it had the request.
+  // Searchers that got the request and did not answer.
+  std::vector<RoutedSearcherPtr> unanswered;
+  size_t checks = 0;  // Checks of `unanswered` that have not ended.
   std::shared_ptr<HttpExchange> exchange;
   std::optional<RequestPlan> plan;
   TimePoint arrived;
@@ -157,7 +194,8 @@
                              std::shared_ptr<SearcherClients> clients,
                              RoutedMetrics* metrics,
                              Hooks hooks)
-    : dialect_(std::move(dialect)),
+    : context_(context),
+      dialect_(std::move(dialect)),
       limits_(limits),
       plans_(plans),
       suspects_(suspects),
@@ -242,6 +280,13 @@
 }
 
 void RequestRouter::EndAll() {
+  std::vector<uint64_t> waiting;
+  for (const auto& [number, request] : waiting_) {
+    waiting.push_back(number);
+  }
+  for (const uint64_t number : waiting) {
+    RejectWaiting(number, "the instance ends", kOtherInstanceRetryDelay);
+  }
   std::vector<uint64_t> numbers;
   numbers.reserve(active_requests_.size());
   for (const auto& [number, active] : active_requests_) {
@@ -393,32 +438,183 @@
     RejectSuspect(caller, exchange, digest, verdict);
     return;
   }
+  const uint64_t number = ++last_number_;
+  exchange->OnClientDisconnected([weak = weak_from_this(), number] {
+    if (const auto self = weak.lock()) {
+      self->OnCallerDisconnected(number);
+    }
+  });
+  Arrival arrival;
+  arrival.digest = digest;
+  arrival.is_suspect = verdict.decision == SuspectDecision::kServeWarily;
+  arrival.arrived = now;
+  arrival.deadline = now + TimeLeft(caller, *route);
+  arrival.request = std::move(request);
+  arrival.caller = std::move(caller);
+  arrival.exchange = exchange;
+  arrival.table = std::move(table);
+  arrival.route = route;
+  arrival.origin = origin;
+  if (arrival.is_suspect) {
+    AwaitSlot(number, std::move(arrival), verdict.slots);
+  } else {
+    Launch(number, std::move(arrival), std::nullopt);
+  }
+}
+
+void RequestRouter::AwaitSlot(uint64_t number, Arrival arrival, size_t slots) {
+  const RequestDigest digest = arrival.digest;
+  const auto waiting =
+      std::make_shared<WaitingRequest>(context_, std::move(arrival));
+  waiting_[number] = waiting;
+  ++in_flight_;
+  waiting->timer.expires_at(std::min<TimePoint>(
+      waiting->arrival.arrived + kMaxSlotWait, waiting->arrival.deadline));
+  waiting->timer.async_wait([weak = weak_from_this(), number](auto error) {
+    const auto self = weak.lock();
+    if (!error && self) {
+      self->RejectWaiting(number, "the store did not answer in time",
+                          kNoStoreRetryDelay);
+    }
+  });
+  hooks_.take_slot(digest, slots,
+                   [weak = weak_from_this(),
+                    number](const Result<std::optional<CrashSlot>>& slot) {
+                     if (const auto self = weak.lock()) {
+                       self->OnSlot(number, slot);
+                     }
+                   });
+}
+
+void RequestRouter::OnSlot(uint64_t number,
+                           const Result<std::optional<CrashSlot>>& slot) {
+  const auto found = waiting_.find(number);
+  const bool is_taken = slot && *slot;
+  if (found == waiting_.end()) {
+    if (is_taken) {
+      hooks_.on_slot_ended(**slot, SlotUse::kUnused);
+    }
+    return;
+  }
+  if (!slot) {
+    RejectWaiting(number, "the store cannot be asked for a slot",
+                  kNoStoreRetryDelay);
+    return;
+  }
+  if (!is_taken) {
+    RejectWaiting(number, "other copies of it are under way",
+                  suspects_->deferral_time());
+    return;
+  }
+  const SuspectVerdict verdict =
+      suspects_->Judge(Now(), found->second->arrival.digest);
+  if (verdict.decision == SuspectDecision::kReject) {
+    hooks_.on_slot_ended(**slot, SlotUse::kUnused);
+    RejectWaiting(number, "too many searchers have ended by now",
+                  verdict.retry_after);
+    return;
+  }
+  const std::shared_ptr<WaitingRequest> waiting = TakeWaiting(number);
+  Launch(number, std::move(waiting->arrival), *slot);
+}
+
+std::shared_ptr<RequestRouter::WaitingRequest> RequestRouter::TakeWaiting(
+    uint64_t number) {
+  auto node = waiting_.extract(number);
+  if (node.empty()) {
+    return nullptr;
+  }
+  node.mapped()->timer.cancel();
+  --in_flight_;
+  return std::move(node.mapped());
+}
+
+void RequestRouter::RejectWaiting(uint64_t number,
+                                  const std::string& detail,
+                                  Duration retry_delay) {
+  const std::shared_ptr<WaitingRequest> waiting = TakeWaiting(number);
+  if (!waiting) {
+    return;
+  }
+  const Arrival& arrival = waiting->arrival;
+  suspects_->Release(arrival.digest);
+  Reject(
+      arrival.caller.id, arrival.exchange,
+      Failure{FailureKind::kUnavailable, "request " + ToString(arrival.digest),
+              std::string(kSuspectDetail) + ", and " + detail},
+      retry_delay);
+}
+
+void RequestRouter::Launch(uint64_t number,
+                           Arrival arrival,
+                           const std::optional<CrashSlot>& slot) {
+  const TimePoint now = Now();
   auto active = std::make_shared<ActiveRequest>();
-  active->digest = digest;
-  active->is_suspect = verdict.decision == SuspectDecision::kServeWarily;
-  active->number = ++last_number_;
-  active->arrived = now;
-  active->deadline = now + TimeLeft(caller, *route);
-  active->headers = ForwardedHeaders(dialect_, request.headers);
-  active->caller = std::move(caller);
-  active->request = std::move(request);
-  active->exchange = exchange;
+  active->digest = arrival.digest;
+  active->is_suspect = arrival.is_suspect;
+  active->slot = slot;
+  active->number = number;
+  active->arrived = arrival.arrived;
+  active->deadline = arrival.deadline;
+  active->headers = ForwardedHeaders(dialect_, arrival.request.headers);
+  active->caller = std::move(arrival.caller);
+  active->request = std::move(arrival.request);
+  active->exchange = std::move(arrival.exchange);
   active->registry_age = hooks_.registry_age();
   active->plan.emplace(
-      now, std::move(table), route, active->deadline, plans_,
+      now, std::move(arrival.table), arrival.route, active->deadline, plans_,
       [this] { return ++last_attempt_id_; },
       active->is_suspect ? AttemptPolicy::kOneAtATime
                          : AttemptPolicy::kParallel);
-  active->from_peer = origin == Origin::kPeer;
-  exchange->OnClientDisconnected(
-      [weak = weak_from_this(), number = active->number] {
-        if (const auto self = weak.lock()) {
-          self->OnCallerDisconnected(number);
-        }
-      });
-  active_requests_[active->number] = active;
+  active->from_peer = arrival.origin == Origin::kPeer;
+  active_requests_[number] = active;
   ++in_flight_;
-  ExecuteActions(active->number, active->plan->Start(now));
+  ExecuteActions(number, active->plan->Start(now));
+}
+
+SuspectVerdict RequestRouter::JudgeSend(TimePoint now,
+                                        const ActiveRequest& active) const {
+  return suspects_->JudgeSend(now, active.digest, active.caller.id,
+                              active.slot.has_value());
+}
+
+// The slot counts as used up until the searchers that did not answer are known
+// to run.
+void RequestRouter::EndSlot(const std::shared_ptr<ActiveRequest>& active) {
+  if (!active->slot) {
+    return;
+  }
+  std::vector<AttemptEnd> ends;
+  for (const AttemptRecord& attempt_record : active->attempt_records) {
+    ends.push_back(attempt_record.end.value_or(AttemptEnd::kAbandoned));
+  }
+  const SlotUse use = UseOf(ends, active->searcher_ended);
+  hooks_.on_slot_ended(*active->slot, use);
+  if (use != SlotUse::kUsedUp || active->searcher_ended) {
+    return;
+  }
+  const auto timer =
+      std::make_shared<boost::asio::steady_timer>(context_, kSlotCheckDelay);
+  timer->async_wait([weak = weak_from_this(), timer, active](auto error) {
+    const auto self = weak.lock();
+    if (!error && self) {
+      self->CheckSlot(active);
+    }
+  });
+}
+
+void RequestRouter::CheckSlot(const std::shared_ptr<ActiveRequest>& active) {
+  active->checks = active->unanswered.size();
+  for (const RoutedSearcherPtr& searcher : active->unanswered) {
+    clients_->CheckEnded(
+        *searcher, [weak = weak_from_this(), active, searcher](bool ended) {
+          const auto self = weak.lock();
+          active->searcher_ended = active->searcher_ended || ended;
+          if (self && --active->checks == 0 && !active->searcher_ended) {
+            self->hooks_.on_slot_ended(*active->slot, SlotUse::kUnused);
+          }
+        });
+  }
 }
 
 void RequestRouter::ExecuteActions(uint64_t number, RequestActions actions) {
@@ -442,8 +638,9 @@
     timers_->deadlines.Add(*next, number);
     ArmTimer();
   }
-  if (active->plan->has_result() && active->plan->open_attempts() == 0) {
-    active_requests_.erase(number);
+  if (active->plan->has_result() && active->plan->open_attempts() == 0 &&
+      active_requests_.erase(number) > 0) {
+    EndSlot(active);
   }
 }
 
@@ -508,8 +705,7 @@
   if (send.searcher->IsLeaving(now)) {
     return Failure{FailureKind::kUnavailable, searcher, "it is leaving"};
   }
-  if (suspects_->Judge(now, found->second->digest).decision ==
-      SuspectDecision::kReject) {
+  if (JudgeSend(now, *found->second).decision != SuspectDecision::kServe) {
     return Failure{FailureKind::kUnavailable, searcher, kSuspectDetail};
   }
   if (send.searcher->ClosedFor(now) > Duration::zero()) {
@@ -551,6 +747,10 @@
   if (outcome.leaving) {
     plans_->searchers.OnAnnouncedLeaving(sent.searcher);
   }
+  if (outcome.end == AttemptEnd::kLost ||
+      outcome.end == AttemptEnd::kAbandoned) {
+    found->second->unanswered.push_back(sent.searcher);
+  }
   if (outcome.end == AttemptEnd::kLost && !result.response &&
       result.response.last_reason().kind == FailureKind::kConnectionClosed) {
     CheckForCrash(found->second, sent.searcher);
@@ -561,8 +761,8 @@
   RequestActions actions =
       plan.OnAttemptEnded(now, sent.id, std::move(outcome));
   if (withheld) {
-    const SuspectVerdict verdict = suspects_->Judge(now, found->second->digest);
-    if (verdict.decision == SuspectDecision::kReject) {
+    const SuspectVerdict verdict = JudgeSend(now, *found->second);
+    if (verdict.decision != SuspectDecision::kServe) {
       actions = plan.OnForbidden(std::move(actions), verdict.retry_after,
                                  kSuspectDetail);
     }
@@ -589,7 +789,7 @@
   }
 }
 
-void RequestRouter::CheckForCrash(std::shared_ptr<const ActiveRequest> active,
+void RequestRouter::CheckForCrash(std::shared_ptr<ActiveRequest> active,
                                   const RoutedSearcherPtr& searcher) {
   const SearcherEntry& entry = searcher->entry();
   CrashReport report{active->digest, active->caller.id, entry.service, entry.id,
@@ -604,8 +804,9 @@
                        });
 }
 
-void RequestRouter::OnSearcherCrashed(const ActiveRequest& active,
+void RequestRouter::OnSearcherCrashed(ActiveRequest& active,
                                       const CrashReport& report) {
+  active.searcher_ended = true;
   metrics_->searchers_crashed.Add();
   LogLine(DecisionEvent::kSearcherCrashed)
       .Add("request_id", report.request_id)
@@ -623,6 +824,11 @@
 }
 
 void RequestRouter::OnCallerDisconnected(uint64_t number) {
+  if (const auto waiting = TakeWaiting(number)) {
+    metrics_->callers_left.Add();
+    suspects_->Release(waiting->arrival.digest);
+    return;
+  }
   const auto found = active_requests_.find(number);
   if (found == active_requests_.end() || found->second->plan->has_result()) {
     return;
--- a/tests/crash_suspects_test.cc
+++ b/tests/crash_suspects_test.cc
@@ -212,6 +212,40 @@
   cr_assert(suspects.Judge(later, kDigest).crashes == 2);
 }
 
+// Copies at several instances must share the ends that are allowed.
+Test(CrashSuspects, ASuspectedRequestNeedsASlot) {
+  CrashSuspects suspects{CrashSuspectOptions{}};
+  cr_assert(suspects.Judge(kStart, kDigest).slots == 0);
+  OnCrash(suspects, kStart, Report(kDigest, 1, 1));
+  cr_assert(suspects.Judge(kStart, kDigest).slots == 3);
+  OnCrash(suspects, kStart + 2 * kSecond, Report(kDigest, 2, 2));
+  OnCrash(suspects, kStart + 4 * kSecond, Report(kDigest, 3, 3));
+  cr_assert(suspects.Judge(kStart + 4 * kSecond, kDigest).slots == 0);
+  cr_assert(suspects.Judge(kStart + std::chrono::minutes(11), kDigest).slots ==
+            1);
+}
+
+// A request that arrived before the first report may have waited for a
+// connection.
+Test(CrashSuspects, ARequestWithoutASlotIsNotSentLongAfterAReport) {
+  CrashSuspects suspects{CrashSuspectOptions{}};
+  const auto decision = [&](Duration after, int request, bool has_slot) {
+    return suspects
+        .JudgeSend(kStart + after, kDigest, "r" + std::to_string(request),
+                   has_slot)
+        .decision;
+  };
+  cr_assert(decision(kSecond, 2, false) == SuspectDecision::kServe);
+  OnCrash(suspects, kStart, Report(kDigest, 1, 1));
+  cr_assert(decision(kSecond, 2, false) == SuspectDecision::kServe);
+  cr_assert(decision(2 * kSecond, 2, false) == SuspectDecision::kDefer);
+  cr_assert(decision(2 * kSecond, 2, true) == SuspectDecision::kServe);
+  cr_assert(decision(2 * kSecond, 1, false) == SuspectDecision::kServe);
+  OnCrash(suspects, kStart, Report(kDigest, 3, 3));
+  OnCrash(suspects, kStart, Report(kDigest, 4, 4));
+  cr_assert(decision(Duration::zero(), 1, true) == SuspectDecision::kReject);
+}
+
 Test(CrashSuspects, KeepsABoundedNumberOfRequests) {
   CrashSuspectOptions options;
   options.max_digests = 100;
