--- a/src/routed_instance_stop.cc
+++ b/src/routed_instance_stop.cc
@@ -42,6 +42,7 @@
   TrySearchers();
   ShareCrashReports();
   ExpireCrashReports();
+  GiveBackCrashSlots();
   FlushLog();
 }
 
