Keep low limits of searchers by turns on the wall clock

A searcher in need names the requests a second that it takes from all instances together, and gets at most 1.5 times that and 5 more in 4 s. With a low limit it got more: nine instances that were idle sent it 18 requests in 4 s where it named 1 a second (11 allowed).

Cause: an instance saved a whole token however small its share was, and a request needed a random fraction of a token, drawn anew for each request. Under many requests each idle instance sent one at once and soon a second.

A share below one request a second is now a turn that recurs whenever a token accrues; in it the instance may send one request. The turns of all instances follow each other evenly on the wall clock, in the order of their names, so the turns that fall into 4 s bound the sum whatever the demand. A lottery at each instance would keep the limit on average only. Less urgent requests leave the first third of a turn to urgent ones.

--- a/include/greengage/coordination/gatherers.h
+++ b/include/greengage/coordination/gatherers.h
@@ -19,7 +19,8 @@
   // The gatherers of the own data centre. Empty if each instance gathers its
   // own queries.
   std::vector<InstanceRecord> local;
-  size_t total = 0;  // Number of gatherers in all data centres.
+  size_t total = 0;              // Number of gatherers in all data centres.
+  std::vector<std::string> ids;  // Of all of them, sorted.
 };
 
 // Selects the gatherers among `instances`. A searcher takes `max_connections`
--- a/include/greengage/coordination/request_plan_context.h
+++ b/include/greengage/coordination/request_plan_context.h
@@ -2,6 +2,7 @@
 #ifndef GREENGAGE_COORDINATION_REQUEST_PLAN_CONTEXT_H_
 #define GREENGAGE_COORDINATION_REQUEST_PLAN_CONTEXT_H_
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <functional>
@@ -50,16 +51,28 @@
   ExtraArrivalBudget extra_arrivals;
   DataCentreDistance distances;
   ServiceSplit split;
-  // Returns the fraction (0 to 1) of a limit that a searcher of the service
-  // names for all instances, which this instance may use.
-  std::function<double(const std::string& service)> limit_share =
-      [](const std::string&) { return 1.0; };
+  // Returns the part of this instance in a limit that a searcher of the service
+  // names for all instances.
+  std::function<LimitShare(const std::string& service)> limit_share =
+      [](const std::string&) { return LimitShare{}; };
 
-  // Returns limit_share for the service of `searcher`, or 1 if it names no
-  // limit.
-  double LimitShareOf(const RoutedSearcher& searcher) const {
-    return searcher.rate_limit().limit() ? limit_share(searcher.entry().service)
-                                         : 1;
+  // Returns limit_share for the service of `searcher`, or the whole if it names
+  // no limit. Moves the place by the order of the searcher in its service, so
+  // that the turns at replicas alternate, and those at the replicas of the same
+  // order in other shards coincide.
+  LimitShare LimitShareOf(const RoutedSearcher& searcher) const {
+    if (!searcher.rate_limit().limit()) {
+      return {};
+    }
+    const SearcherEntry& entry = searcher.entry();
+    LimitShare share = limit_share(entry.service);
+    const auto& replicas = searchers.ForService(entry.service);
+    const auto before = std::count_if(
+        replicas.begin(), replicas.end(),
+        [&entry](const auto& other) { return other->entry().id < entry.id; });
+    share.place += static_cast<double>(before) /
+                   static_cast<double>(std::max<size_t>(1, replicas.size()));
+    return share;
   }
   std::minstd_rand random;
 };
--- a/include/greengage/coordination/routed_searcher.h
+++ b/include/greengage/coordination/routed_searcher.h
@@ -48,9 +48,10 @@
   // Reports that the process has stopped or accepts no more requests.
   void OnGone() { gone_ = true; }
 
-  // `limit_share` is the fraction (0 to 1) of a limit of the searcher that this
-  // instance may use.
-  void OnSent(TimePoint now, AttemptId attempt, double limit_share = 1);
+  // `limit_share` is the part of this instance in a limit of the searcher.
+  void OnSent(TimePoint now,
+              AttemptId attempt,
+              const LimitShare& limit_share = {});
 
   // Withdraws an attempt that was not sent after all.
   void OnWithdrawn(AttemptId attempt);
@@ -60,7 +61,7 @@
   // to be replaced by a new one.
   bool RenewToken(TimePoint now,
                   AttemptId attempt,
-                  double limit_share,
+                  const LimitShare& limit_share,
                   const TokenDemand& demand);
 
   // `typical` is the usual latency of such requests at other searchers;
--- a/include/greengage/coordination/searcher_rate_limit.h
+++ b/include/greengage/coordination/searcher_rate_limit.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 
+#include "greengage/coordination/instance_share.h"
 #include "greengage/state/time.h"
 
 namespace greengage {
@@ -22,23 +23,30 @@
 struct TokenDemand {
   // Random, 0 to 1. The less urgent a request, the more.
   double tokens = 1;
-  // Fraction of the saved tokens beyond the first that is left to others.
+  // Fraction (0 to 1) of the saved tokens beyond the first, or of the first
+  // part of a turn, that is left to others.
   double reserve = 0;
 };
 
-// Keeps the requests of one instance within its share of a limit, with a token
-// bucket: a request takes one token, and tokens accrue at the share of the
-// limit. The load that it answers is a searcher in need that names far less
-// than it usually gets, to few or to hundreds of instances.
+// Keeps the requests of one instance within its share of a limit. The load that
+// it answers is a searcher in need that names far less than it usually gets, to
+// few or to hundreds of instances.
 //
-// A share may be far below one request per second. Requiring a whole token
-// would then let none through for a long time, so a request needs a random
-// number of tokens between 0 and 1 and still takes a whole one. On average,
-// requests are sent at most at the rate at which tokens accrue, and the sum
-// over all instances stays within the limit.
+// A share of at least one request per second is kept by a token bucket: a
+// request takes one token, and tokens accrue at the share of the limit. To be
+// sent, a request needs a random number of tokens between 0 and 1.
 //
-// `share` is the fraction (0 to 1) of the limit that the instance may use. Not
-// thread-safe.
+// If the share is smaller, an instance that was idle must not save a whole
+// token: hundreds of them would send one each at once. It has turns instead,
+// one in the time in which a token accrues. In a turn it may send one request;
+// a turn that is not used is lost. The turns of all instances follow each other
+// at equal distances on the wall clock, so those that fall into a span of time
+// bound the requests in it, whatever the demand. Turns that each instance drew
+// at random would keep a low limit on average only. A clock that is off only
+// moves the turns of its instance.
+//
+// The turns do not depend on the searcher: a gathered request needs all of its
+// searchers at the same time. Not thread-safe.
 class SearcherRateLimit {
  public:
   explicit SearcherRateLimit(TimePoint now)
@@ -52,10 +60,10 @@
   void OnAnswer(TimePoint now, std::optional<double> limit);
 
   // Counts a request and takes its token.
-  void OnSent(TimePoint now, double share);
+  void OnSent(TimePoint now, const LimitShare& share);
 
   // Takes a token for a request that was counted before.
-  void TakeToken(TimePoint now, double share);
+  void TakeToken(TimePoint now, const LimitShare& share);
 
   // Returns the token of a request that has reached nobody.
   void OnNotSent();
@@ -63,7 +71,7 @@
   // Returns the time until a request may be sent: zero if it may be sent now,
   // an hour at most.
   Duration WaitFor(TimePoint now,
-                   double share,
+                   const LimitShare& share,
                    const TokenDemand& demand) const;
 
   // Returns a report if the limit has changed, or regularly while there is one.
@@ -71,14 +79,28 @@
 
  private:
   // Tokens that accrue per second.
-  double Rate(double share) const;
+  double Rate(const LimitShare& share) const;
   // Tokens that accrue within the time for which an idle instance saves them.
-  double SavedTokens(double share) const;
-  double TokensAt(TimePoint now, double share) const;
+  double SavedTokens(const LimitShare& share) const;
+  double TokensAt(TimePoint now, const LimitShare& share) const;
+  bool HasTurns(const LimitShare& share) const;
+  // Time from the start of a turn to that of the next one.
+  Duration TurnInterval(const LimitShare& share) const;
+  Duration TurnLength(const LimitShare& share) const;
+  // Time since the start of the latest turn.
+  Duration SinceTurn(TimePoint time, const LimitShare& share) const;
+  Duration WaitForTurn(TimePoint now,
+                       const LimitShare& share,
+                       const TokenDemand& demand) const;
+  Duration WaitForTokens(TimePoint now,
+                         const LimitShare& share,
+                         const TokenDemand& demand) const;
 
   std::optional<double> limit_;
   double tokens_ = 0;  // At `updated_at_`. Negative after early requests.
   TimePoint updated_at_;
+  // Start of the turn after the one that was used last.
+  std::optional<TimePoint> next_turn_at_;
   std::optional<double> reported_limit_;
   uint64_t sent_ = 0;
   TimePoint reported_at_;
--- a/src/coordination/gatherers.cc
+++ b/src/coordination/gatherers.cc
@@ -49,10 +49,14 @@
     ranked.erase(end, ranked.end());
     ranked.resize(std::min(ranked.size(), per_data_centre));
     set.total += ranked.size();
+    for (const InstanceRecord& gatherer : ranked) {
+      set.ids.push_back(gatherer.id);
+    }
     if (name == data_centre) {
       set.local = std::move(ranked);
     }
   }
+  std::sort(set.ids.begin(), set.ids.end());
   return set;
 }
 
--- a/src/coordination/routed_searcher.cc
+++ b/src/coordination/routed_searcher.cc
@@ -96,7 +96,7 @@
 
 void RoutedSearcher::OnSent(TimePoint now,
                             AttemptId attempt,
-                            double limit_share) {
+                            const LimitShare& limit_share) {
   outstanding_.push_back(
       {attempt, now, rate_limit_.limit() ? std::optional(now) : std::nullopt});
   rate_limit_.OnSent(now, limit_share);
@@ -123,7 +123,7 @@
 
 bool RoutedSearcher::RenewToken(TimePoint now,
                                 AttemptId attempt,
-                                double limit_share,
+                                const LimitShare& limit_share,
                                 const TokenDemand& demand) {
   const auto found = Find(attempt);
   if (!rate_limit_.limit() || found == outstanding_.end() ||
--- a/src/coordination/searcher_rate_limit.cc
+++ b/src/coordination/searcher_rate_limit.cc
@@ -9,6 +9,8 @@
 
 using Seconds = std::chrono::duration<double>;
 
+constexpr Duration kMaxWait = std::chrono::hours(1);
+
 constexpr Duration kReportInterval = std::chrono::seconds(4);
 
 // An idle instance saves the tokens of this time. If all instances used their
@@ -19,6 +21,19 @@
 // gets no request cannot tell that its limit has been lifted.
 constexpr double kMinLimit = 0.5;
 
+// A turn lasts for kMinTurnLength and the time of kTurnRequests at the limit,
+// at most kMaxTurnLength: the longer, the more turns see a request. The rule
+// allows 1.5 times the limit and 5 requests in 4 s. The turns that overlap 4 s
+// stay within that for any limit, even if all instances count one more
+// instance, or another limit, in the middle, and turns of both orders meet.
+constexpr Seconds kMinTurnLength{1.5};
+constexpr double kTurnRequests = 2.5;
+constexpr Seconds kMaxTurnLength{4};
+
+// Fraction of a turn after which the least urgent requests may use it. Requests
+// that leave a part of the tokens to others wait for the same part of it.
+constexpr double kReservedTurn = 1.0 / 3;
+
 }  // namespace
 
 void SearcherRateLimit::OnAnswer(TimePoint now, std::optional<double> limit) {
@@ -29,57 +44,112 @@
   limit_ = limit;
 }
 
-double SearcherRateLimit::Rate(double share) const {
-  return std::max(*limit_, kMinLimit) * share;
+double SearcherRateLimit::Rate(const LimitShare& share) const {
+  return std::max(*limit_, kMinLimit) * share.fraction;
 }
 
-double SearcherRateLimit::SavedTokens(double share) const {
+double SearcherRateLimit::SavedTokens(const LimitShare& share) const {
   return Rate(share) * kSavingTime.count();
 }
 
-double SearcherRateLimit::TokensAt(TimePoint now, double share) const {
+double SearcherRateLimit::TokensAt(TimePoint now,
+                                   const LimitShare& share) const {
   return std::min(std::max(1.0, SavedTokens(share)),
                   tokens_ + Rate(share) * Seconds(now - updated_at_).count());
 }
 
-void SearcherRateLimit::OnSent(TimePoint now, double share) {
+bool SearcherRateLimit::HasTurns(const LimitShare& share) const {
+  return SavedTokens(share) < 1;
+}
+
+Duration SearcherRateLimit::TurnInterval(const LimitShare& share) const {
+  const double rate = Rate(share);
+  return rate * Seconds(kMaxWait).count() > 1
+             ? std::chrono::duration_cast<Duration>(Seconds(1 / rate))
+             : kMaxWait;
+}
+
+Duration SearcherRateLimit::TurnLength(const LimitShare& share) const {
+  const Seconds length =
+      kMinTurnLength + Seconds(kTurnRequests / std::max(*limit_, kMinLimit));
+  return std::min(TurnInterval(share), std::chrono::duration_cast<Duration>(
+                                           std::min(kMaxTurnLength, length)));
+}
+
+Duration SearcherRateLimit::SinceTurn(TimePoint time,
+                                      const LimitShare& share) const {
+  const Duration interval = TurnInterval(share);
+  const Duration since =
+      (time.time_since_epoch() + share.wall_clock_offset -
+       std::chrono::duration_cast<Duration>(share.place * Seconds(interval))) %
+      interval;
+  return since < Duration::zero() ? since + interval : since;
+}
+
+void SearcherRateLimit::OnSent(TimePoint now, const LimitShare& share) {
   ++sent_;
   TakeToken(now, share);
 }
 
-void SearcherRateLimit::TakeToken(TimePoint now, double share) {
+void SearcherRateLimit::TakeToken(TimePoint now, const LimitShare& share) {
   if (limit_) {
-    tokens_ = TokensAt(now, share) - 1;
+    tokens_ = HasTurns(share) ? 0 : TokensAt(now, share) - 1;
+    next_turn_at_ = now + TurnInterval(share) - SinceTurn(now, share);
   }
   updated_at_ = now;
 }
 
 void SearcherRateLimit::OnNotSent() {
   tokens_ += 1;
+  next_turn_at_.reset();
 }
 
 Duration SearcherRateLimit::WaitFor(TimePoint now,
-                                    double share,
+                                    const LimitShare& share,
                                     const TokenDemand& demand) const {
   if (!limit_) {
     return Duration::zero();
   }
-  const double saved = SavedTokens(share);
-  double needed = demand.tokens + demand.reserve * std::max(0.0, saved - 1);
-  if (needed > saved) {
-    // A fraction counts only if it accrues within the saving time. Otherwise
-    // hundreds of idle instances could send a request each at once.
-    needed = std::max(1.0, needed);
+  if (share.fraction <= 0) {
+    return kMaxWait;
+  }
+  return HasTurns(share) ? WaitForTurn(now, share, demand)
+                         : WaitForTokens(now, share, demand);
+}
+
+Duration SearcherRateLimit::WaitForTurn(TimePoint now,
+                                        const LimitShare& share,
+                                        const TokenDemand& demand) const {
+  const Duration interval = TurnInterval(share);
+  const Duration length = TurnLength(share);
+  const auto reserved = std::chrono::duration_cast<Duration>(
+      kReservedTurn * demand.reserve * Seconds(length));
+  TimePoint start = now;
+  if (next_turn_at_) {
+    // With fewer instances, the next turn comes sooner than it seemed.
+    start = std::max(now, std::min(*next_turn_at_, updated_at_ + interval));
   }
+  const Duration since = SinceTurn(start, share);
+  if (since < reserved) {
+    start += reserved - since;
+  } else if (since >= length) {
+    start += interval - since + reserved;
+  }
+  return std::min(kMaxWait, start - now);
+}
+
+Duration SearcherRateLimit::WaitForTokens(TimePoint now,
+                                          const LimitShare& share,
+                                          const TokenDemand& demand) const {
+  const double saved = SavedTokens(share);
+  const double needed = demand.tokens + demand.reserve * (saved - 1);
   const double missing = needed - TokensAt(now, share);
   if (missing <= 0) {
     return Duration::zero();
   }
-  constexpr Seconds kMaxWait{3600};
-  const double rate = Rate(share);
-  return missing < rate * kMaxWait.count()
-             ? std::chrono::duration_cast<Duration>(Seconds(missing / rate))
-             : std::chrono::duration_cast<Duration>(kMaxWait);
+  const Seconds wait(missing / Rate(share));
+  return wait < kMaxWait ? std::chrono::duration_cast<Duration>(wait)
+                         : kMaxWait;
 }
 
 std::optional<RateLimitReport> SearcherRateLimit::TakeReport(TimePoint now) {
--- a/src/routed_instance.cc
+++ b/src/routed_instance.cc
@@ -68,7 +68,7 @@
       feed_timer_(context) {
   AssumeMaxInstances();
   plan_context_.limit_share = [this](const std::string& service) {
-    return InstanceShare(1, SharersOf(service));
+    return LimitShareOf(service);
   };
   forwarder_ = MakeForwarder(GathererChooser::kMaxGatherersTried, &gatherers_);
   peer_forwarder_ = MakeForwarder(kMaxPeers, &peers_);
--- a/src/routed_instance_feed.cc
+++ b/src/routed_instance_feed.cc
@@ -194,6 +194,11 @@
                       std::move(objects));
   feed_source_.SetInstances(instances);
   known_instances_ = instances;
+  instance_ids_.clear();
+  for (const InstanceRecord& instance : instances) {
+    instance_ids_.push_back(instance.id);
+  }
+  std::sort(instance_ids_.begin(), instance_ids_.end());
   UpdatePeers();
   UpdateGatherers();
   const size_t count = Now() < instance_count_kept_until_
@@ -245,6 +250,7 @@
   }
   gatherers_.SetGatherers(std::move(gatherers.local));
   gatherer_count_ = gatherers.total;
+  gatherer_ids_ = std::move(gatherers.ids);
   SetInstanceCount(instance_count_);
 }
 
--- a/src/routed_instance_impl.h
+++ b/src/routed_instance_impl.h
@@ -21,6 +21,7 @@
 #include "greengage/coordination/feed_cache.h"
 #include "greengage/coordination/feed_source.h"
 #include "greengage/coordination/gatherers.h"
+#include "greengage/coordination/instance_share.h"
 #include "greengage/coordination/searcher_reach.h"
 #include "greengage/coordination/stop_sequence.h"
 #include "greengage/routed_instance.h"
@@ -140,6 +141,9 @@
   size_t MaxConnectionsPerSearcher(const std::string& service) const;
   // Number of instances that send requests to the searchers of `service`.
   size_t SharersOf(const std::string& service) const;
+  bool SharesAsGatherer(const std::string& service) const;
+  // The part of this instance in a limit that a searcher of `service` names.
+  LimitShare LimitShareOf(const std::string& service) const;
   void AssumeMaxInstances();
   void SetInstanceCount(size_t count);
   Duration RegistryAge() const { return Now() - state_known_at_; }
@@ -185,6 +189,9 @@
   std::shared_ptr<FeedClient> feed_client_;
   GathererChooser gatherers_;
   size_t gatherer_count_ = 0;  // In all data centres.
+  // Of these gatherers and of the instances in the registry, sorted.
+  std::vector<std::string> gatherer_ids_;
+  std::vector<std::string> instance_ids_;
   std::shared_ptr<GatherForwarder> forwarder_;
   // Peers that serve requests while this instance is cut off from the
   // searchers.
--- a/src/routed_instance_store.cc
+++ b/src/routed_instance_store.cc
@@ -238,9 +238,21 @@
 
 // Only gatherers send to shards, except while none is available.
 size_t RoutedInstanceImpl::SharersOf(const std::string& service) const {
-  const bool is_gatherer = gatherer_count_ > 0 && gatherers_.gathers_itself() &&
-                           shards_.contains(service);
-  return is_gatherer ? gatherer_count_ : instance_count_;
+  return SharesAsGatherer(service) ? gatherer_count_ : instance_count_;
+}
+
+bool RoutedInstanceImpl::SharesAsGatherer(const std::string& service) const {
+  return gatherer_count_ > 0 && gatherers_.gathers_itself() &&
+         shards_.contains(service);
+}
+
+LimitShare RoutedInstanceImpl::LimitShareOf(const std::string& service) const {
+  const size_t sharers = SharersOf(service);
+  return {InstanceShare(1, sharers),
+          PlaceAmong(SharesAsGatherer(service) ? gatherer_ids_ : instance_ids_,
+                     settings_.id, sharers),
+          std::chrono::duration_cast<Duration>(NowWall().time_since_epoch()) -
+              Now().time_since_epoch()};
 }
 
 void RoutedInstanceImpl::SetInstanceCount(size_t count) {
--- a/tests/gatherers_test.cc
+++ b/tests/gatherers_test.cc
@@ -58,9 +58,11 @@
 // All instances must choose the same gatherers from the same registry.
 Test(Gatherers, DoNotDependOnTheOrderOfTheRegistry) {
   std::vector<InstanceRecord> instances = MakeInstances(300, 1);
-  const auto before = SelectGatherers(instances, "c", 175).local;
+  const GathererSet before = SelectGatherers(instances, "c", 175);
+  cr_assert(before.ids.size() == before.total);
   std::shuffle(instances.begin(), instances.end(), std::minstd_rand(3));
-  cr_assert(SelectGatherers(instances, "c", 175).local == before);
+  cr_assert(SelectGatherers(instances, "c", 175).local == before.local);
+  cr_assert(SelectGatherers(instances, "c", 175).ids == before.ids);
 }
 
 Test(Gatherers, AJoiningSmallInstanceChangesNothing) {
--- a/tests/request_plan_test.cc
+++ b/tests/request_plan_test.cc
@@ -67,6 +67,20 @@
   cr_assert(started.result->retry_after > Duration::zero());
 }
 
+// A gathered request needs a turn at one replica of each shard at a time.
+Test(RequestPlan, TurnsAtReplicasAlternateAndThoseAtShardsCoincide) {
+  PlanFixture fixture(2, 2);
+  std::vector<double> places;
+  for (const char* const service : {"s0", "s1"}) {
+    for (const RoutedSearcherPtr& searcher :
+         fixture.context.searchers.ForService(service)) {
+      searcher->rate_limit().OnAnswer(kPlanStart, 2.0);
+      places.push_back(fixture.context.LimitShareOf(*searcher).place);
+    }
+  }
+  cr_assert(places == std::vector<double>({0, 0.5, 0, 0.5}));
+}
+
 Test(RequestPlan, SendsToTheSearcherWhoseLimitAllowsIt) {
   PlanFixture fixture(1, 2);
   const RoutedSearcherPtr limited =
--- a/tests/searcher_directory_test.cc
+++ b/tests/searcher_directory_test.cc
@@ -209,7 +209,7 @@
   const auto allowed_until = [&searcher](TimePoint now) {
     size_t allowed = 0;
     for (uint64_t attempt = 1; attempt <= kWaiting; ++attempt) {
-      allowed += searcher.RenewToken(now, attempt, 1, {}) ? 1 : 0;
+      allowed += searcher.RenewToken(now, attempt, {}, {}) ? 1 : 0;
     }
     return allowed;
   };
@@ -222,11 +222,11 @@
   searcher.rate_limit().OnAnswer(kStart, 1.0);
   searcher.OnSent(kStart, 1);
   const TimePoint soon = kStart + std::chrono::milliseconds(500);
-  cr_assert(searcher.RenewToken(soon, 1, 1, {}));
+  cr_assert(searcher.RenewToken(soon, 1, {}, {}));
   const TimePoint later = kStart + std::chrono::seconds(3);
   searcher.OnSent(later, 2);
-  cr_assert(!searcher.RenewToken(later, 1, 1, {}));
-  cr_assert(searcher.RenewToken(later, 2, 1, {}));
+  cr_assert(!searcher.RenewToken(later, 1, {}, {}));
+  cr_assert(searcher.RenewToken(later, 2, {}, {}));
 }
 
 // Guards against a searcher that said that it leaves and is used again because
--- a/tools/bench/routed_fleet.cc
+++ b/tools/bench/routed_fleet.cc
@@ -42,7 +42,7 @@
 }
 
 struct RoutedFleet::Instance {
-  Instance(std::string own_data_centre, const FleetShape& shape)
+  Instance(std::string own_data_centre, const FleetShape& shape, size_t index)
       : data_centre(std::move(own_data_centre)),
         context({[](const RoutedSearcher&) {},
                  [](const RoutedSearcher&, std::string_view) {}},
@@ -50,9 +50,10 @@
                 data_centre) {
     context.extra_arrivals.set_limits(
         InstanceLimits(shape.extra_arrivals, shape.instances));
-    context.limit_share = [instances = shape.instances](const std::string&) {
-      return InstanceShare(1, instances);
-    };
+    const LimitShare share{
+        InstanceShare(1, shape.instances),
+        static_cast<double>(index) / static_cast<double>(shape.instances)};
+    context.limit_share = [share](const std::string&) { return share; };
   }
 
   const std::string data_centre;
@@ -126,7 +127,7 @@
   }
   for (size_t i = 0; i < shape.instances; ++i) {
     instances_.push_back(std::make_unique<Instance>(
-        "dc-" + std::to_string(i % shape.data_centres), shape));
+        "dc-" + std::to_string(i % shape.data_centres), shape, i));
     instances_.back()->context.searchers.Replace(events_.now(), entries);
     instances_.back()->context.random.seed(random_());
   }
