--- a/include/greengage/coordination/routed_searcher.h
+++ b/include/greengage/coordination/routed_searcher.h
@@ -34,6 +34,10 @@
 
   const SearcherEntry& entry() const { return entry_; }
 
+  // Identifies the object: no two of a process have the same number, even if
+  // they are at the same address one after the other, or of the same searcher.
+  uint64_t number() const { return number_; }
+
   // Sets a newer registry entry of the same process.
   void UpdateEntry(TimePoint now, SearcherEntry entry);
 
@@ -48,9 +52,10 @@
   // Reports that the process has stopped or accepts no more requests.
   void OnGone() { gone_ = true; }
 
-  // `limit_share` is the fraction (0 to 1) of a limit of the searcher that this
-  // instance may use.
-  void OnSent(TimePoint now, AttemptId attempt, double limit_share = 1);
+  // `limit_share` is the part of this instance in a limit of the searcher.
+  void OnSent(TimePoint now,
+              AttemptId attempt,
+              const LimitShare& limit_share = {});
 
   // Withdraws an attempt that was not sent after all.
   void OnWithdrawn(AttemptId attempt);
@@ -60,7 +65,7 @@
   // to be replaced by a new one.
   bool RenewToken(TimePoint now,
                   AttemptId attempt,
-                  double limit_share,
+                  const LimitShare& limit_share,
                   const TokenDemand& demand);
 
   // `typical` is the usual latency of such requests at other searchers;
@@ -133,6 +138,7 @@
                      DecayedMean& latency_ratio) const;
   void RecordError(TimePoint now, bool error);
 
+  const uint64_t number_;
   SearcherEntry entry_;
   TimePoint warm_at_;
   std::optional<TimePoint> expires_at_;  // Set while unregistered.
--- a/src/coordination/routed_searcher.cc
+++ b/src/coordination/routed_searcher.cc
@@ -1,6 +1,7 @@
 #include "greengage/coordination/routed_searcher.h"
 
 #include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <cmath>
 
@@ -45,6 +46,9 @@
 // A load report is ignored once it is older than this.
 constexpr Duration kLoadReportLifetime = milliseconds(100);
 
+// An absurd load that a searcher reports would overflow a longer latency.
+constexpr duration<double> kMaxExpectedLatency{3600};
+
 // Cost of a failure in typical latencies: the retry at another searcher.
 constexpr double kErrorPenalty = 4;
 
@@ -54,10 +58,16 @@
          end == AttemptEnd::kRejected;
 }
 
+uint64_t NextNumber() {
+  static std::atomic<uint64_t> last_number{0};
+  return ++last_number;
+}
+
 }  // namespace
 
 RoutedSearcher::RoutedSearcher(TimePoint now, SearcherEntry entry)
-    : entry_(std::move(entry)),
+    : number_(NextNumber()),
+      entry_(std::move(entry)),
       warm_at_(now + entry_.warm_up_left),
       latency_ratio_(now, 1, kEstimateHalfLife),
       unanswered_latency_ratio_(now, 1, kEstimateHalfLife),
@@ -96,7 +106,7 @@
 
 void RoutedSearcher::OnSent(TimePoint now,
                             AttemptId attempt,
-                            double limit_share) {
+                            const LimitShare& limit_share) {
   outstanding_.push_back(
       {attempt, now, rate_limit_.limit() ? std::optional(now) : std::nullopt});
   rate_limit_.OnSent(now, limit_share);
@@ -123,7 +133,7 @@
 
 bool RoutedSearcher::RenewToken(TimePoint now,
                                 AttemptId attempt,
-                                double limit_share,
+                                const LimitShare& limit_share,
                                 const TokenDemand& demand) {
   const auto found = Find(attempt);
   if (!rate_limit_.limit() || found == outstanding_.end() ||
@@ -276,7 +286,8 @@
   const double slots = std::max(1U, entry_.slots);
   double requests_ahead = static_cast<double>(outstanding_.size());
   if (now - load_received_at_ < kLoadReportLifetime) {
-    const double reported = load_.running + load_.waiting;
+    const double reported =
+        static_cast<double>(load_.running) + static_cast<double>(load_.waiting);
     requests_ahead = std::max(requests_ahead, reported);
   }
   double factor =
@@ -289,7 +300,8 @@
   // while they have free slots.
   factor *= 1 + 0.1 * requests_ahead / slots;
   factor += kErrorPenalty * ErrorRate(now);
-  return distance + duration_cast<Duration>(typical * factor);
+  return distance + duration_cast<Duration>(std::min<duration<double>>(
+                        typical * factor, kMaxExpectedLatency));
 }
 
 }  // namespace greengage
--- a/src/routed_instance.cc
+++ b/src/routed_instance.cc
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <utility>
 
+#include "greengage/transport/guard.h"
 #include "greengage/transport/log_line.h"
 #include "routed_instance_impl.h"
 #include "state/gauge_names.h"
@@ -48,6 +49,7 @@
           kRouteHedgeOptions,
           settings.data_centre),
       suspects_(CrashSuspectOptions{}),
+      crash_slots_(HeldCrashSlotOptions{}),
       reach_(SearcherReachOptions{}),
       receive_budget_(
           std::make_shared<ReceiveBudget>(kMaxUnfinishedAnswerBytes)),
@@ -68,7 +70,7 @@
       feed_timer_(context) {
   AssumeMaxInstances();
   plan_context_.limit_share = [this](const std::string& service) {
-    return InstanceShare(1, SharersOf(service));
+    return LimitShareOf(service);
   };
   forwarder_ = MakeForwarder(GathererChooser::kMaxGatherersTried, &gatherers_);
   peer_forwarder_ = MakeForwarder(kMaxPeers, &peers_);
@@ -122,6 +124,13 @@
           [this](const std::vector<std::string>& keys) {
             WithdrawCrashReports(keys);
           },
+          [this](const RequestDigest& digest, size_t count,
+                 RequestRouter::SlotCallback done) {
+            TakeCrashSlot({digest, 0}, count, std::move(done));
+          },
+          [this](const CrashSlot& slot, SlotUse use) {
+            OnCrashSlotEnded(slot, use);
+          },
           ForwardHookOf(forwarder_), ForwardHookOf(peer_forwarder_)});
   for (const auto& step : {&RoutedInstanceImpl::ListenForCallers,
                            &RoutedInstanceImpl::ListenForReadinessChecks,
@@ -188,9 +197,12 @@
 }
 
 std::vector<Gauge> RoutedInstanceImpl::Gauges() const {
-  return {{kUnfinishedAnswerBytes, [budget = receive_budget_] {
+  return {{kUnfinishedAnswerBytes,
+           [budget = receive_budget_] {
              return static_cast<double>(budget->reserved());
-           }}};
+           }},
+          {kHandlerFailures,
+           [] { return static_cast<double>(HandlerFailures()); }}};
 }
 
 Result<Done> RoutedInstanceImpl::ListenForMetrics() {
--- a/src/routed_instance_feed.cc
+++ b/src/routed_instance_feed.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <utility>
 
+#include "greengage/transport/guard.h"
 #include "greengage/transport/log_line.h"
 #include "routed_instance_impl.h"
 
@@ -168,7 +169,8 @@
           return;
         }
         if (listed) {
-          self->OnInstances(*listed);
+          RunGuarded("instances",
+                     [&self, &listed] { self->OnInstances(*listed); });
         } else {
           LogRegistryFailure("count", listed.last_reason());
         }
@@ -194,6 +196,11 @@
                       std::move(objects));
   feed_source_.SetInstances(instances);
   known_instances_ = instances;
+  instance_ids_.clear();
+  for (const InstanceRecord& instance : instances) {
+    instance_ids_.push_back(instance.id);
+  }
+  std::sort(instance_ids_.begin(), instance_ids_.end());
   UpdatePeers();
   UpdateGatherers();
   const size_t count = Now() < instance_count_kept_until_
@@ -245,6 +252,7 @@
   }
   gatherers_.SetGatherers(std::move(gatherers.local));
   gatherer_count_ = gatherers.total;
+  gatherer_ids_ = std::move(gatherers.ids);
   SetInstanceCount(instance_count_);
 }
 
@@ -305,26 +313,37 @@
         if (!self || self->stopping_) {
           return;
         }
-        if (page) {
+        if (!page) {
+          self->OnPeerPageFailed(id, page.last_reason());
+          return;
+        }
+        const auto use = [&self, &id, &page] {
           self->feed_source_.OnPeerAnswered(id);
           self->OnPeerPage(*page);
+        };
+        if (RunGuarded("peer_page", use)) {
           self->UpdateFeed();
-          return;
+        } else {
+          self->OnPeerPageFailed(id, {FailureKind::kMalformedMessage, id,
+                                      "the page cannot be handled"});
         }
-        LogLine(DecisionEvent::kFeedPeerFailed)
-            .Add("peer", id)
-            .Add("cause", FailureKindName(page.last_reason().kind))
-            .Add("detail", page.last_reason().detail)
-            .Write();
-        self->feed_source_.OnPeerFailed(
-            Now(), id,
-            page.last_reason().kind == FailureKind::kUnavailable
-                ? PeerFailure::kNoAnswer
-                : PeerFailure::kRefused);
-        self->ScheduleFeedUpdate(kPeerRetryDelay);
       });
 }
 
+void RoutedInstanceImpl::OnPeerPageFailed(const std::string& id,
+                                          const Failure& reason) {
+  LogLine(DecisionEvent::kFeedPeerFailed)
+      .Add("peer", id)
+      .Add("cause", FailureKindName(reason.kind))
+      .Add("detail", reason.detail)
+      .Write();
+  feed_source_.OnPeerFailed(Now(), id,
+                            reason.kind == FailureKind::kUnavailable
+                                ? PeerFailure::kNoAnswer
+                                : PeerFailure::kRefused);
+  ScheduleFeedUpdate(kPeerRetryDelay);
+}
+
 void RoutedInstanceImpl::OnPeerPage(const FeedPage& page) {
   if (searchers_known_ &&
       page.searchers_revision.era > searchers_revision_.era) {
--- a/src/routed_instance_impl.h
+++ b/src/routed_instance_impl.h
@@ -21,6 +21,8 @@
 #include "greengage/coordination/feed_cache.h"
 #include "greengage/coordination/feed_source.h"
 #include "greengage/coordination/gatherers.h"
+#include "greengage/coordination/held_crash_slots.h"
+#include "greengage/coordination/instance_share.h"
 #include "greengage/coordination/searcher_reach.h"
 #include "greengage/coordination/stop_sequence.h"
 #include "greengage/routed_instance.h"
@@ -103,6 +105,8 @@
                    unsigned status,
                    Duration took);
   void OnPeerPage(const FeedPage& page);
+  // Reads from another source, since a page of the peer `id` was not read.
+  void OnPeerPageFailed(const std::string& id, const Failure& reason);
   InstanceRecord SelfRecord() const;
   Duration MaxFeedAge() const;
   Duration RegistryReadInterval() const;
@@ -134,12 +138,21 @@
   void ShareCrashReport(const CrashReport& report);
   void WithdrawCrashReports(const std::vector<std::string>& keys);
   void ExpireCrashReports();
+  // Takes the slot, or the next one below `count` that is not taken.
+  void TakeCrashSlot(const CrashSlot& slot,
+                     size_t count,
+                     RequestRouter::SlotCallback done);
+  void OnCrashSlotEnded(const CrashSlot& slot, SlotUse use);
+  void GiveBackCrashSlots();
   void OnSearcherAdded(const RoutedSearcher& searcher);
   void OnSearcherLeaving(const RoutedSearcher& searcher,
                          std::string_view cause);
   size_t MaxConnectionsPerSearcher(const std::string& service) const;
   // Number of instances that send requests to the searchers of `service`.
   size_t SharersOf(const std::string& service) const;
+  bool SharesAsGatherer(const std::string& service) const;
+  // The part of this instance in a limit that a searcher of `service` names.
+  LimitShare LimitShareOf(const std::string& service) const;
   void AssumeMaxInstances();
   void SetInstanceCount(size_t count);
   Duration RegistryAge() const { return Now() - state_known_at_; }
@@ -163,6 +176,7 @@
   RoutedMetrics metrics_;
   RequestPlanContext plan_context_;
   CrashSuspects suspects_;
+  HeldCrashSlots crash_slots_;
   SearcherReach reach_;
   // Reports that the store has not accepted yet.
   std::vector<CrashReport> unshared_reports_;
@@ -185,6 +199,9 @@
   std::shared_ptr<FeedClient> feed_client_;
   GathererChooser gatherers_;
   size_t gatherer_count_ = 0;  // In all data centres.
+  // Of these gatherers and of the instances in the registry, sorted.
+  std::vector<std::string> gatherer_ids_;
+  std::vector<std::string> instance_ids_;
   std::shared_ptr<GatherForwarder> forwarder_;
   // Peers that serve requests while this instance is cut off from the
   // searchers.
--- a/src/routed_instance_stop.cc
+++ b/src/routed_instance_stop.cc
@@ -36,13 +36,14 @@
 }
 
 void RoutedInstanceImpl::RunHousekeeping() {
+  ScheduleHousekeeping();
   plan_context_.searchers.Expire(Now());
   LogRateLimits();
   TrySearchers();
   ShareCrashReports();
   ExpireCrashReports();
+  GiveBackCrashSlots();
   FlushLog();
-  ScheduleHousekeeping();
 }
 
 void RoutedInstanceImpl::LogRateLimits() {
--- a/src/transport/http_client_pool.cc
+++ b/src/transport/http_client_pool.cc
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <utility>
 
+#include "greengage/transport/guard.h"
 #include "transport/clock.h"
 #include "transport/socket_address.h"
 
@@ -19,6 +20,10 @@
 // opened while others are open.
 constexpr std::chrono::milliseconds kConnectRetryDelay{100};
 
+// Longest idle timeout that is taken from a server. A multiple of a longer one
+// could overflow.
+constexpr uint32_t kMaxIdleSeconds = 24 * 3600;
+
 constexpr char kClosedDetail[] = "the client is closed";
 
 // Returns the timeout of the Keep-Alive header, which is in whole seconds.
@@ -34,7 +39,8 @@
   const auto parsed =
       std::from_chars(number.data(), number.data() + number.size(), seconds);
   return parsed.ec == std::errc()
-             ? std::optional<Duration>(std::chrono::seconds(seconds))
+             ? std::optional<Duration>(
+                   std::chrono::seconds(std::min(seconds, kMaxIdleSeconds)))
              : std::nullopt;
 }
 
@@ -97,7 +103,7 @@
 
 void HttpClientPool::EndServerChecks(ServerState state) {
   for (const auto& done : std::exchange(server_checks_, {})) {
-    done(state);
+    RunGuarded("server_check", [&done, state] { done(state); });
   }
 }
 
@@ -185,7 +191,8 @@
   if (node.mapped().waiting) {
     --QueueOf(node.mapped()).count;
   }
-  node.mapped().done(std::move(result));
+  RunGuarded("end_of_call",
+             [&node, &result] { node.mapped().done(std::move(result)); });
 }
 
 void HttpClientPool::Dispatch() {
@@ -296,8 +303,11 @@
   const CallId id = *TakeWaiting(queue);
   Call& call = calls_.at(id);
   if (call.request.before_send) {
-    const std::optional<Failure> reason =
-        call.request.before_send(Now(), call.request.headers);
+    std::optional<Failure> reason =
+        Describe(FailureKind::kUnavailable, "it cannot be prepared");
+    RunGuarded("call", [&call, &reason] {
+      reason = call.request.before_send(Now(), call.request.headers);
+    });
     if (reason) {
       EndCall(id, {*reason, false});
       return false;
--- a/src/transport/request_router.cc
+++ b/src/transport/request_router.cc
@@ -12,6 +12,7 @@
 
 #include "greengage/coordination/record_merger.h"
 #include "greengage/protocol/caller_codec.h"
+#include "greengage/transport/guard.h"
 #include "greengage/transport/log.h"
 #include "greengage/transport/log_line.h"
 #include "transport/clock.h"
@@ -24,6 +25,7 @@
   kOk = 200,
   kBadRequest = 400,
   kNotFound = 404,
+  kInternalError = 500,
   kBadGateway = 502,
   kUnavailable = 503,
   kGatewayTimeout = 504,
@@ -44,6 +46,15 @@
 // Maximum number of attempts that are logged for one request.
 constexpr size_t kMaxAttemptLines = 12;
 
+// A suspected request waits this long for its slot.
+constexpr Duration kMaxSlotWait = std::chrono::milliseconds(500);
+
+// Retry delay of a suspected request while the store cannot be asked.
+constexpr Duration kNoStoreRetryDelay = std::chrono::seconds(1);
+
+// A searcher that a request ends has ended this long after the request.
+constexpr Duration kSlotCheckDelay = std::chrono::seconds(1);
+
 constexpr char kSuspectDetail[] =
     "searchers ended while they had such a request";
 
@@ -119,6 +130,29 @@
   std::string detail;
 };
 
+// A request that was admitted.
+struct RequestRouter::Arrival {
+  HttpRequest request;
+  CallerRequest caller;
+  std::shared_ptr<HttpExchange> exchange;
+  RouteTablePtr table;
+  const Route* route = nullptr;
+  Origin origin = Origin::kCaller;
+  RequestDigest digest;
+  bool is_suspect = false;
+  TimePoint arrived;
+  TimePoint deadline;
+};
+
+// A suspected request that waits for a slot.
+struct RequestRouter::WaitingRequest {
+  WaitingRequest(boost::asio::io_context& context, Arrival waiting)
+      : arrival(std::move(waiting)), timer(context) {}
+
+  Arrival arrival;
+  boost::asio::steady_timer timer;
+};
+
 // State of one request from its arrival until all of its attempts have ended.
 struct RequestRouter::ActiveRequest {
   uint64_t number = 0;
@@ -127,12 +161,18 @@
   HeaderList headers;  // Headers forwarded to the searchers.
   RequestDigest digest;
   bool is_suspect = false;  // It may end the searchers that run it.
+  std::optional<CrashSlot> slot;
+  bool searcher_ended = false;  // While it had the request.
+  // Searchers that got the request and did not answer.
+  std::vector<RoutedSearcherPtr> unanswered;
+  size_t checks = 0;  // Checks of `unanswered` that have not ended.
   std::shared_ptr<HttpExchange> exchange;
   std::optional<RequestPlan> plan;
   TimePoint arrived;
   TimePoint deadline;
   Duration registry_age{};
   bool from_peer = false;  // Another instance forwarded it.
+  bool has_ended = false;  // It no longer counts as in flight.
   size_t attempts = 0;
   size_t extra_attempts = 0;
   std::vector<AttemptRecord> attempt_records;
@@ -157,7 +197,8 @@
                              std::shared_ptr<SearcherClients> clients,
                              RoutedMetrics* metrics,
                              Hooks hooks)
-    : dialect_(std::move(dialect)),
+    : context_(context),
+      dialect_(std::move(dialect)),
       limits_(limits),
       plans_(plans),
       suspects_(suspects),
@@ -242,6 +283,13 @@
 }
 
 void RequestRouter::EndAll() {
+  std::vector<uint64_t> waiting;
+  for (const auto& [number, request] : waiting_) {
+    waiting.push_back(number);
+  }
+  for (const uint64_t number : waiting) {
+    RejectWaiting(number, "the instance ends", kOtherInstanceRetryDelay);
+  }
   std::vector<uint64_t> numbers;
   numbers.reserve(active_requests_.size());
   for (const auto& [number, active] : active_requests_) {
@@ -250,9 +298,11 @@
   for (const uint64_t number : numbers) {
     const auto found = active_requests_.find(number);
     if (found != active_requests_.end() && !found->second->plan->has_result()) {
-      ExecuteActions(
-          number, found->second->plan->OnForbidden({}, kOtherInstanceRetryDelay,
-                                                   "the instance ends"));
+      RunStep(number, [this, number, &found] {
+        ExecuteActions(number,
+                       found->second->plan->OnForbidden(
+                           {}, kOtherInstanceRetryDelay, "the instance ends"));
+      });
     }
   }
 }
@@ -393,32 +443,225 @@
     RejectSuspect(caller, exchange, digest, verdict);
     return;
   }
+  const uint64_t number = ++last_number_;
+  exchange->OnClientDisconnected([weak = weak_from_this(), number] {
+    if (const auto self = weak.lock()) {
+      self->RunStep(number,
+                    [&self, number] { self->OnCallerDisconnected(number); });
+    }
+  });
+  Arrival arrival;
+  arrival.digest = digest;
+  arrival.is_suspect = verdict.decision == SuspectDecision::kServeWarily;
+  arrival.arrived = now;
+  arrival.deadline = now + TimeLeft(caller, *route);
+  arrival.request = std::move(request);
+  arrival.caller = std::move(caller);
+  arrival.exchange = exchange;
+  arrival.table = std::move(table);
+  arrival.route = route;
+  arrival.origin = origin;
+  if (arrival.is_suspect) {
+    AwaitSlot(number, std::move(arrival), verdict.slots);
+  } else {
+    Launch(number, std::move(arrival), std::nullopt);
+  }
+}
+
+void RequestRouter::AwaitSlot(uint64_t number, Arrival arrival, size_t slots) {
+  const RequestDigest digest = arrival.digest;
+  const auto waiting =
+      std::make_shared<WaitingRequest>(context_, std::move(arrival));
+  waiting_[number] = waiting;
+  ++in_flight_;
+  waiting->timer.expires_at(std::min<TimePoint>(
+      waiting->arrival.arrived + kMaxSlotWait, waiting->arrival.deadline));
+  waiting->timer.async_wait([weak = weak_from_this(), number](auto error) {
+    const auto self = weak.lock();
+    if (!error && self) {
+      self->RejectWaiting(number, "the store did not answer in time",
+                          kNoStoreRetryDelay);
+    }
+  });
+  hooks_.take_slot(digest, slots,
+                   [weak = weak_from_this(),
+                    number](const Result<std::optional<CrashSlot>>& slot) {
+                     if (const auto self = weak.lock()) {
+                       self->RunStep(number, [&self, number, &slot] {
+                         self->OnSlot(number, slot);
+                       });
+                     }
+                   });
+}
+
+void RequestRouter::OnSlot(uint64_t number,
+                           const Result<std::optional<CrashSlot>>& slot) {
+  const auto found = waiting_.find(number);
+  const bool is_taken = slot && *slot;
+  if (found == waiting_.end()) {
+    if (is_taken) {
+      hooks_.on_slot_ended(**slot, SlotUse::kUnused);
+    }
+    return;
+  }
+  if (!slot) {
+    RejectWaiting(number, "the store cannot be asked for a slot",
+                  kNoStoreRetryDelay);
+    return;
+  }
+  if (!is_taken) {
+    RejectWaiting(number, "other copies of it are under way",
+                  suspects_->deferral_time());
+    return;
+  }
+  const SuspectVerdict verdict =
+      suspects_->Judge(Now(), found->second->arrival.digest);
+  if (verdict.decision == SuspectDecision::kReject) {
+    hooks_.on_slot_ended(**slot, SlotUse::kUnused);
+    RejectWaiting(number, "too many searchers have ended by now",
+                  verdict.retry_after);
+    return;
+  }
+  const std::shared_ptr<WaitingRequest> waiting = TakeWaiting(number);
+  Launch(number, std::move(waiting->arrival), *slot);
+}
+
+std::shared_ptr<RequestRouter::WaitingRequest> RequestRouter::TakeWaiting(
+    uint64_t number) {
+  auto node = waiting_.extract(number);
+  if (node.empty()) {
+    return nullptr;
+  }
+  node.mapped()->timer.cancel();
+  --in_flight_;
+  return std::move(node.mapped());
+}
+
+void RequestRouter::RejectWaiting(uint64_t number,
+                                  const std::string& detail,
+                                  Duration retry_delay) {
+  const std::shared_ptr<WaitingRequest> waiting = TakeWaiting(number);
+  if (!waiting) {
+    return;
+  }
+  const Arrival& arrival = waiting->arrival;
+  suspects_->Release(arrival.digest);
+  Reject(
+      arrival.caller.id, arrival.exchange,
+      Failure{FailureKind::kUnavailable, "request " + ToString(arrival.digest),
+              std::string(kSuspectDetail) + ", and " + detail},
+      retry_delay);
+}
+
+void RequestRouter::Launch(uint64_t number,
+                           Arrival arrival,
+                           const std::optional<CrashSlot>& slot) {
+  const TimePoint now = Now();
   auto active = std::make_shared<ActiveRequest>();
-  active->digest = digest;
-  active->is_suspect = verdict.decision == SuspectDecision::kServeWarily;
-  active->number = ++last_number_;
-  active->arrived = now;
-  active->deadline = now + TimeLeft(caller, *route);
-  active->headers = ForwardedHeaders(dialect_, request.headers);
-  active->caller = std::move(caller);
-  active->request = std::move(request);
-  active->exchange = exchange;
+  active->digest = arrival.digest;
+  active->is_suspect = arrival.is_suspect;
+  active->slot = slot;
+  active->number = number;
+  active->arrived = arrival.arrived;
+  active->deadline = arrival.deadline;
+  active->headers = ForwardedHeaders(dialect_, arrival.request.headers);
+  active->caller = std::move(arrival.caller);
+  active->request = std::move(arrival.request);
+  active->exchange = std::move(arrival.exchange);
   active->registry_age = hooks_.registry_age();
   active->plan.emplace(
-      now, std::move(table), route, active->deadline, plans_,
+      now, std::move(arrival.table), arrival.route, active->deadline, plans_,
       [this] { return ++last_attempt_id_; },
       active->is_suspect ? AttemptPolicy::kOneAtATime
                          : AttemptPolicy::kParallel);
-  active->from_peer = origin == Origin::kPeer;
-  exchange->OnClientDisconnected(
-      [weak = weak_from_this(), number = active->number] {
-        if (const auto self = weak.lock()) {
-          self->OnCallerDisconnected(number);
-        }
-      });
-  active_requests_[active->number] = active;
+  active->from_peer = arrival.origin == Origin::kPeer;
+  active_requests_[number] = active;
   ++in_flight_;
-  ExecuteActions(active->number, active->plan->Start(now));
+  RunStep(number, [this, &active, now] {
+    ExecuteActions(active->number, active->plan->Start(now));
+  });
+}
+
+void RequestRouter::RunStep(uint64_t number,
+                            const std::function<void()>& step) {
+  if (!RunGuarded("routed_request", step)) {
+    RunGuarded("routed_request", [this, number] { FailRequest(number); });
+  }
+}
+
+void RequestRouter::FailRequest(uint64_t number) {
+  if (const auto waiting = TakeWaiting(number)) {
+    suspects_->Release(waiting->arrival.digest);
+    waiting->arrival.exchange->Reply(HttpResponse{.status = kInternalError});
+    return;
+  }
+  const auto found = active_requests_.find(number);
+  if (found == active_requests_.end()) {
+    return;
+  }
+  const std::shared_ptr<ActiveRequest> active = found->second;
+  const RequestActions actions = active->plan->OnCallerLeft(Now());
+  if (active->plan->open_attempts() == 0) {
+    active_requests_.erase(found);
+    EndSlot(active);
+  }
+  for (const uint64_t attempt : actions.cancels) {
+    clients_->Cancel(attempt);
+  }
+  active->exchange->Reply(HttpResponse{.status = kInternalError});
+  EndRequest(*active);
+}
+
+void RequestRouter::EndRequest(ActiveRequest& active) {
+  if (!std::exchange(active.has_ended, true)) {
+    --in_flight_;
+    ReleaseSuspect(active);
+  }
+}
+
+SuspectVerdict RequestRouter::JudgeSend(TimePoint now,
+                                        const ActiveRequest& active) const {
+  return suspects_->JudgeSend(now, active.digest, active.caller.id,
+                              active.slot.has_value());
+}
+
+// The slot counts as used up until the searchers that did not answer are known
+// to run.
+void RequestRouter::EndSlot(const std::shared_ptr<ActiveRequest>& active) {
+  if (!active->slot) {
+    return;
+  }
+  std::vector<AttemptEnd> ends;
+  for (const AttemptRecord& attempt_record : active->attempt_records) {
+    ends.push_back(attempt_record.end.value_or(AttemptEnd::kAbandoned));
+  }
+  const SlotUse use = UseOf(ends, active->searcher_ended);
+  hooks_.on_slot_ended(*active->slot, use);
+  if (use != SlotUse::kUsedUp || active->searcher_ended) {
+    return;
+  }
+  const auto timer =
+      std::make_shared<boost::asio::steady_timer>(context_, kSlotCheckDelay);
+  timer->async_wait([weak = weak_from_this(), timer, active](auto error) {
+    const auto self = weak.lock();
+    if (!error && self) {
+      self->CheckSlot(active);
+    }
+  });
+}
+
+void RequestRouter::CheckSlot(const std::shared_ptr<ActiveRequest>& active) {
+  active->checks = active->unanswered.size();
+  for (const RoutedSearcherPtr& searcher : active->unanswered) {
+    clients_->CheckEnded(
+        *searcher, [weak = weak_from_this(), active, searcher](bool ended) {
+          const auto self = weak.lock();
+          active->searcher_ended = active->searcher_ended || ended;
+          if (self && --active->checks == 0 && !active->searcher_ended) {
+            self->hooks_.on_slot_ended(*active->slot, SlotUse::kUnused);
+          }
+        });
+  }
 }
 
 void RequestRouter::ExecuteActions(uint64_t number, RequestActions actions) {
@@ -442,8 +685,9 @@
     timers_->deadlines.Add(*next, number);
     ArmTimer();
   }
-  if (active->plan->has_result() && active->plan->open_attempts() == 0) {
-    active_requests_.erase(number);
+  if (active->plan->has_result() && active->plan->open_attempts() == 0 &&
+      active_requests_.erase(number) > 0) {
+    EndSlot(active);
   }
 }
 
@@ -491,7 +735,9 @@
                   [weak = weak_from_this(), number = active.number,
                    send](const HttpCallResult& result) {
                     if (const auto self = weak.lock()) {
-                      self->OnAttemptEnded(number, send, result);
+                      self->RunStep(number, [&] {
+                        self->OnAttemptEnded(number, send, result);
+                      });
                     }
                   });
 }
@@ -508,8 +754,7 @@
   if (send.searcher->IsLeaving(now)) {
     return Failure{FailureKind::kUnavailable, searcher, "it is leaving"};
   }
-  if (suspects_->Judge(now, found->second->digest).decision ==
-      SuspectDecision::kReject) {
+  if (JudgeSend(now, *found->second).decision != SuspectDecision::kServe) {
     return Failure{FailureKind::kUnavailable, searcher, kSuspectDetail};
   }
   if (send.searcher->ClosedFor(now) > Duration::zero()) {
@@ -551,6 +796,10 @@
   if (outcome.leaving) {
     plans_->searchers.OnAnnouncedLeaving(sent.searcher);
   }
+  if (outcome.end == AttemptEnd::kLost ||
+      outcome.end == AttemptEnd::kAbandoned) {
+    found->second->unanswered.push_back(sent.searcher);
+  }
   if (outcome.end == AttemptEnd::kLost && !result.response &&
       result.response.last_reason().kind == FailureKind::kConnectionClosed) {
     CheckForCrash(found->second, sent.searcher);
@@ -561,8 +810,8 @@
   RequestActions actions =
       plan.OnAttemptEnded(now, sent.id, std::move(outcome));
   if (withheld) {
-    const SuspectVerdict verdict = suspects_->Judge(now, found->second->digest);
-    if (verdict.decision == SuspectDecision::kReject) {
+    const SuspectVerdict verdict = JudgeSend(now, *found->second);
+    if (verdict.decision != SuspectDecision::kServe) {
       actions = plan.OnForbidden(std::move(actions), verdict.retry_after,
                                  kSuspectDetail);
     }
@@ -589,7 +838,7 @@
   }
 }
 
-void RequestRouter::CheckForCrash(std::shared_ptr<const ActiveRequest> active,
+void RequestRouter::CheckForCrash(std::shared_ptr<ActiveRequest> active,
                                   const RoutedSearcherPtr& searcher) {
   const SearcherEntry& entry = searcher->entry();
   CrashReport report{active->digest, active->caller.id, entry.service, entry.id,
@@ -604,8 +853,9 @@
                        });
 }
 
-void RequestRouter::OnSearcherCrashed(const ActiveRequest& active,
+void RequestRouter::OnSearcherCrashed(ActiveRequest& active,
                                       const CrashReport& report) {
+  active.searcher_ended = true;
   metrics_->searchers_crashed.Add();
   LogLine(DecisionEvent::kSearcherCrashed)
       .Add("request_id", report.request_id)
@@ -623,22 +873,25 @@
 }
 
 void RequestRouter::OnCallerDisconnected(uint64_t number) {
+  if (const auto waiting = TakeWaiting(number)) {
+    metrics_->callers_left.Add();
+    suspects_->Release(waiting->arrival.digest);
+    return;
+  }
   const auto found = active_requests_.find(number);
   if (found == active_requests_.end() || found->second->plan->has_result()) {
     return;
   }
   metrics_->callers_left.Add();
-  --in_flight_;
   RequestActions actions = found->second->plan->OnCallerLeft(Now());
-  ReleaseSuspect(*found->second);
+  EndRequest(*found->second);
   LogRequestEnd(*found->second, *actions.result, 0, Now());
   actions.result.reset();  // The caller has disconnected.
   ExecuteActions(number, std::move(actions));
 }
 
 void RequestRouter::Answer(ActiveRequest& active, RequestResult result) {
-  --in_flight_;
-  ReleaseSuspect(active);
+  EndRequest(active);
   const TimePoint now = Now();
   const Route& route = active.plan->route();
   metrics_
@@ -796,12 +1049,11 @@
       continue;
     }
     found->second->timer_armed_for.reset();
-    const std::optional<TimePoint> next = found->second->plan->next_timer();
-    if (next && *next <= now) {
-      ExecuteActions(number, found->second->plan->OnTimer(now));
-    } else {
-      ExecuteActions(number, {});
-    }
+    RunStep(number, [this, number, now, plan = &*found->second->plan] {
+      const std::optional<TimePoint> next = plan->next_timer();
+      ExecuteActions(
+          number, next && *next <= now ? plan->OnTimer(now) : RequestActions());
+    });
   }
   ArmTimer();
 }
--- a/tests/searcher_directory_test.cc
+++ b/tests/searcher_directory_test.cc
@@ -1,6 +1,7 @@
 #include "greengage/coordination/searcher_directory.h"
 
 #include <chrono>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -209,7 +210,7 @@
   const auto allowed_until = [&searcher](TimePoint now) {
     size_t allowed = 0;
     for (uint64_t attempt = 1; attempt <= kWaiting; ++attempt) {
-      allowed += searcher.RenewToken(now, attempt, 1, {}) ? 1 : 0;
+      allowed += searcher.RenewToken(now, attempt, {}, {}) ? 1 : 0;
     }
     return allowed;
   };
@@ -222,11 +223,11 @@
   searcher.rate_limit().OnAnswer(kStart, 1.0);
   searcher.OnSent(kStart, 1);
   const TimePoint soon = kStart + std::chrono::milliseconds(500);
-  cr_assert(searcher.RenewToken(soon, 1, 1, {}));
+  cr_assert(searcher.RenewToken(soon, 1, {}, {}));
   const TimePoint later = kStart + std::chrono::seconds(3);
   searcher.OnSent(later, 2);
-  cr_assert(!searcher.RenewToken(later, 1, 1, {}));
-  cr_assert(searcher.RenewToken(later, 2, 1, {}));
+  cr_assert(!searcher.RenewToken(later, 1, {}, {}));
+  cr_assert(searcher.RenewToken(later, 2, {}, {}));
 }
 
 // Guards against a searcher that said that it leaves and is used again because
@@ -257,4 +258,36 @@
   cr_assert(fixture.UsabilityOf(kStart + Ms(400)) == Usability::kHealthy);
 }
 
+// A latency that overflows would be negative, and the searcher the best.
+Test(RoutedSearcher, AbsurdLoadMakesASearcherNoBetter) {
+  const TimePoint now{std::chrono::seconds(100)};
+  constexpr Duration kTypicalLatency = std::chrono::milliseconds(20);
+  AttemptOutcome answered;
+  answered.end = AttemptEnd::kAnswered;
+  answered.load = ReportedLoad{UINT32_MAX, 1, 1};
+  SearcherEntry entry;
+  entry.slots = 1;
+  RoutedSearcher searcher(now, entry);
+  searcher.OnSent(now, 1);
+  searcher.OnEnded(now, 1, answered, kTypicalLatency, Duration::zero());
+  cr_assert(searcher.ExpectedLatency(now, kTypicalLatency, Duration::zero()) >=
+            std::chrono::seconds(1));
+}
+
+Test(SearcherDirectory, TrialsLeaveOutSearchersThatLeave) {
+  Fixture fixture;
+  SearcherEntry draining = MakeEntry("b");
+  draining.draining = true;
+  fixture.directory.Replace(
+      kStart, {MakeEntry("a"), draining, MakeEntry("c"), MakeEntry("d")});
+  fixture.directory.OnAnnouncedLeaving(
+      fixture.directory.ForService("shard").at(2));
+  fixture.directory.Apply(kStart, {{"d", std::nullopt}});
+  std::minstd_rand random(1);
+  const std::vector<SearcherEntry> sample =
+      fixture.directory.Sample(kStart + Ms(300), 4, random);
+  cr_assert(sample.size() == 1);
+  cr_assert(sample.front().id == "a");
+}
+
 }  // namespace greengage
