Forget a stream that the peer no longer takes before it ends

A stream that waits behind the peer's limit of concurrent streams when the peer begins to stop ends as not run, and its object is freed. nghttp2 reports it as not sent and then as closed, with the pointer to the freed object, from which the connection read the stream's id and state. Callers usually noticed nothing, as no stream has the id that was read.

OnHeadersNotSent() takes the pointer back first, as Reset() does. The other ends happen within the report of the close, or before the stream is submitted.

PeerLink/StreamThatThePeerNoLongerTakesEndsOnceAsNotRun: valgrind reported two invalid reads in OnStreamClosed() before, and none now.

--- a/src/transport/peer_client_connection.cc
+++ b/src/transport/peer_client_connection.cc
@@ -191,6 +191,8 @@
 void PeerClientConnection::OnHeadersNotSent(int32_t stream_id) {
   PeerClientStream* const stream = Find(stream_id);
   if (stream != nullptr) {
+    // The library reports the end of the stream as well.
+    nghttp2_session_set_stream_user_data(session(), stream_id, nullptr);
     End(stream->id,
         Describe(FailureKind::kShuttingDown, "the peer takes no new streams"),
         true);
--- a/tests/peer_link_test.cc
+++ b/tests/peer_link_test.cc
@@ -1,10 +1,16 @@
 #include "greengage/transport/peer_link.h"
 
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
 #include <chrono>
 #include <deque>
 #include <future>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <thread>
 
 #include "tests/harness/io_threads.h"
 #include "tests/harness/peer_call.h"
@@ -183,6 +189,37 @@
             std::future_status::ready);
 }
 
+// Guards against reading a stream that has ended (seen by a memory checker).
+Test(PeerLink, StreamThatThePeerNoLongerTakesEndsOnceAsNotRun) {
+  using boost::asio::ip::tcp;
+  using std::string_view_literals::operator""sv;
+  // SETTINGS_MAX_CONCURRENT_STREAMS is 1.
+  constexpr auto kSettings =
+      "\x00\x00\x06\x04\x00\x00\x00\x00\x00"
+      "\x00\x03\x00\x00\x00\x01"sv;
+  // GOAWAY after stream 1, and RST_STREAM of stream 1 with CANCEL.
+  constexpr auto kEnd =
+      "\x00\x00\x08\x07\x00\x00\x00\x00\x00"
+      "\x00\x00\x00\x01\x00\x00\x00\x00"
+      "\x00\x00\x04\x03\x00\x00\x00\x00\x01"
+      "\x00\x00\x00\x08"sv;
+  IoThreads io(1);
+  boost::asio::io_context blocking;
+  tcp::acceptor acceptor(blocking, {tcp::v4(), 0});
+  const auto client = PeerClient::Create(
+      io.context(), {"127.0.0.1", acceptor.local_endpoint().port()}, {});
+  PeerCall open(*client, "/open", "m");
+  tcp::socket socket = acceptor.accept();
+  boost::asio::write(socket, boost::asio::buffer(kSettings));
+  std::this_thread::sleep_for(Ms(100));
+  PeerCall queued(*client, "/queued", "m");
+  std::this_thread::sleep_for(Ms(100));
+  boost::asio::write(socket, boost::asio::buffer(kEnd));
+  const PeerStreamResult end = queued.Wait();
+  cr_assert(end.failure->kind == FailureKind::kShuttingDown && end.not_run);
+  cr_assert(!open.Wait().not_run);
+}
+
 Test(PeerLink, CloseEndsOpenStreams) {
   Peers peers;
   PeerCall call(peers.client(), "/hold", "m");
