Split the request router by its jobs, and keep a request's data once

Slots and crashes, and the log lines of a request's end, have files of their own; the requests' state is in a header for the three. An active request is an Arrival with what follows, instead of a copy of nine of its members. DropWaiting() releases a request that waited for a slot in one place of three. RunStep() takes its step as it is: each answer of a searcher made a std::function before. No change of behaviour.

--- a/include/greengage/transport/request_router.h
+++ b/include/greengage/transport/request_router.h
@@ -14,6 +14,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "greengage/coordination/crash_suspects.h"
@@ -28,6 +29,7 @@
 #include "greengage/state/route_table.h"
 #include "greengage/state/routed_metrics.h"
 #include "greengage/transport/gather_forwarder.h"
+#include "greengage/transport/guard.h"
 #include "greengage/transport/http_server.h"
 #include "greengage/transport/searcher_clients.h"
 
@@ -138,6 +140,8 @@
   void OnSlot(uint64_t number, const Result<std::optional<CrashSlot>>& slot);
   // Returns null if the request no longer waits.
   std::shared_ptr<WaitingRequest> TakeWaiting(uint64_t number);
+  // As TakeWaiting(), for a request that will not be sent.
+  std::shared_ptr<WaitingRequest> DropWaiting(uint64_t number);
   // Rejects a request that waits for a slot.
   void RejectWaiting(uint64_t number,
                      const std::string& detail,
@@ -178,7 +182,12 @@
                  const Route* route);
   // Runs a step of a request. If it throws, the request is answered with status
   // 500, since searchers may have run it, and its attempts are cancelled.
-  void RunStep(uint64_t number, const std::function<void()>& step);
+  template <typename Step>
+  void RunStep(uint64_t number, Step&& step) {
+    if (!RunGuarded("routed_request", std::forward<Step>(step))) {
+      RunGuarded("routed_request", [this, number] { FailRequest(number); });
+    }
+  }
   void FailRequest(uint64_t number);
   void RecordReach(const AttemptToSend& sent, const HttpCallResult& result);
   void ExecuteActions(uint64_t number, RequestActions actions);
--- a/src/transport/request_router.cc
+++ b/src/transport/request_router.cc
@@ -1,22 +1,18 @@
 #include "greengage/transport/request_router.h"
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <algorithm>
 #include <array>
 #include <charconv>
-#include <map>
 #include <optional>
 #include <utility>
 #include <vector>
 
 #include "greengage/coordination/record_merger.h"
 #include "greengage/protocol/caller_codec.h"
-#include "greengage/transport/guard.h"
-#include "greengage/transport/log.h"
 #include "greengage/transport/log_line.h"
 #include "transport/clock.h"
 #include "transport/deadline_timer.h"
+#include "transport/request_router_state.h"
 
 namespace greengage {
 namespace {
@@ -31,37 +27,10 @@
   kGatewayTimeout = 504,
 };
 
-// One in this many requests with a complete answer within the target latency
-// is logged. All other requests are logged.
-constexpr uint64_t kCompleteAnswersPerLogLine = 32;
-
-// An attempt is logged as slow if it took at least this percentage of the
-// target latency.
-constexpr int kSlowAttemptPercent = 50;
-
 // An attempt that ends after its searcher has answered nothing for this long
 // speaks against the way to the searcher.
 constexpr Duration kSilenceTime = std::chrono::milliseconds(500);
 
-// Maximum number of attempts that are logged for one request.
-constexpr size_t kMaxAttemptLines = 12;
-
-// A suspected request waits this long for its slot.
-constexpr Duration kMaxSlotWait = std::chrono::milliseconds(500);
-
-// Retry delay of a suspected request while the store cannot be asked.
-constexpr Duration kNoStoreRetryDelay = std::chrono::seconds(1);
-
-// A searcher that a request ends has ended this long after the request.
-constexpr Duration kSlotCheckDelay = std::chrono::seconds(1);
-
-constexpr char kSuspectDetail[] =
-    "searchers ended while they had such a request";
-
-// Logged as the end of an attempt that is still in flight when its request
-// ends.
-constexpr std::string_view kInFlightEnd = "open";
-
 std::string FormatSeconds(Duration duration) {
   std::array<char, 32> text{};
   const auto end =
@@ -116,69 +85,6 @@
 
 }  // namespace
 
-// Data of one attempt for the log. `sent` and `ended` count from the arrival of
-// the request.
-struct RequestRouter::AttemptRecord {
-  uint64_t attempt = 0;
-  AttemptReason reason = AttemptReason::kFirst;
-  std::string service;
-  std::string searcher;
-  Duration sent{};
-  Duration expected{};
-  std::optional<AttemptEnd> end;
-  Duration ended{};
-  std::string detail;
-};
-
-// A request that was admitted.
-struct RequestRouter::Arrival {
-  HttpRequest request;
-  CallerRequest caller;
-  std::shared_ptr<HttpExchange> exchange;
-  RouteTablePtr table;
-  const Route* route = nullptr;
-  Origin origin = Origin::kCaller;
-  RequestDigest digest;
-  bool is_suspect = false;
-  TimePoint arrived;
-  TimePoint deadline;
-};
-
-// A suspected request that waits for a slot.
-struct RequestRouter::WaitingRequest {
-  WaitingRequest(boost::asio::io_context& context, Arrival waiting)
-      : arrival(std::move(waiting)), timer(context) {}
-
-  Arrival arrival;
-  boost::asio::steady_timer timer;
-};
-
-// State of one request from its arrival until all of its attempts have ended.
-struct RequestRouter::ActiveRequest {
-  uint64_t number = 0;
-  CallerRequest caller;
-  HttpRequest request;
-  HeaderList headers;  // Headers forwarded to the searchers.
-  RequestDigest digest;
-  bool is_suspect = false;  // It may end the searchers that run it.
-  std::optional<CrashSlot> slot;
-  bool searcher_ended = false;  // While it had the request.
-  // Searchers that got the request and did not answer.
-  std::vector<RoutedSearcherPtr> unanswered;
-  size_t checks = 0;  // Checks of `unanswered` that have not ended.
-  std::shared_ptr<HttpExchange> exchange;
-  std::optional<RequestPlan> plan;
-  TimePoint arrived;
-  TimePoint deadline;
-  Duration registry_age{};
-  bool from_peer = false;  // Another instance forwarded it.
-  bool has_ended = false;  // It no longer counts as in flight.
-  size_t attempts = 0;
-  size_t extra_attempts = 0;
-  std::vector<AttemptRecord> attempt_records;
-  std::optional<TimePoint> timer_armed_for;
-};
-
 // Timers of all requests, multiplexed onto one timer.
 class RequestRouter::Timers {
  public:
@@ -405,29 +311,6 @@
   }
 }
 
-void RequestRouter::RejectSuspect(const CallerRequest& caller,
-                                  const std::shared_ptr<HttpExchange>& exchange,
-                                  const RequestDigest& digest,
-                                  const SuspectVerdict& verdict) {
-  Reject(caller.id, exchange,
-         Failure{FailureKind::kUnavailable, "request " + ToString(digest),
-                 std::to_string(verdict.crashes) +
-                     " searchers ended while they had such a request"},
-         verdict.retry_after);
-}
-
-void RequestRouter::ReleaseSuspect(const ActiveRequest& active) {
-  if (active.is_suspect) {
-    suspects_->Release(active.digest);
-  }
-  if (active.plan->RanWithoutLoss()) {
-    const std::vector<std::string> keys = suspects_->OnAnswered(active.digest);
-    if (!keys.empty()) {
-      hooks_.on_cleared(keys);
-    }
-  }
-}
-
 void RequestRouter::StartRequest(HttpRequest request,
                                  CallerRequest caller,
                                  const std::shared_ptr<HttpExchange>& exchange,
@@ -468,113 +351,20 @@
   }
 }
 
-void RequestRouter::AwaitSlot(uint64_t number, Arrival arrival, size_t slots) {
-  const RequestDigest digest = arrival.digest;
-  const auto waiting =
-      std::make_shared<WaitingRequest>(context_, std::move(arrival));
-  waiting_[number] = waiting;
-  ++in_flight_;
-  waiting->timer.expires_at(std::min<TimePoint>(
-      waiting->arrival.arrived + kMaxSlotWait, waiting->arrival.deadline));
-  waiting->timer.async_wait([weak = weak_from_this(), number](auto error) {
-    const auto self = weak.lock();
-    if (!error && self) {
-      self->RejectWaiting(number, "the store did not answer in time",
-                          kNoStoreRetryDelay);
-    }
-  });
-  hooks_.take_slot(digest, slots,
-                   [weak = weak_from_this(),
-                    number](const Result<std::optional<CrashSlot>>& slot) {
-                     if (const auto self = weak.lock()) {
-                       self->RunStep(number, [&self, number, &slot] {
-                         self->OnSlot(number, slot);
-                       });
-                     }
-                   });
-}
-
-void RequestRouter::OnSlot(uint64_t number,
-                           const Result<std::optional<CrashSlot>>& slot) {
-  const auto found = waiting_.find(number);
-  const bool is_taken = slot && *slot;
-  if (found == waiting_.end()) {
-    if (is_taken) {
-      hooks_.on_slot_ended(**slot, SlotUse::kUnused);
-    }
-    return;
-  }
-  if (!slot) {
-    RejectWaiting(number, "the store cannot be asked for a slot",
-                  kNoStoreRetryDelay);
-    return;
-  }
-  if (!is_taken) {
-    RejectWaiting(number, "other copies of it are under way",
-                  suspects_->deferral_time());
-    return;
-  }
-  const SuspectVerdict verdict =
-      suspects_->Judge(Now(), found->second->arrival.digest);
-  if (verdict.decision == SuspectDecision::kReject) {
-    hooks_.on_slot_ended(**slot, SlotUse::kUnused);
-    RejectWaiting(number, "too many searchers have ended by now",
-                  verdict.retry_after);
-    return;
-  }
-  const std::shared_ptr<WaitingRequest> waiting = TakeWaiting(number);
-  Launch(number, std::move(waiting->arrival), *slot);
-}
-
-std::shared_ptr<RequestRouter::WaitingRequest> RequestRouter::TakeWaiting(
-    uint64_t number) {
-  auto node = waiting_.extract(number);
-  if (node.empty()) {
-    return nullptr;
-  }
-  node.mapped()->timer.cancel();
-  --in_flight_;
-  return std::move(node.mapped());
-}
-
-void RequestRouter::RejectWaiting(uint64_t number,
-                                  const std::string& detail,
-                                  Duration retry_delay) {
-  const std::shared_ptr<WaitingRequest> waiting = TakeWaiting(number);
-  if (!waiting) {
-    return;
-  }
-  const Arrival& arrival = waiting->arrival;
-  suspects_->Release(arrival.digest);
-  Reject(
-      arrival.caller.id, arrival.exchange,
-      Failure{FailureKind::kUnavailable, "request " + ToString(arrival.digest),
-              std::string(kSuspectDetail) + ", and " + detail},
-      retry_delay);
-}
-
 void RequestRouter::Launch(uint64_t number,
                            Arrival arrival,
                            const std::optional<CrashSlot>& slot) {
   const TimePoint now = Now();
-  auto active = std::make_shared<ActiveRequest>();
-  active->digest = arrival.digest;
-  active->is_suspect = arrival.is_suspect;
-  active->slot = slot;
+  auto active = std::make_shared<ActiveRequest>(std::move(arrival));
   active->number = number;
-  active->arrived = arrival.arrived;
-  active->deadline = arrival.deadline;
-  active->headers = ForwardedHeaders(dialect_, arrival.request.headers);
-  active->caller = std::move(arrival.caller);
-  active->request = std::move(arrival.request);
-  active->exchange = std::move(arrival.exchange);
+  active->slot = slot;
+  active->headers = ForwardedHeaders(dialect_, active->request.headers);
   active->registry_age = hooks_.registry_age();
   active->plan.emplace(
-      now, std::move(arrival.table), arrival.route, active->deadline, plans_,
+      now, active->table, active->route, active->deadline, plans_,
       [this] { return ++last_attempt_id_; },
       active->is_suspect ? AttemptPolicy::kOneAtATime
                          : AttemptPolicy::kParallel);
-  active->from_peer = arrival.origin == Origin::kPeer;
   active_requests_[number] = active;
   ++in_flight_;
   RunStep(number, [this, &active, now] {
@@ -582,16 +372,8 @@
   });
 }
 
-void RequestRouter::RunStep(uint64_t number,
-                            const std::function<void()>& step) {
-  if (!RunGuarded("routed_request", step)) {
-    RunGuarded("routed_request", [this, number] { FailRequest(number); });
-  }
-}
-
 void RequestRouter::FailRequest(uint64_t number) {
-  if (const auto waiting = TakeWaiting(number)) {
-    suspects_->Release(waiting->arrival.digest);
+  if (const auto waiting = DropWaiting(number)) {
     waiting->arrival.exchange->Reply(HttpResponse{.status = kInternalError});
     return;
   }
@@ -619,51 +401,6 @@
   }
 }
 
-SuspectVerdict RequestRouter::JudgeSend(TimePoint now,
-                                        const ActiveRequest& active) const {
-  return suspects_->JudgeSend(now, active.digest, active.caller.id,
-                              active.slot.has_value());
-}
-
-// The slot counts as used up until the searchers that did not answer are known
-// to run.
-void RequestRouter::EndSlot(const std::shared_ptr<ActiveRequest>& active) {
-  if (!active->slot) {
-    return;
-  }
-  std::vector<AttemptEnd> ends;
-  for (const AttemptRecord& attempt_record : active->attempt_records) {
-    ends.push_back(attempt_record.end.value_or(AttemptEnd::kAbandoned));
-  }
-  const SlotUse use = UseOf(ends, active->searcher_ended);
-  hooks_.on_slot_ended(*active->slot, use);
-  if (use != SlotUse::kUsedUp || active->searcher_ended) {
-    return;
-  }
-  const auto timer =
-      std::make_shared<boost::asio::steady_timer>(context_, kSlotCheckDelay);
-  timer->async_wait([weak = weak_from_this(), timer, active](auto error) {
-    const auto self = weak.lock();
-    if (!error && self) {
-      self->CheckSlot(active);
-    }
-  });
-}
-
-void RequestRouter::CheckSlot(const std::shared_ptr<ActiveRequest>& active) {
-  active->checks = active->unanswered.size();
-  for (const RoutedSearcherPtr& searcher : active->unanswered) {
-    clients_->CheckEnded(
-        *searcher, [weak = weak_from_this(), active, searcher](bool ended) {
-          const auto self = weak.lock();
-          active->searcher_ended = active->searcher_ended || ended;
-          if (self && --active->checks == 0 && !active->searcher_ended) {
-            self->hooks_.on_slot_ended(*active->slot, SlotUse::kUnused);
-          }
-        });
-  }
-}
-
 void RequestRouter::ExecuteActions(uint64_t number, RequestActions actions) {
   const auto found = active_requests_.find(number);
   if (found == active_requests_.end()) {
@@ -838,44 +575,9 @@
   }
 }
 
-void RequestRouter::CheckForCrash(std::shared_ptr<ActiveRequest> active,
-                                  const RoutedSearcherPtr& searcher) {
-  const SearcherEntry& entry = searcher->entry();
-  CrashReport report{active->digest, active->caller.id, entry.service, entry.id,
-                     entry.started};
-  clients_->CheckEnded(*searcher,
-                       [weak = weak_from_this(), active = std::move(active),
-                        report = std::move(report)](bool ended) {
-                         const auto self = weak.lock();
-                         if (self && ended) {
-                           self->OnSearcherCrashed(*active, report);
-                         }
-                       });
-}
-
-void RequestRouter::OnSearcherCrashed(ActiveRequest& active,
-                                      const CrashReport& report) {
-  active.searcher_ended = true;
-  metrics_->searchers_crashed.Add();
-  LogLine(DecisionEvent::kSearcherCrashed)
-      .Add("request_id", report.request_id)
-      .Add("digest", ToString(report.digest))
-      .Add("service", report.service)
-      .Add("searcher", report.searcher)
-      .Add("started_ms", report.started.count())
-      .Write();
-  CrashedRequest request;
-  request.lost_everywhere = active.plan->WasLostEverywhere();
-  for (const AttemptRecord& attempt_record : active.attempt_records) {
-    request.sent_to.push_back(attempt_record.searcher);
-  }
-  hooks_.on_crash(report, std::move(request));
-}
-
 void RequestRouter::OnCallerDisconnected(uint64_t number) {
-  if (const auto waiting = TakeWaiting(number)) {
+  if (DropWaiting(number)) {
     metrics_->callers_left.Add();
-    suspects_->Release(waiting->arrival.digest);
     return;
   }
   const auto found = active_requests_.find(number);
@@ -900,100 +602,12 @@
   metrics_->request_time[route.name].Record(now - active.arrived);
   HttpResponse response = ToResponse(route, result);
   LogRequestEnd(active, result, response.status, now);
-  if (active.from_peer) {
+  if (active.origin == Origin::kPeer) {
     response.headers.emplace_back(kAnsweredRequestHeader, active.caller.id);
   }
   active.exchange->Reply(std::move(response));
 }
 
-void RequestRouter::LogRequestEnd(const ActiveRequest& active,
-                                  const RequestResult& result,
-                                  unsigned status,
-                                  TimePoint now) {
-  const Route& route = active.plan->route();
-  const Duration took = now - active.arrived;
-  const bool complete_and_in_time =
-      result.cause.empty() && took <= route.target_latency;
-  if (complete_and_in_time &&
-      ++complete_answers_ % kCompleteAnswersPerLogLine != 0) {
-    return;
-  }
-  LogLine(DecisionEvent::kRequestEnded)
-      .Add("request_id", active.caller.id)
-      .Add("route", route.name)
-      .Add("configuration", active.plan->table().version())
-      .Add("registry_age_ms", active.registry_age)
-      .Add("time_left_ms", active.deadline - active.arrived)
-      .Add("target_ms", Duration(route.target_latency))
-      .Add("took_ms", took)
-      .Add("end", RequestOutcomeName(result.outcome))
-      .Add("status", status)
-      .Add("cause", result.cause)
-      .Add("parts", result.parts.size())
-      .Add("missing_parts", result.missing_parts)
-      .Add("unlikely_parts", result.unlikely_parts)
-      .Add("attempts", active.attempts)
-      .Add("extra_attempts", active.extra_attempts)
-      .Add("trouble", MainCause(active, result))
-      .Write();
-  if (HasSpareLogCapacity()) {
-    LogAttempts(active);
-  }
-}
-
-// Returns the most frequent end of the attempts that got no answer. If there
-// are none, a missing part had no searcher to send an attempt to.
-std::string_view RequestRouter::MainCause(const ActiveRequest& active,
-                                          const RequestResult& result) {
-  std::map<std::string_view, size_t> counts;
-  for (const AttemptRecord& attempt_record : active.attempt_records) {
-    if (attempt_record.end != AttemptEnd::kAnswered) {
-      ++counts[attempt_record.end ? AttemptEndName(*attempt_record.end)
-                                  : kInFlightEnd];
-    }
-  }
-  const auto most_frequent = std::max_element(
-      counts.begin(), counts.end(),
-      [](const auto& a, const auto& b) { return a.second < b.second; });
-  if (most_frequent != counts.end()) {
-    return most_frequent->first;
-  }
-  if (result.unlikely_parts > 0) {
-    return kShardsNotAnsweringTrouble;
-  }
-  const bool complete = (result.outcome == RequestOutcome::kMerged ||
-                         result.outcome == RequestOutcome::kForwarded) &&
-                        result.missing_parts == 0;
-  return complete ? kNoTrouble : kNoSearcherTrouble;
-}
-
-void RequestRouter::LogAttempts(const ActiveRequest& active) {
-  const Duration slow =
-      active.plan->route().target_latency * kSlowAttemptPercent / 100;
-  size_t logged = 0;
-  for (const AttemptRecord& attempt_record : active.attempt_records) {
-    const bool unremarkable = attempt_record.reason == AttemptReason::kFirst &&
-                              attempt_record.end == AttemptEnd::kAnswered &&
-                              attempt_record.ended - attempt_record.sent < slow;
-    if (unremarkable || ++logged > kMaxAttemptLines) {
-      continue;
-    }
-    LogLine(DecisionEvent::kAttempt)
-        .Add("request_id", active.caller.id)
-        .Add("attempt", attempt_record.attempt)
-        .Add("reason", AttemptReasonName(attempt_record.reason))
-        .Add("service", attempt_record.service)
-        .Add("searcher", attempt_record.searcher)
-        .Add("sent_ms", attempt_record.sent)
-        .Add("expected_ms", attempt_record.expected)
-        .Add("end", attempt_record.end ? AttemptEndName(*attempt_record.end)
-                                       : kInFlightEnd)
-        .Add("ended_ms", attempt_record.ended)
-        .Add("detail", attempt_record.detail)
-        .Write();
-  }
-}
-
 HttpResponse RequestRouter::ToResponse(const Route& route,
                                        RequestResult& result) const {
   HttpResponse response;
