--- a/include/greengage/coordination/gatherers.h
+++ b/include/greengage/coordination/gatherers.h
@@ -19,8 +19,9 @@
   // The gatherers of the own data centre. Empty if each instance gathers its
   // own queries.
   std::vector<InstanceRecord> local;
-  size_t total = 0;              // Number of gatherers in all data centres.
-  std::vector<std::string> ids;  // Of all of them, sorted.
+  std::vector<std::string> ids;  // Of those of all data centres, sorted.
+
+  size_t total() const { return ids.size(); }
 };
 
 // Selects the gatherers among `instances`. A searcher takes `max_connections`
--- a/src/coordination/gatherers.cc
+++ b/src/coordination/gatherers.cc
@@ -48,7 +48,6 @@
                      });
     ranked.erase(end, ranked.end());
     ranked.resize(std::min(ranked.size(), per_data_centre));
-    set.total += ranked.size();
     for (const InstanceRecord& gatherer : ranked) {
       set.ids.push_back(gatherer.id);
     }
--- a/src/routed_instance_feed.cc
+++ b/src/routed_instance_feed.cc
@@ -251,7 +251,6 @@
                                 *max_connections);
   }
   gatherers_.SetGatherers(std::move(gatherers.local));
-  gatherer_count_ = gatherers.total;
   gatherer_ids_ = std::move(gatherers.ids);
   SetInstanceCount(instance_count_);
 }
--- a/src/routed_instance_impl.h
+++ b/src/routed_instance_impl.h
@@ -198,8 +198,8 @@
   std::shared_ptr<FeedServer> feed_server_;
   std::shared_ptr<FeedClient> feed_client_;
   GathererChooser gatherers_;
-  size_t gatherer_count_ = 0;  // In all data centres.
-  // Of these gatherers and of the instances in the registry, sorted.
+  // Of the gatherers of all data centres, and of the instances in the registry,
+  // sorted.
   std::vector<std::string> gatherer_ids_;
   std::vector<std::string> instance_ids_;
   std::shared_ptr<GatherForwarder> forwarder_;
--- a/src/routed_instance_store.cc
+++ b/src/routed_instance_store.cc
@@ -238,11 +238,11 @@
 
 // Only gatherers send to shards, except while none is available.
 size_t RoutedInstanceImpl::SharersOf(const std::string& service) const {
-  return SharesAsGatherer(service) ? gatherer_count_ : instance_count_;
+  return SharesAsGatherer(service) ? gatherer_ids_.size() : instance_count_;
 }
 
 bool RoutedInstanceImpl::SharesAsGatherer(const std::string& service) const {
-  return gatherer_count_ > 0 && gatherers_.gathers_itself() &&
+  return !gatherer_ids_.empty() && gatherers_.gathers_itself() &&
          shards_.contains(service);
 }
 
@@ -262,12 +262,13 @@
       static_cast<double>(settings_.extra_arrivals_allowance),
       std::chrono::duration_cast<Duration>(settings_.extra_arrivals_window)};
   ExtraArrivalLimits limits = InstanceLimits(total, instance_count_);
-  if (gatherer_count_ > 0) {
+  if (!gatherer_ids_.empty()) {
     // The gatherers share a part of the allowance among them.
     limits.allowance *= 1 - kGatherersAllowanceShare;
     if (gatherers_.gathers_itself()) {
-      limits.allowance += InstanceLimits(total, gatherer_count_).allowance *
-                          kGatherersAllowanceShare;
+      limits.allowance +=
+          InstanceLimits(total, gatherer_ids_.size()).allowance *
+          kGatherersAllowanceShare;
     }
   }
   plan_context_.extra_arrivals.SetLimits(Now(), limits);
--- a/tests/gatherers_test.cc
+++ b/tests/gatherers_test.cc
@@ -33,8 +33,8 @@
 }  // namespace
 
 Test(Gatherers, SmallDeploymentsGatherTheirOwnQueries) {
-  cr_assert(SelectGatherers(MakeInstances(9, 1), "a", 26).total == 0);
-  cr_assert(SelectGatherers({}, "a", 26).total == 0);
+  cr_assert(SelectGatherers(MakeInstances(9, 1), "a", 26).total() == 0);
+  cr_assert(SelectGatherers({}, "a", 26).total() == 0);
 }
 
 // Connections to a searcher must not grow with the number of instances.
@@ -42,8 +42,8 @@
   for (const size_t count : {100, 300, 940, 3000}) {
     const GathererSet set = SelectGatherers(MakeInstances(count, 17), "a", 175);
     cr_assert(!set.local.empty());
-    cr_assert(set.total >= 6);
-    cr_assert(InstanceShare(175, set.total) >= 4);
+    cr_assert(set.total() >= 6);
+    cr_assert(InstanceShare(175, set.total()) >= 4);
   }
 }
 
@@ -59,7 +59,7 @@
 Test(Gatherers, DoNotDependOnTheOrderOfTheRegistry) {
   std::vector<InstanceRecord> instances = MakeInstances(300, 1);
   const GathererSet before = SelectGatherers(instances, "c", 175);
-  cr_assert(before.ids.size() == before.total);
+  cr_assert(before.ids.size() == before.total());
   std::shuffle(instances.begin(), instances.end(), std::minstd_rand(3));
   cr_assert(SelectGatherers(instances, "c", 175).local == before.local);
   cr_assert(SelectGatherers(instances, "c", 175).ids == before.ids);
