Take the pointer to a stream back wherever the stream ends

nghttp2 must not keep the pointer to a stream that is freed. Reset() and OnHeadersNotSent() each saw to it; End(), which frees the stream, now does for all. StreamThatThePeerNoLongerTakesEndsOnceAsNotRun and the other cases whose name begins with S: no invalid read under valgrind.

--- a/src/transport/peer_client_connection.cc
+++ b/src/transport/peer_client_connection.cc
@@ -191,8 +191,6 @@
 void PeerClientConnection::OnHeadersNotSent(int32_t stream_id) {
   PeerClientStream* const stream = Find(stream_id);
   if (stream != nullptr) {
-    // The library reports the end of the stream as well.
-    nghttp2_session_set_stream_user_data(session(), stream_id, nullptr);
     End(stream->id,
         Describe(FailureKind::kShuttingDown, "the peer takes no new streams"),
         true);
@@ -316,7 +314,6 @@
 
 void PeerClientConnection::Reset(PeerClientStream& stream, Failure failure) {
   if (stream.wire_id != 0) {
-    nghttp2_session_set_stream_user_data(session(), stream.wire_id, nullptr);
     nghttp2_submit_rst_stream(session(), NGHTTP2_FLAG_NONE, stream.wire_id,
                               NGHTTP2_CANCEL);
   }
@@ -332,6 +329,10 @@
   }
   const std::unique_ptr<PeerClientStream> stream = std::move(found->second);
   streams_.erase(found);
+  if (stream->wire_id != 0) {
+    // The library may report more of the stream.
+    nghttp2_session_set_stream_user_data(session(), stream->wire_id, nullptr);
+  }
   RunGuarded("end_of_peer_call", [&stream, &failure, not_run] {
     stream->on_end({std::move(failure), not_run});
   });
