Look for surplus connections only after the limit may have fallen

Each dispatch of a pool, some three for each call, asked for the limit twice: two look-ups by name. TrimConnections() now marks the pool, and the mark stays until no connection is beyond the limit.

--- a/src/transport/http_client_pool.cc
+++ b/src/transport/http_client_pool.cc
@@ -76,7 +76,10 @@
 }
 
 void HttpClientPool::TrimConnections() {
-  asio::post(strand_, [self = Self()] { self->Dispatch(); });
+  asio::post(strand_, [self = Self()] {
+    self->may_have_surplus_ = true;
+    self->Dispatch();
+  });
 }
 
 void HttpClientPool::CheckServer(std::function<void(ServerState)> done) {
@@ -203,7 +206,9 @@
   while (connecting_ < waiting_count() && CanConnect(now)) {
     Connect(now, false);
   }
-  CloseSurplus();
+  if (may_have_surplus_) {
+    CloseSurplus();
+  }
   if (closed_ && waiting_count() == 0) {
     CloseIdle();
   }
@@ -211,20 +216,18 @@
 }
 
 void HttpClientPool::CloseSurplus() {
-  if (!limits_.dynamic_connection_limit || idle_.empty() ||
-      open_ <= MaxOpen()) {
-    return;
-  }
   const auto closing = static_cast<size_t>(std::count_if(
       connections_.begin(), connections_.end(),
       [](const auto& item) { return item.second.http->closed(); }));
   const size_t kept = MaxOpen() + closing;
-  for (size_t open = open_; open > kept && !idle_.empty(); --open) {
+  size_t open = open_;
+  for (; open > kept && !idle_.empty(); --open) {
     Connection& connection = connections_.at(idle_.front());
     idle_.erase(idle_.begin());
     connection.http->Close(
         Describe(FailureKind::kConnectionClosed, "beyond the limit"));
   }
+  may_have_surplus_ = open > kept;
 }
 
 void HttpClientPool::SendWaiting(WaitingCalls& queue,
--- a/src/transport/http_client_pool.h
+++ b/src/transport/http_client_pool.h
@@ -77,6 +77,7 @@
   void Add(CallId id, Call call);
   void CancelCall(CallId id);
   void CloseIdle();
+  // Closes idle connections beyond the limit.
   void CloseSurplus();
 
   // Sends waiting calls on idle connections and opens connections as needed.
@@ -149,7 +150,8 @@
   ConnectionMonitor monitor_;
   boost::asio::steady_timer maintenance_timer_;
   std::optional<TimePoint> maintenance_at_;
-  bool making_room_ = false;  // MakeRoomForUnused() closes a connection.
+  bool making_room_ = false;       // MakeRoomForUnused() closes a connection.
+  bool may_have_surplus_ = false;  // The limit may have become lower.
   bool closed_ = false;
 };
 
