Remove what the last changes left over

A share with turns never takes from the token bucket, so the bucket's floor of one token was dead. Expired slots need no set of digests: reporting one twice has no effect. The end of the last answers is an argument in both kinds of instance, as it was in one. The number of a forwarded query is constant.

--- a/src/coordination/searcher_rate_limit.cc
+++ b/src/coordination/searcher_rate_limit.cc
@@ -52,7 +52,7 @@
 
 double SearcherRateLimit::TokensAt(TimePoint now,
                                    const LimitShare& share) const {
-  return std::min(std::max(1.0, SavedTokens(share)),
+  return std::min(SavedTokens(share),
                   tokens_ + Rate(share) * Seconds(now - updated_at_).count());
 }
 
--- a/src/entry_instance_impl.h
+++ b/src/entry_instance_impl.h
@@ -90,7 +90,9 @@
   void AdvanceStop();
   bool HasWork() const;
   void EndRequests();
-  void AwaitLastAnswers(TimePoint now);
+  // Finishes the stop once all answers are written and the streams of other
+  // instances have ended, or at `end`.
+  void AwaitLastAnswers(TimePoint now, TimePoint end);
   void FinishStop();
 
   boost::asio::io_context& context_;
@@ -124,7 +126,6 @@
   boost::asio::steady_timer seed_timer_;
   std::optional<StopSequence> stop_sequence_;
   std::function<void()> on_stopped_;
-  TimePoint last_steps_end_;
   std::atomic<bool> peers_stopped_{false};
 };
 
--- a/src/entry_instance_stop.cc
+++ b/src/entry_instance_stop.cc
@@ -61,22 +61,21 @@
 void EntryInstanceImpl::EndRequests() {
   http_api_->EndAll();
   const TimePoint now = std::chrono::steady_clock::now();
-  last_steps_end_ =
-      std::min(now + kLastStepsTimeout, stop_sequence_->answers_end());
   peer_server_->Stop(
       [self = shared_from_this()] { self->peers_stopped_ = true; });
-  AwaitLastAnswers(now);
+  AwaitLastAnswers(
+      now, std::min(now + kLastStepsTimeout, stop_sequence_->answers_end()));
 }
 
-void EntryInstanceImpl::AwaitLastAnswers(TimePoint now) {
+void EntryInstanceImpl::AwaitLastAnswers(TimePoint now, TimePoint end) {
   const bool written = peers_stopped_ && http_server_->connections() == 0;
-  if (written || now >= last_steps_end_) {
+  if (written || now >= end) {
     FinishStop();
     return;
   }
   stop_timer_.expires_after(kStopPollInterval);
-  stop_timer_.async_wait([self = shared_from_this()](auto) {
-    self->AwaitLastAnswers(std::chrono::steady_clock::now());
+  stop_timer_.async_wait([self = shared_from_this(), end](auto) {
+    self->AwaitLastAnswers(std::chrono::steady_clock::now(), end);
   });
 }
 
--- a/src/routed_instance_crash.cc
+++ b/src/routed_instance_crash.cc
@@ -2,7 +2,6 @@
 // while they had a request.
 #include <algorithm>
 #include <optional>
-#include <unordered_set>
 #include <utility>
 
 #include "greengage/transport/log_line.h"
@@ -125,20 +124,17 @@
     return;
   }
   std::vector<std::string> keys;
-  std::unordered_set<RequestDigest, RequestDigestHash> forgotten;
   for (const CrashReport& report : expired) {
     keys.push_back(KeyOf(report));
-    if (!suspects_.IsSuspected(report.digest)) {
-      forgotten.insert(report.digest);
+    if (suspects_.IsSuspected(report.digest)) {
+      continue;
     }
-  }
-  WithdrawCrashReports(keys);
-  // Slots of instances that have ended expire with the reports.
-  for (const RequestDigest& digest : forgotten) {
+    // Slots of instances that have ended expire with the last report.
     for (size_t number = 0; number < suspects_.max_slots(); ++number) {
-      crash_slots_.OnEnded(Now(), {digest, number}, SlotUse::kUnused);
+      crash_slots_.OnEnded(Now(), {report.digest, number}, SlotUse::kUnused);
     }
   }
+  WithdrawCrashReports(keys);
 }
 
 void RoutedInstanceImpl::TakeCrashSlot(const CrashSlot& slot,
--- a/src/transport/gather_forwarder.cc
+++ b/src/transport/gather_forwarder.cc
@@ -121,9 +121,8 @@
         exchange_(std::make_shared<RelayedExchange>(exchange)),
         gather_here_(std::move(gather_here)),
         started_(Now()),
-        timer_(forwarder_->context_) {
-    number_ = ++forwarder_->last_query_;
-  }
+        timer_(forwarder_->context_),
+        number_(++forwarder_->last_query_) {}
 
   ~Query() { forwarder_->queries_.erase(number_); }
 
@@ -286,7 +285,7 @@
   const GatherForwarder::GatherHere gather_here_;
   const TimePoint started_;
   boost::asio::steady_timer timer_;
-  uint64_t number_ = 0;
+  const uint64_t number_;
   std::vector<std::string> tried_;
   std::shared_ptr<HttpClient> client_;
   HttpClient::CallId call_ = 0;
