--- a/tests/extra_arrival_budget_test.cc
+++ b/tests/extra_arrival_budget_test.cc
@@ -46,6 +46,14 @@
                    Count(times, from - window / 2, window)});
 }
 
+// Returns the extra arrivals that `whole` allows in the window from `from`.
+double AllowedExtra(const ExtraArrivalLimits& whole,
+                    const std::vector<int>& requests,
+                    int from,
+                    int window) {
+  return whole.ratio * MaxRequests(requests, from, window) + whole.allowance;
+}
+
 }  // namespace
 
 Test(ExtraArrivalBudget, AllowsARatioOfTheRequestsPlusAFixedAllowance) {
@@ -89,8 +97,9 @@
     }
   }
   for (int from = kWindow; from + kWindow <= kEnd; from += kStep) {
-    cr_assert(Count(extra, from, kWindow) <=
-              kRatio * MaxRequests(requests, from, kWindow) + kAllowance);
+    cr_assert(
+        Count(extra, from, kWindow) <=
+        AllowedExtra(Limits(kRatio, kAllowance), requests, from, kWindow));
   }
 }
 
@@ -188,8 +197,7 @@
     }
     for (int from = kWindow; from + kWindow <= kEnd; from += kStep) {
       cr_expect(Count(extra, from, kWindow) <=
-                    whole.ratio * MaxRequests(requests, from, kWindow) +
-                        whole.allowance,
+                    AllowedExtra(whole, requests, from, kWindow),
                 "gap %d ms: %g extra arrivals from %d ms", gap,
                 Count(extra, from, kWindow), from);
     }
