Decode organisations, keys and regions, and check callers' keys

Cause: a configuration may list organisations with keys, quotas, priorities and allowed regions, and searchers may report a fourth load figure. The adapter ignored all of them, callers' keys reached searchers, and a load report with four figures was dropped.

Change: RouteTable holds organisations by key digest; RequestRouter checks the caller before everything else, replaces the key by the organisation's name, and passes the name on to peers. RequestPlan takes RequestTerms, which combine route and organisation.

--- a/include/greengage/coordination/request_plan.h
+++ b/include/greengage/coordination/request_plan.h
@@ -16,6 +16,7 @@
 
 #include "greengage/coordination/request_plan_context.h"
 #include "greengage/coordination/searcher_chooser.h"
+#include "greengage/state/request_terms.h"
 #include "greengage/state/route.h"
 #include "greengage/state/route_table.h"
 #include "greengage/state/searcher_answer.h"
@@ -93,6 +94,7 @@
   RequestPlan(TimePoint now,
               RouteTablePtr table,
               const Route* route,
+              RequestTerms terms,
               TimePoint deadline,
               RequestPlanContext* context,
               std::function<uint64_t()> next_attempt,
@@ -131,6 +133,7 @@
   bool WasLostEverywhere() const;
 
   const Route& route() const { return *route_; }
+  const RequestTerms& terms() const { return terms_; }
   const RouteTable& table() const { return *table_; }
 
  private:
@@ -209,6 +212,7 @@
 
   const RouteTablePtr table_;
   const Route* const route_;
+  const RequestTerms terms_;
   RequestPlanContext* const context_;
   SearcherChooser chooser_;
   const std::function<uint64_t()> next_attempt_;
--- a/include/greengage/coordination/searcher_chooser.h
+++ b/include/greengage/coordination/searcher_chooser.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "greengage/coordination/request_plan_context.h"
+#include "greengage/state/request_terms.h"
 #include "greengage/state/route.h"
 #include "greengage/state/time.h"
 
@@ -35,12 +36,14 @@
   Duration hedge_delay{};
 };
 
-// Serves the requests of one route. Not thread-safe.
+// Serves one request. Not thread-safe.
 class SearcherChooser {
  public:
-  // Both must outlive it.
-  SearcherChooser(RequestPlanContext* context, const Route* route)
-      : context_(context), route_(route) {}
+  // All must outlive it.
+  SearcherChooser(RequestPlanContext* context,
+                  const Route* route,
+                  const RequestTerms* terms)
+      : context_(context), route_(route), terms_(terms) {}
 
   RouteTiming TimingAt(TimePoint now) const;
 
@@ -91,6 +94,7 @@
 
   RequestPlanContext* const context_;
   const Route* const route_;
+  const RequestTerms* const terms_;
 };
 
 }  // namespace greengage
--- a/include/greengage/protocol/call_dialect.h
+++ b/include/greengage/protocol/call_dialect.h
@@ -17,7 +17,8 @@
   std::string expected_searcher = "Greengage-Expected-Searcher";
   // Signature that a searcher puts on its answer.
   std::string signature = "Greengage-Signature";
-  // Load of a searcher as "running, waiting, slots".
+  // Load of a searcher as "running, waiting, slots" or "running, waiting,
+  // slots, work time in percent of the usual".
   std::string load = "Greengage-Load";
   // Requests per second that a searcher takes from all instances together.
   std::string request_limit = "Greengage-Request-Limit";
@@ -29,6 +30,12 @@
   std::string part_signatures = "Greengage-Part-Signatures";
   // Number of shards that the merged answer does not cover.
   std::string missing_parts = "Greengage-Missing-Parts";
+  // Name of the organisation whose key the caller has.
+  std::string organisation = "Greengage-Organisation";
+  // Scheme of the Authorization header, before the key.
+  std::string key_scheme = "Token";
+  // Milliseconds for which a searcher that answers a health check stays cold.
+  std::string warm_up_left = "Greengage-Warm-Up-Left-Ms";
   std::string ready_path = "/readyz";
 };
 
--- a/include/greengage/protocol/instance_settings.h
+++ b/include/greengage/protocol/instance_settings.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -56,6 +57,18 @@
   double extra_arrivals_ratio = 0;
   uint32_t extra_arrivals_allowance = 0;
   std::chrono::duration<double> extra_arrivals_window{};
+  std::map<std::string, std::string> regions;  // By data centre.
+  // Bounds on what all instances may send for an organisation, and to a cold
+  // searcher, beyond the configured rates. A window of zero means that quotas
+  // are not enforced.
+  std::chrono::duration<double> quota_window{};
+  double quota_overage = 0;
+  uint32_t quota_allowance = 0;
+  double warm_up_overage = 0;
+  uint32_t warm_up_allowance = 0;
+  // Time in which an evacuation takes effect. Zero means that evacuations are
+  // not read.
+  std::chrono::milliseconds evacuation_time{};
 
   LogLevel log_level = LogLevel::kInfo;
   LogFormat log_format = LogFormat::kText;
--- a/include/greengage/protocol/routed_call_codec.h
+++ b/include/greengage/protocol/routed_call_codec.h
@@ -3,6 +3,7 @@
 #define GREENGAGE_PROTOCOL_ROUTED_CALL_CODEC_H_
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -20,7 +21,11 @@
   std::string id;
   std::string host;
   std::chrono::milliseconds time_left{};  // Zero if the header is absent.
-  std::string credentials;                // The Authorization header, or empty.
+  // The Authorization header, if there is exactly one.
+  std::optional<std::string> credentials;
+  // Name of the organisation on whose behalf the caller sends. Empty if none.
+  // Not from the headers: the credentials, or another instance, say so.
+  std::string organisation;
 };
 
 // Fails with kMissingKey if the id or host is missing, and with kInvalidSyntax
@@ -29,8 +34,8 @@
                                          const HeaderList& headers);
 
 // Returns the digest of what searchers see of a request and its repeats have in
-// common: method, host, target, body and the caller's credentials. The id and
-// the time left differ in each repeat.
+// common: method, host, target, body and the caller's organisation, or its
+// credentials if it has none. The id and the time left differ in each repeat.
 RequestDigest DigestOf(const CallerRequest& caller,
                        std::string_view method,
                        std::string_view target,
@@ -41,6 +46,12 @@
 HeaderList ForwardedHeaders(const CallDialect& dialect,
                             const HeaderList& headers);
 
+// Removes the credentials, which are for this system only, and replaces what
+// the caller says of its organisation. `organisation` may be empty.
+void SetOrganisation(const CallDialect& dialect,
+                     const std::string& organisation,
+                     HeaderList& headers);
+
 // Returns the headers of one attempt at `searcher_id`.
 HeaderList AttemptHeaders(const CallDialect& dialect,
                           const HeaderList& forwarded,
--- a/include/greengage/protocol/setting_table.h
+++ b/include/greengage/protocol/setting_table.h
@@ -7,6 +7,7 @@
 #include <concepts>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <utility>
@@ -179,6 +180,17 @@
                                       PrintEndpoints);
   }
 
+  // Adds pairs of names separated by spaces. There may be none.
+  SettingTable& NamePairs(std::string key,
+                          std::map<std::string, std::string> Target::*member,
+                          std::optional<std::string> default_value,
+                          std::string description) {
+    return Add<std::map<std::string, std::string>>(
+        std::move(key), member, "pairs of names", kNamePairsRule,
+        std::move(default_value), std::move(description), ParseNamePairs,
+        PrintNamePairs);
+  }
+
   SettingTable& Keys(std::string key,
                      KeyRange Target::*member,
                      std::string description) {
--- a/include/greengage/protocol/setting_value.h
+++ b/include/greengage/protocol/setting_value.h
@@ -3,6 +3,7 @@
 #define GREENGAGE_PROTOCOL_SETTING_VALUE_H_
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,7 @@
     "1 to 64 characters out of A-Z a-z 0-9 . _ -";
 inline constexpr char kEndpointRule[] = "IP:PORT";
 inline constexpr char kEndpointsRule[] = "IP:PORT, separated by spaces";
+inline constexpr char kNamePairsRule[] = "NAME:NAME, separated by spaces";
 inline constexpr char kKeyRangeRule[] = "FIRST-LAST, both included";
 std::string NumberRule(uint64_t minimum, uint64_t maximum);
 std::string DecimalRule(double minimum, double maximum);
@@ -37,7 +39,11 @@
                              uint64_t maximum);
 Result<std::vector<Endpoint>> ParseEndpoints(const std::string& text);
 Result<KeyRange> ParseKeyRange(const std::string& text);
+// Fails with kDuplicate if a first name occurs twice.
+Result<std::map<std::string, std::string>> ParseNamePairs(
+    const std::string& text);
 
+std::string PrintNamePairs(const std::map<std::string, std::string>& pairs);
 std::string PrintEndpoints(const std::vector<Endpoint>& endpoints);
 
 // Returns the failure for a value that is not one of `allowed`.
--- a/include/greengage/state/failure.h
+++ b/include/greengage/state/failure.h
@@ -31,6 +31,7 @@
   kOverloaded,        // A limit on work in flight or queued was reached.
   kUnavailable,       // The requested service cannot be used now.
   kNotFound,          // No such object, service, shard or request.
+  kUnauthorized,      // The caller has no key of the configuration.
   kConflict,          // Another update preceded a conditional update.
   kStaleVersion,      // The requested version is no longer held.
   kShuttingDown,      // The process accepts no new work.
--- a/include/greengage/state/route.h
+++ b/include/greengage/state/route.h
@@ -43,12 +43,19 @@
   // One service, or a weighted split over several. Empty for a gather.
   std::vector<WeightedService> services;
   std::optional<GatherRule> gather;
+  bool is_public = false;  // Callers need no key.
+  // Regions whose searchers may serve the requests. Empty means any.
+  std::vector<std::string> allowed_regions;
 };
 
-// Returns the rank of a route's requests. Priorities beyond the last rank map
-// to the background rank.
+// Priorities beyond the last rank map to the background rank.
+inline Rank RankOfPriority(uint32_t priority) {
+  return static_cast<Rank>(std::min<uint32_t>(priority, kRankCount - 1));
+}
+
+// Returns the rank of a route's requests.
 inline Rank RankOf(const Route& route) {
-  return static_cast<Rank>(std::min<uint32_t>(route.priority, kRankCount - 1));
+  return RankOfPriority(route.priority);
 }
 
 // Limits on callers' requests and idle connections. A limit that is not set
@@ -64,6 +71,10 @@
   uint32_t max_connections = 1;  // Per searcher, over all instances.
   // Target of an inexpensive GET request that searchers answer.
   std::string health_path = "/";
+  // How long a searcher stays cold, and the requests per second that it takes
+  // meanwhile from all instances together. Zero means no limit.
+  std::chrono::milliseconds warm_up_time{};
+  double warm_up_rate = 0;
 };
 
 }  // namespace greengage
--- a/include/greengage/state/route_table.h
+++ b/include/greengage/state/route_table.h
@@ -4,11 +4,13 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
+#include "greengage/state/organisation.h"
 #include "greengage/state/result.h"
 #include "greengage/state/route.h"
 
@@ -31,6 +33,20 @@
 
   const std::vector<Route>& routes() const { return routes_; }
 
+  // Returns whether callers of routes that are not public need a key: the
+  // configuration lists organisations, even if the list is empty.
+  bool requires_keys() const { return requires_keys_; }
+
+  // Returns the organisation that has the key, or null. The table owns it.
+  const Organisation* FindOrganisation(const KeyDigest& key) const;
+
+  // Returns the organisation of that name, or null. The table owns it.
+  const Organisation* FindOrganisation(const std::string& name) const;
+
+  const std::vector<Organisation>& organisations() const {
+    return organisations_;
+  }
+
   const CallerLimits& limits() const { return limits_; }
 
  private:
@@ -42,6 +58,11 @@
   // Indices of the routes of each host, longest prefix first.
   std::unordered_map<std::string, std::vector<size_t>> by_host_;
   std::unordered_map<std::string, RoutedService> services_;
+  bool requires_keys_ = false;
+  std::vector<Organisation> organisations_;
+  // Indices of `organisations_`.
+  std::unordered_map<KeyDigest, size_t, KeyDigestHash> by_key_;
+  std::unordered_map<std::string, size_t> by_name_;
 };
 
 using RouteTablePtr = std::shared_ptr<const RouteTable>;
@@ -53,13 +74,19 @@
   Builder& Limits(CallerLimits limits);
   Builder& Add(Route route);
   Builder& Add(RoutedService service);
+  Builder& RequireKeys();
+  Builder& Add(Organisation organisation);
 
   // Fails with kIncomplete if a route has no service, kOutOfRange if its
   // timeout or number of attempts is not positive, and kInvalidSyntax if its
-  // prefix does not begin and end with a slash.
+  // prefix does not begin and end with a slash. Fails with kMissingKey or
+  // kDuplicate if an organisation has no name or that of another, and with
+  // kDuplicate if two have the same key.
   Result<RouteTablePtr> Build();
 
  private:
+  std::optional<Failure> IndexOrganisations();
+
   std::shared_ptr<RouteTable> table_{new RouteTable};
 };
 
--- a/include/greengage/state/searcher_answer.h
+++ b/include/greengage/state/searcher_answer.h
@@ -26,6 +26,9 @@
   uint32_t running = 0;
   uint32_t waiting = 0;
   uint32_t slots = 0;
+  // How long work takes on the searcher's machine at this moment, relative to
+  // the usual time. Empty if the searcher does not report it.
+  std::optional<double> work_time;
 };
 
 enum class AttemptEnd : uint8_t {
--- a/include/greengage/transport/gather_forwarder.h
+++ b/include/greengage/transport/gather_forwarder.h
@@ -32,18 +32,21 @@
 // Header of a refusal by an instance that does not reach the searchers.
 inline constexpr char kCutOffHeader[] = "Greengage-Cut-Off";
 
-// What an instance tells the gatherer about a query, in a header.
+// What an instance tells the gatherer about a query, in headers.
 struct ForwardInfo {
   uint64_t configuration = 0;  // Oldest version that may be used.
+  // Name of the organisation whose key the caller has; empty if the caller
+  // needs none. Not set by an instance that checks no keys.
+  std::optional<std::string> organisation;
 };
 
-// Replaces a header of the same name.
+// Replaces headers of the same names.
 void AddForwardInfo(const ForwardInfo& info, HeaderList& headers);
 
 bool HasForwardInfo(const HeaderList& headers);
 
-// Removes the header that AddForwardInfo() adds. Returns nothing if it is
-// missing or malformed.
+// Removes the headers that AddForwardInfo() adds. Returns nothing if that of
+// the configuration is missing or malformed.
 std::optional<ForwardInfo> TakeForwardInfo(HeaderList& headers);
 
 // Header of a gatherer's answer: the id of the request that it answers.
@@ -52,7 +55,7 @@
 struct ForwardedQuery {
   std::string request_id;
   HttpCall call;  // The request for the gatherer, without ForwardInfo.
-  uint64_t configuration = 0;
+  ForwardInfo info;
   // Time at which a gatherer without an answer is checked.
   TimePoint expected_by;
 };
--- a/include/greengage/transport/request_router.h
+++ b/include/greengage/transport/request_router.h
@@ -62,6 +62,9 @@
     std::function<bool(TimePoint now, Duration longest)> takes;
     // Returns the age of the searcher registry, for logs.
     std::function<Duration()> registry_age;
+    // Returns true if the active configuration may have been replaced some time
+    // ago, because this instance could not learn of it.
+    std::function<bool()> may_be_stale;
     // Returns true if other instances gather the queries that arrive here.
     std::function<bool()> forwards_gathers;
     // Runs for each searcher that ended while it had a request of this
@@ -191,6 +194,24 @@
   void FailRequest(uint64_t number);
   void RecordReach(const AttemptToSend& sent, const HttpCallResult& result);
   void ExecuteActions(uint64_t number, RequestActions actions);
+  // Decides whether the caller may use the route, and finds its organisation.
+  // Answers the request if it may not.
+  bool CheckAccess(const RouteTable& table,
+                   const Route& route,
+                   CallerRequest& caller,
+                   const std::shared_ptr<HttpExchange>& exchange);
+  // As CheckAccess(), for a request whose caller another instance checked.
+  bool AcceptForwarded(const RouteTable& table,
+                       const Route& route,
+                       const ForwardInfo& info,
+                       CallerRequest& caller) const;
+  // Drops the credentials if they are for this system.
+  static void UseOrganisation(const RouteTable& table,
+                              const std::string& name,
+                              CallerRequest& caller);
+  HeaderList HeadersForSearchers(const HttpRequest& request,
+                                 const CallerRequest& caller,
+                                 const RouteTable& table) const;
   // Returns whether a request that arrives now is taken.
   bool Takes(TimePoint now,
              const CallerRequest& caller,
--- a/src/coordination/request_plan.cc
+++ b/src/coordination/request_plan.cc
@@ -98,14 +98,16 @@
 RequestPlan::RequestPlan(TimePoint now,
                          RouteTablePtr table,
                          const Route* route,
+                         RequestTerms terms,
                          TimePoint deadline,
                          RequestPlanContext* context,
                          std::function<uint64_t()> next_attempt,
                          AttemptPolicy policy)
     : table_(std::move(table)),
       route_(route),
+      terms_(std::move(terms)),
       context_(context),
-      chooser_(context, route),
+      chooser_(context, route, &terms_),
       next_attempt_(std::move(next_attempt)),
       idempotent_(route->kind == RequestKind::kIdempotent),
       policy_(policy),
@@ -175,7 +177,7 @@
   // behind them, so only urgent requests may use the time after the target
   // latency.
   const TimePoint answer_by =
-      RankOf(*route_) == Rank::kUrgent ? response_deadline_ : target_deadline_;
+      terms_.rank == Rank::kUrgent ? response_deadline_ : target_deadline_;
   std::vector<Duration> waits;
   waits.reserve(parts_.size());
   RequestResult rejection;
@@ -210,14 +212,13 @@
   }
   return std::min(
       1.0, missing / static_cast<double>(parts_.size()) +
-               kReservePerRank * static_cast<double>(IndexOf(RankOf(*route_))));
+               kReservePerRank * static_cast<double>(IndexOf(terms_.rank)));
 }
 
 TokenDemand RequestPlan::TokensFor(AttemptReason reason) const {
-  const size_t rank =
-      std::min(IndexOf(RankOf(*route_)) +
-                   (reason == AttemptReason::kHedge ? size_t{1} : 0),
-               kRankCount - 1);
+  const size_t rank = std::min(
+      IndexOf(terms_.rank) + (reason == AttemptReason::kHedge ? size_t{1} : 0),
+      kRankCount - 1);
   const auto position = static_cast<double>(rank);
   return {(position + token_draw_) / static_cast<double>(kRankCount),
           std::min(1.0, kTokenReservePerRank * position)};
@@ -600,7 +601,7 @@
                          Duration wait,
                          RequestResult result,
                          RequestActions& actions) {
-  const auto rank = static_cast<double>(IndexOf(RankOf(*route_)));
+  const auto rank = static_cast<double>(IndexOf(terms_.rank));
   std::uniform_real_distribution<double> spread(
       1 + rank * kRetryAfterSpread, 1 + (rank + 1) * kRetryAfterSpread);
   const Duration retry_after =
--- a/src/protocol/instance_settings.cc
+++ b/src/protocol/instance_settings.cc
@@ -102,7 +102,28 @@
                "Hedges and retries at a service beyond that share; all "
                "instances together use four fifths of it.")
       .Seconds("extra_arrivals_window_s", &S::extra_arrivals_window, 0.1, 3600,
-               "10", "Any time of this length keeps these two bounds.");
+               "10", "Any time of this length keeps these two bounds.")
+      .NamePairs("regions", &S::regions, "",
+                 "The region of each data centre, as DATA-CENTRE:REGION.")
+      .Seconds("quota_window_s", &S::quota_window, 0, 3600, "0",
+               "Any time of this length keeps the quotas of organisations "
+               "with the overage and the allowance. 0: quotas are not "
+               "enforced.")
+      .Decimal("quota_overage", &S::quota_overage, 0, 1, "0",
+               "Share by which a quota may be exceeded in the window.")
+      .Integer("quota_allowance", &S::quota_allowance,
+               {.maximum = 100000, .default_value = 0},
+               "Requests of an organisation beyond that share.")
+      .Decimal("warm_up_overage", &S::warm_up_overage, 0, 100, "1",
+               "Factor of the configured rate that a cold searcher gets at "
+               "most.")
+      .Integer("warm_up_allowance", &S::warm_up_allowance,
+               {.maximum = 100000, .default_value = 0},
+               "Requests in a second to a cold searcher beyond that.")
+      .Time("evacuation_time_ms", &S::evacuation_time,
+            {.maximum = 60000, .default_value = 0},
+            "Time in which the evacuation of a data centre takes effect. 0: "
+            "evacuations are not read.");
   table.Section("log")
       .OneOf("level", &S::log_level,
              {{"debug", LogLevel::kDebug},
--- a/src/protocol/routed_call_codec.cc
+++ b/src/protocol/routed_call_codec.cc
@@ -24,8 +24,18 @@
 // likely an error, and the searcher would be out of use until it restarts.
 constexpr std::chrono::duration<double> kMaxClosedTime{3600};
 
+constexpr char kAuthorizationHeader[] = "authorization";
+
 constexpr std::string_view kLeavingValue = "1";
 
+// Figures of a load report: running, waiting, slots. The work time may follow.
+constexpr size_t kLoadFigures = 3;
+
+// Bounds of a reported work time, relative to the usual one. A figure beyond
+// them is more likely an error, and would put a searcher out of use.
+constexpr double kMinWorkTime = 0.1;
+constexpr double kMaxWorkTime = 20;
+
 // Hop-by-hop headers, and Content-Length, which the transport sets for the next
 // hop.
 constexpr std::array<std::string_view, 10> kHopByHopHeaders{
@@ -121,11 +131,20 @@
   return kept;
 }
 
+// Returns nothing for a text that is not a positive percentage, and bounds it.
+std::optional<double> ReadWorkTime(std::string_view text) {
+  const auto percent = ParseNumber<double>(text);
+  if (!percent || !std::isfinite(*percent) || *percent <= 0) {
+    return std::nullopt;
+  }
+  return std::clamp(*percent / 100, kMinWorkTime, kMaxWorkTime);
+}
+
 std::optional<ReportedLoad> ReadLoad(const CallDialect& dialect,
                                      const HeaderList& headers) {
   const auto header = FindHeader(headers, dialect.load);
   const auto parts = header ? Split(*header) : std::vector<std::string_view>();
-  if (parts.size() != 3) {
+  if (parts.size() != kLoadFigures && parts.size() != kLoadFigures + 1) {
     return std::nullopt;
   }
   const auto running = ParseNumber<uint32_t>(parts[0]);
@@ -134,7 +153,11 @@
   if (!running || !waiting || !slots) {
     return std::nullopt;
   }
-  return ReportedLoad{*running, *waiting, *slots};
+  ReportedLoad load{*running, *waiting, *slots, std::nullopt};
+  if (parts.size() > kLoadFigures) {
+    load.work_time = ReadWorkTime(parts[kLoadFigures]);
+  }
+  return load;
 }
 
 // Returns nothing for a header that is not a number of requests per second.
@@ -184,7 +207,12 @@
   CallerRequest request;
   request.id = *id;
   request.host = *host;
-  request.credentials = FindHeader(headers, "authorization").value_or("");
+  const auto is_authorization = [](const auto& header) {
+    return IsSameHeader(header.first, kAuthorizationHeader);
+  };
+  if (std::count_if(headers.begin(), headers.end(), is_authorization) == 1) {
+    request.credentials = FindHeader(headers, kAuthorizationHeader);
+  }
   if (const auto time_left = FindHeader(headers, dialect.time_left)) {
     const auto milliseconds = ParseNumber<uint32_t>(Trim(*time_left));
     if (!milliseconds) {
@@ -202,8 +230,11 @@
                        std::string_view body) {
   // Each field follows its length, so that different fields never look alike.
   std::string fields;
+  const std::string sender = caller.organisation.empty()
+                                 ? caller.credentials.value_or("")
+                                 : caller.organisation;
   const std::array<std::string_view, 5> parts{method, caller.host, target,
-                                              caller.credentials, body};
+                                              sender, body};
   for (const std::string_view field : parts) {
     fields += std::to_string(field.size()) + ":";
     fields += field;
@@ -222,6 +253,18 @@
   return kept;
 }
 
+void SetOrganisation(const CallDialect& dialect,
+                     const std::string& organisation,
+                     HeaderList& headers) {
+  std::erase_if(headers, [&dialect](const auto& header) {
+    return IsSameHeader(header.first, kAuthorizationHeader) ||
+           IsSameHeader(header.first, dialect.organisation);
+  });
+  if (!organisation.empty()) {
+    headers.emplace_back(dialect.organisation, organisation);
+  }
+}
+
 HeaderList AttemptHeaders(const CallDialect& dialect,
                           const HeaderList& forwarded,
                           std::chrono::milliseconds time_left,
--- a/src/protocol/setting_value.cc
+++ b/src/protocol/setting_value.cc
@@ -120,6 +120,34 @@
   return KeyRange{*first, *last + 1};
 }
 
+Result<std::map<std::string, std::string>> ParseNamePairs(
+    const std::string& text) {
+  std::map<std::string, std::string> pairs;
+  std::istringstream words(text);
+  for (std::string word; words >> word;) {
+    const size_t colon = std::min(word.find(':'), word.size());
+    const Result<std::string> first = ParseName(word.substr(0, colon));
+    const Result<std::string> second =
+        ParseName(word.substr(std::min(colon + 1, word.size())));
+    if (!first || !second) {
+      return Invalid(word, kNamePairsRule);
+    }
+    if (!pairs.emplace(*first, *second).second) {
+      return Failure{FailureKind::kDuplicate, {}, *first + " occurs twice"};
+    }
+  }
+  return pairs;
+}
+
+std::string PrintNamePairs(const std::map<std::string, std::string>& pairs) {
+  std::string text;
+  for (const auto& [first, second] : pairs) {
+    text += text.empty() ? "" : " ";
+    text += first + ":" + second;
+  }
+  return text;
+}
+
 std::string PrintEndpoints(const std::vector<Endpoint>& endpoints) {
   std::string text;
   for (const Endpoint& endpoint : endpoints) {
--- a/src/routed_instance.cc
+++ b/src/routed_instance.cc
@@ -117,6 +117,7 @@
             return !stop_sequence_ || stop_sequence_->Takes(now, longest);
           },
           [this] { return RegistryAge(); },
+          [this] { return RegistryAge() > settings_.leave_time; },
           [this] { return !gatherers_.gathers_itself(); },
           [this](const CrashReport& report, CrashedRequest request) {
             OnSearcherCrashed(report, std::move(request));
--- a/src/state/failure.cc
+++ b/src/state/failure.cc
@@ -42,6 +42,8 @@
       return "overloaded";
     case FailureKind::kUnavailable:
       return "unavailable";
+    case FailureKind::kUnauthorized:
+      return "unauthorized";
     case FailureKind::kNotFound:
       return "not_found";
     case FailureKind::kConflict:
--- a/src/state/route_table.cc
+++ b/src/state/route_table.cc
@@ -61,6 +61,17 @@
   return found == services_.end() ? nullptr : &found->second;
 }
 
+const Organisation* RouteTable::FindOrganisation(const KeyDigest& key) const {
+  const auto found = by_key_.find(key);
+  return found == by_key_.end() ? nullptr : &organisations_[found->second];
+}
+
+const Organisation* RouteTable::FindOrganisation(
+    const std::string& name) const {
+  const auto found = by_name_.find(name);
+  return found == by_name_.end() ? nullptr : &organisations_[found->second];
+}
+
 RouteTable::Builder& RouteTable::Builder::Version(uint64_t version) {
   table_->version_ = version;
   return *this;
@@ -82,7 +93,43 @@
   return *this;
 }
 
+RouteTable::Builder& RouteTable::Builder::RequireKeys() {
+  table_->requires_keys_ = true;
+  return *this;
+}
+
+RouteTable::Builder& RouteTable::Builder::Add(Organisation organisation) {
+  table_->organisations_.push_back(std::move(organisation));
+  return RequireKeys();
+}
+
+std::optional<Failure> RouteTable::Builder::IndexOrganisations() {
+  const std::vector<Organisation>& organisations = table_->organisations_;
+  for (size_t i = 0; i < organisations.size(); ++i) {
+    const std::string& name = organisations[i].name;
+    if (name.empty()) {
+      return Failure{FailureKind::kMissingKey, "organisation",
+                     "it has no name"};
+    }
+    if (!table_->by_name_.emplace(name, i).second) {
+      return Failure{FailureKind::kDuplicate, "organisation " + name,
+                     "another one has the name"};
+    }
+    for (const KeyDigest& key : organisations[i].keys) {
+      const auto [entry, added] = table_->by_key_.emplace(key, i);
+      if (!added && entry->second != i) {
+        return Failure{FailureKind::kDuplicate, "organisation " + name,
+                       "another one has the same key"};
+      }
+    }
+  }
+  return std::nullopt;
+}
+
 Result<RouteTablePtr> RouteTable::Builder::Build() {
+  if (auto failure = IndexOrganisations()) {
+    return *std::move(failure);
+  }
   std::vector<Route>& routes = table_->routes_;
   for (size_t i = 0; i < routes.size(); ++i) {
     if (auto failure = Check(routes[i])) {
--- a/src/transport/gather_forwarder.cc
+++ b/src/transport/gather_forwarder.cc
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr char kConfigurationHeader[] = "Greengage-Configuration";
+constexpr char kOrganisationHeader[] = "Greengage-Caller-Organisation";
 
 // A peer that does not answer a small request in this time counts as lost.
 constexpr std::chrono::milliseconds kAliveTimeout{200};
@@ -76,7 +77,8 @@
 // Callers may send headers of the same names.
 void RemoveForwardInfo(HeaderList& headers) {
   std::erase_if(headers, [](const auto& header) {
-    return IsSameHeader(header.first, kConfigurationHeader);
+    return IsSameHeader(header.first, kConfigurationHeader) ||
+           IsSameHeader(header.first, kOrganisationHeader);
   });
 }
 
@@ -86,6 +88,9 @@
   RemoveForwardInfo(headers);
   headers.emplace_back(kConfigurationHeader,
                        std::to_string(info.configuration));
+  if (info.organisation) {
+    headers.emplace_back(kOrganisationHeader, *info.organisation);
+  }
 }
 
 bool HasForwardInfo(const HeaderList& headers) {
@@ -104,6 +109,9 @@
       parsed.ptr != version->data() + version->size()) {
     return std::nullopt;
   }
+  if (const auto organisation = FindHeader(headers, kOrganisationHeader)) {
+    info.organisation = *organisation;
+  }
   RemoveForwardInfo(headers);
   return info;
 }
@@ -160,7 +168,7 @@
     tried_.push_back(gatherer->id);
     forwarder_->chooser_->OnSent(gatherer->id);
     HttpCall call = query_.call;
-    AddForwardInfo({query_.configuration}, call.headers);
+    AddForwardInfo(query_.info, call.headers);
     call.check = [id = query_.request_id](const HttpResponse& response) {
       const auto answered =
           FindHeader(response.headers, kAnsweredRequestHeader);
--- a/src/transport/request_router.cc
+++ b/src/transport/request_router.cc
@@ -20,6 +20,7 @@
 enum HttpStatus : unsigned {
   kOk = 200,
   kBadRequest = 400,
+  kUnauthorized = 401,
   kNotFound = 404,
   kInternalError = 500,
   kBadGateway = 502,
@@ -139,6 +140,9 @@
                        std::to_string(table->version()) + " matches"});
     return;
   }
+  if (!CheckAccess(*table, *route, *caller, exchange)) {
+    return;
+  }
   if (!Takes(last_request_, *caller, *route)) {
     Reject(caller->id, exchange,
            Failure{FailureKind::kShuttingDown, "instance",
@@ -229,7 +233,8 @@
   }
   if (!info || route == nullptr || !Takes(last_request_, *caller, *route) ||
       table->version() < info->configuration ||
-      in_flight_ >= limits_.in_flight) {
+      in_flight_ >= limits_.in_flight ||
+      !AcceptForwarded(*table, *route, *info, *caller)) {
     exchange->Reply(HttpResponse{.status = kForwardRefusedStatus});
     return;
   }
@@ -255,13 +260,16 @@
   const std::chrono::milliseconds time_left = TimeLeft(caller, *route);
   ForwardedQuery query;
   query.request_id = caller.id;
-  query.configuration = table->version();
+  query.info.configuration = table->version();
+  if (table->requires_keys()) {
+    query.info.organisation = caller.organisation;
+  }
   query.expected_by = now + route->target_latency;
   query.call.method = request.method;
   query.call.target = request.target;
   query.call.body = request.body;
   query.call.deadline = now + time_left;
-  query.call.headers = ForwardedHeaders(dialect_, request.headers);
+  query.call.headers = HeadersForSearchers(request, caller, *table);
   query.call.before_send = [weak = weak_from_this(),
                             deadline = query.call.deadline](
                                TimePoint sent, HeaderList& headers) {
@@ -301,6 +309,12 @@
     case FailureKind::kNotFound:
       exchange->Reply(ErrorResponse(kNotFound, failure));
       return;
+    case FailureKind::kUnauthorized: {
+      HttpResponse response = ErrorResponse(kUnauthorized, failure);
+      response.headers.emplace_back("WWW-Authenticate", dialect_.key_scheme);
+      exchange->Reply(std::move(response));
+      return;
+    }
     case FailureKind::kMissingKey:
     case FailureKind::kInvalidSyntax:
       exchange->Reply(ErrorResponse(kBadRequest, failure));
@@ -358,11 +372,14 @@
   auto active = std::make_shared<ActiveRequest>(std::move(arrival));
   active->number = number;
   active->slot = slot;
-  active->headers = ForwardedHeaders(dialect_, active->request.headers);
+  active->headers =
+      HeadersForSearchers(active->request, active->caller, *active->table);
   active->registry_age = hooks_.registry_age();
   active->plan.emplace(
-      now, active->table, active->route, active->deadline, plans_,
-      [this] { return ++last_attempt_id_; },
+      now, active->table, active->route,
+      TermsOf(*active->route,
+              active->table->FindOrganisation(active->caller.organisation)),
+      active->deadline, plans_, [this] { return ++last_attempt_id_; },
       active->is_suspect ? AttemptPolicy::kOneAtATime
                          : AttemptPolicy::kParallel);
   active_requests_[number] = active;
--- /dev/null
+++ b/src/transport/request_router_access.cc
@@ -0,0 +1,90 @@
+// The parts of a RequestRouter that find out on whose behalf a caller sends.
+#include "greengage/coordination/caller_access.h"
+#include "greengage/state/request_terms.h"
+#include "transport/request_router_state.h"
+
+namespace greengage {
+namespace {
+
+// Retry delay of a request that no region may serve. Only another configuration
+// can change that.
+constexpr Duration kNoRegionRetryDelay = std::chrono::seconds(5);
+
+}  // namespace
+
+bool RequestRouter::CheckAccess(const RouteTable& table,
+                                const Route& route,
+                                CallerRequest& caller,
+                                const std::shared_ptr<HttpExchange>& exchange) {
+  const CallerAccess access =
+      DecideAccess(table, route, dialect_.key_scheme, caller.credentials);
+  switch (access.verdict) {
+    case AccessVerdict::kAllowed:
+      UseOrganisation(
+          table, access.organisation ? access.organisation->name : "", caller);
+      return true;
+    case AccessVerdict::kNoRegion:
+      Reject(caller.id, exchange,
+             Failure{FailureKind::kUnavailable, "route " + route.name,
+                     "no region may serve the caller"},
+             kNoRegionRetryDelay);
+      return false;
+    case AccessVerdict::kNoKey:
+    case AccessVerdict::kUnknownKey:
+      break;
+  }
+  // An instance that has lost touch may lack the version that has the key.
+  if (access.verdict == AccessVerdict::kUnknownKey && hooks_.may_be_stale()) {
+    Reject(caller.id, exchange,
+           Failure{FailureKind::kUnavailable, "instance",
+                   "its configuration may be out of date"});
+    return false;
+  }
+  Reject(caller.id, exchange,
+         Failure{FailureKind::kUnauthorized, "caller",
+                 std::string(AccessVerdictName(access.verdict))});
+  return false;
+}
+
+void RequestRouter::UseOrganisation(const RouteTable& table,
+                                    const std::string& name,
+                                    CallerRequest& caller) {
+  if (table.requires_keys()) {
+    caller.organisation = name;
+    caller.credentials.reset();
+  }
+}
+
+HeaderList RequestRouter::HeadersForSearchers(const HttpRequest& request,
+                                              const CallerRequest& caller,
+                                              const RouteTable& table) const {
+  HeaderList headers = ForwardedHeaders(dialect_, request.headers);
+  if (table.requires_keys()) {
+    SetOrganisation(dialect_, caller.organisation, headers);
+  }
+  return headers;
+}
+
+bool RequestRouter::AcceptForwarded(const RouteTable& table,
+                                    const Route& route,
+                                    const ForwardInfo& info,
+                                    CallerRequest& caller) const {
+  if (!info.organisation) {
+    // The other instance is of a release without organisations.
+    const CallerAccess access =
+        DecideAccess(table, route, dialect_.key_scheme, caller.credentials);
+    UseOrganisation(table, access.organisation ? access.organisation->name : "",
+                    caller);
+    return access.verdict == AccessVerdict::kAllowed;
+  }
+  const Organisation* const organisation =
+      table.FindOrganisation(*info.organisation);
+  if (organisation == nullptr && !info.organisation->empty()) {
+    return false;
+  }
+  UseOrganisation(table, *info.organisation, caller);
+  const RequestTerms terms = TermsOf(route, organisation);
+  return !terms.is_restricted || !terms.allowed_regions.empty();
+}
+
+}  // namespace greengage
--- a/tests/harness/plan_fixture.h
+++ b/tests/harness/plan_fixture.h
@@ -47,9 +47,10 @@
     RouteTable::Builder builder;
     builder.Add(std::move(route));
     const RouteTablePtr table = *builder.Build();
+    const Route* const planned = &table->routes().front();
     return RequestPlan(
-        now, table, &table->routes().front(), now + deadline, &context,
-        [this] { return ++last_attempt; }, policy);
+        now, table, planned, TermsOf(*planned, nullptr), now + deadline,
+        &context, [this] { return ++last_attempt; }, policy);
   }
 
   // Makes each searcher of `service` reject `count` attempts.
--- a/tests/request_router_test.cc
+++ b/tests/request_router_test.cc
@@ -106,6 +106,7 @@
     hooks.active_routes = [this] { return table_; };
     hooks.takes = [](TimePoint, Duration) { return true; };
     hooks.registry_age = [] { return Duration::zero(); };
+    hooks.may_be_stale = [] { return false; };
     hooks.forwards_gathers = [] { return false; };
     return hooks;
   }
