Keep quotas over all instances, allowed regions and evacuations

Cause: an organisation's quota, allowed regions and evacuations of data centres were ignored: hot organisations exceeded their quota, and requests were hedged to regions that may not serve them.

Change: QuotaGate counts requests at each instance and reports totals to a QuotaLedger, which limits an organisation once its token bucket runs out. PlacementRules excludes searchers and peers. Evacuations are read from the store and passed on to peers.

--- a/include/greengage/coordination/feed_cache.h
+++ b/include/greengage/coordination/feed_cache.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "greengage/state/crash_report.h"
+#include "greengage/state/evacuation.h"
 #include "greengage/state/instance_record.h"
 #include "greengage/state/searcher_entry.h"
 #include "greengage/state/store_revision.h"
@@ -25,8 +26,9 @@
   kSearcher,
   kInstance,
   kCrashReport,
+  kEvacuation,
 };
-inline constexpr size_t kFeedKinds = 4;
+inline constexpr size_t kFeedKinds = 5;
 
 // The text of a configuration, as the platform encodes it.
 struct ConfigurationText {
@@ -44,7 +46,8 @@
                ConfigurationText,
                SearcherEntry,
                InstanceRecord,
-               CrashReport>
+               CrashReport,
+               Evacuation>
       value;
 
   bool is_present() const { return value.index() != 0; }
@@ -57,6 +60,8 @@
   bool complete = false;  // Objects that are not on the page do not exist.
   Duration age{};         // Time since the state was current.
   StoreRevision searchers_revision;  // Of the searchers' state.
+  // The sender reads evacuations: if the page is complete, it lists all.
+  bool has_evacuations = false;
   std::vector<FeedObject> objects;
 };
 
--- a/include/greengage/coordination/gatherers.h
+++ b/include/greengage/coordination/gatherers.h
@@ -3,6 +3,7 @@
 #define GREENGAGE_COORDINATION_GATHERERS_H_
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <random>
 #include <string>
@@ -52,12 +53,15 @@
   // there is none.
   bool gathers_itself() const { return gathers_itself_; }
 
-  // Returns the less busy of two random gatherers that are not in `tried` and
-  // did not fail recently, or null if there is none. The pointer is valid until
-  // the next call of SetGatherers().
+  using Filter = std::function<bool(const InstanceRecord&)>;
+
+  // Returns the less busy of two random gatherers that are not in `tried`, did
+  // not fail recently and are accepted by `filter`, if it is set; or null if
+  // there is none. The pointer is valid until the next call of SetGatherers().
   const InstanceRecord* Choose(TimePoint now,
                                const std::vector<std::string>& tried,
-                               std::minstd_rand& random) const;
+                               std::minstd_rand& random,
+                               const Filter& filter = nullptr) const;
 
   void OnSent(const std::string& gatherer) { ++in_flight_[gatherer]; }
   void OnAnswered(const std::string& gatherer);
@@ -72,11 +76,12 @@
   void EndCall(const std::string& gatherer);
   size_t InFlight(const std::string& gatherer) const;
 
-  // Returns those of `among` that are not in `tried` and did not fail recently.
+  // Returns those of `among` that Choose() may return.
   std::vector<const InstanceRecord*> Usable(
       TimePoint now,
       const std::vector<InstanceRecord>& among,
-      const std::vector<std::string>& tried) const;
+      const std::vector<std::string>& tried,
+      const Filter& filter) const;
 
   const std::string self_id_;
   std::vector<InstanceRecord> gatherers_;
--- /dev/null
+++ b/include/greengage/coordination/quota_ledger.h
@@ -0,0 +1,107 @@
+// Adds up what organisations send through all instances and limits those that
+// exceed their quota.
+#ifndef GREENGAGE_COORDINATION_QUOTA_LEDGER_H_
+#define GREENGAGE_COORDINATION_QUOTA_LEDGER_H_
+
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "greengage/coordination/decayed_mean.h"
+#include "greengage/coordination/quota_messages.h"
+#include "greengage/state/organisation.h"
+#include "greengage/state/time.h"
+
+namespace greengage {
+
+struct QuotaLedgerOptions {
+  // Requests beyond the burst of each organisation that are admitted after a
+  // pause. They keep short bursts of small organisations from being rejected.
+  double extra_burst = 0;
+};
+
+// The ledger of some organisations. The load that it answers is an organisation
+// that sends several times its quota through many instances, each of which sees
+// a few of its requests.
+//
+// A token bucket for each organisation is charged after the fact, from reports
+// of what instances have admitted, and its level may become negative. While it
+// is likely to last, instances admit everything and are told nothing. Otherwise
+// they are told which share of the requests to admit, so that the level returns
+// to zero within about a second.
+//
+// The ledger uses the share of each quota that corresponds to the share of the
+// instances that report to it. Two ledgers of an organisation whose instances
+// are cut off from each other thus admit no more than its quota together.
+//
+// Not thread-safe.
+class QuotaLedger {
+ public:
+  // Returns the quota of an organisation in the active configuration, or
+  // nothing if it has no limit.
+  using QuotaHook =
+      std::function<std::optional<RequestQuota>(const std::string&)>;
+
+  QuotaLedger(TimePoint now, QuotaLedgerOptions options, QuotaHook quota);
+
+  // Sets the number of instances in the registry.
+  void SetInstances(size_t instances) { instances_ = instances; }
+
+  // Returns the present shares of the organisations in the report. Reports that
+  // arrive twice, or after later ones, change nothing.
+  std::vector<QuotaShare> OnReport(TimePoint now, const QuotaReport& report);
+
+  // Returns the shares that all instances must be told now: those that have
+  // changed much, and regularly those below 1. Must be called at least every
+  // kQuotaReportInterval.
+  std::vector<QuotaShare> TakeNotices(TimePoint now);
+
+  // Returns the level of the organisation's bucket, for logs. Negative if more
+  // was admitted than the quota allows.
+  std::optional<double> Level(TimePoint now, const std::string& organisation);
+
+ private:
+  struct Reporter {
+    uint64_t process = 0;
+    uint64_t sequence = 0;
+    TimePoint heard_at;
+    std::map<std::string, QuotaCounts> counts;
+  };
+
+  struct Account {
+    explicit Account(TimePoint now);
+
+    double tokens = 0;
+    TimePoint updated_at;
+    RequestQuota quota;
+    DecayedMean demand;  // Requests per second.
+    double share = 1;
+    Duration retry_after{};
+    double noticed_share = 1;
+    TimePoint noticed_at;
+  };
+
+  // Returns null if the organisation has no limit.
+  Account* Find(TimePoint now, const std::string& organisation);
+  void Charge(TimePoint now, Account& account, const QuotaCounts& counts);
+  void Decide(TimePoint now, Account& account) const;
+  double Capacity(const Account& account) const;
+  // Returns the share of a quota that this ledger may use, 0 to 1.
+  double Coverage(TimePoint now) const;
+
+  const QuotaLedgerOptions options_;
+  const QuotaHook quota_;
+  const TimePoint started_at_;
+  size_t instances_ = 1;
+  std::map<std::string, Reporter> reporters_;
+  std::map<std::string, Account> accounts_;
+};
+
+}  // namespace greengage
+
+#endif  // GREENGAGE_COORDINATION_QUOTA_LEDGER_H_
--- a/include/greengage/coordination/request_plan_context.h
+++ b/include/greengage/coordination/request_plan_context.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstddef>
 #include <functional>
+#include <map>
 #include <random>
 #include <string>
 #include <utility>
@@ -14,6 +15,7 @@
 #include "greengage/coordination/extra_arrival_budget.h"
 #include "greengage/coordination/hedge_policy.h"
 #include "greengage/coordination/instance_share.h"
+#include "greengage/coordination/placement_rules.h"
 #include "greengage/coordination/searcher_directory.h"
 #include "greengage/coordination/service_split.h"
 
@@ -41,16 +43,19 @@
 struct RequestPlanContext {
   RequestPlanContext(SearcherDirectory::Hooks hooks,
                      HedgeOptions hedge_options,
-                     const std::string& data_centre)
+                     const std::string& data_centre,
+                     std::map<std::string, std::string> regions = {})
       : searchers(std::move(hooks)),
         hedges(hedge_options),
         extra_arrivals({}),
-        distances(data_centre) {}
+        distances(data_centre),
+        placement(data_centre, std::move(regions)) {}
 
   SearcherDirectory searchers;
   HedgePolicy hedges;
   ExtraArrivalBudget extra_arrivals;
   DataCentreDistance distances;
+  PlacementRules placement;
   ServiceSplit split;
   // Returns the part of this instance in a limit that a searcher of the service
   // names for all instances.
--- a/include/greengage/coordination/searcher_chooser.h
+++ b/include/greengage/coordination/searcher_chooser.h
@@ -59,7 +59,8 @@
 
   // Returns the estimated time until a searcher of `service` can answer in time
   // again: zero if a request that is sent now is likely to be answered by
-  // `answer_by`, kMaxRetryAfter at most. Empty if no searcher is registered.
+  // `answer_by`, kMaxRetryAfter at most. Empty if no searcher is registered
+  // that may serve the request.
   std::optional<Duration> EstimateWait(TimePoint now,
                                        Duration typical,
                                        const std::string& service,
@@ -91,6 +92,8 @@
                      const RoutedSearcher& searcher,
                      const TokenDemand& tokens) const;
   Duration DistanceOf(const RoutedSearcher& searcher) const;
+  // Returns whether the searcher's data centre may serve the request.
+  bool IsPermitted(const RoutedSearcher& searcher) const;
 
   RequestPlanContext* const context_;
   const Route* const route_;
--- a/include/greengage/protocol/instance_settings.h
+++ b/include/greengage/protocol/instance_settings.h
@@ -58,14 +58,11 @@
   uint32_t extra_arrivals_allowance = 0;
   std::chrono::duration<double> extra_arrivals_window{};
   std::map<std::string, std::string> regions;  // By data centre.
-  // Bounds on what all instances may send for an organisation, and to a cold
-  // searcher, beyond the configured rates. A window of zero means that quotas
+  // All instances together may send `quota_allowance` requests of an
+  // organisation beyond its quota in any such window. Zero means that quotas
   // are not enforced.
   std::chrono::duration<double> quota_window{};
-  double quota_overage = 0;
   uint32_t quota_allowance = 0;
-  double warm_up_overage = 0;
-  uint32_t warm_up_allowance = 0;
   // Time in which an evacuation takes effect. Zero means that evacuations are
   // not read.
   std::chrono::milliseconds evacuation_time{};
--- a/include/greengage/routed_instance.h
+++ b/include/greengage/routed_instance.h
@@ -17,6 +17,7 @@
 #include "greengage/protocol/instance_settings.h"
 #include "greengage/state/crash_report.h"
 #include "greengage/state/crash_slot.h"
+#include "greengage/state/evacuation.h"
 #include "greengage/state/instance_record.h"
 #include "greengage/state/result.h"
 #include "greengage/state/route_table.h"
@@ -92,6 +93,7 @@
   ListWatchSource<SearcherEntry> searchers;
   InstanceRegistry instances;
   CrashReportStore crash_reports;
+  ListWatchSource<Evacuation> evacuations;
 };
 
 // Usage: call Start(), run the io_context on one thread, call Stop(), and end
--- a/include/greengage/state/decision_event.h
+++ b/include/greengage/state/decision_event.h
@@ -33,6 +33,8 @@
   kConfigurationInForce,
   kConfigurationIgnored,
   kObjectUnreadable,
+  kEvacuationChanged,
+  kQuotaLimited,
   kSearcherAdded,
   kSearcherLeaving,
   kSearcherLimit,
--- a/include/greengage/state/failure.h
+++ b/include/greengage/state/failure.h
@@ -28,6 +28,7 @@
   kTooLarge,          // A message exceeds its size limit.
   kTimedOut,          // The deadline passed.
   kCancelled,         // The operation was cancelled by its owner.
+  kOverQuota,         // The caller's organisation has used up its quota.
   kOverloaded,        // A limit on work in flight or queued was reached.
   kUnavailable,       // The requested service cannot be used now.
   kNotFound,          // No such object, service, shard or request.
--- a/include/greengage/transport/gather_forwarder.h
+++ b/include/greengage/transport/gather_forwarder.h
@@ -56,6 +56,8 @@
   std::string request_id;
   HttpCall call;  // The request for the gatherer, without ForwardInfo.
   ForwardInfo info;
+  // Returns whether a peer may get the request. Empty if all may.
+  std::function<bool(const InstanceRecord&)> may_get;
   // Time at which a gatherer without an answer is checked.
   TimePoint expected_by;
 };
--- a/include/greengage/transport/request_router.h
+++ b/include/greengage/transport/request_router.h
@@ -19,6 +19,7 @@
 
 #include "greengage/coordination/crash_suspects.h"
 #include "greengage/coordination/held_crash_slots.h"
+#include "greengage/coordination/quota_gate.h"
 #include "greengage/coordination/request_plan.h"
 #include "greengage/coordination/searcher_reach.h"
 #include "greengage/protocol/call_dialect.h"
@@ -81,6 +82,11 @@
     // Runs when a request that had a slot has ended. May run again with other
     // use once more is known.
     std::function<void(const CrashSlot&, SlotUse)> on_slot_ended;
+    // Decides whether the quota of an organisation with a limit admits a
+    // request, and counts it.
+    std::function<QuotaVerdict(const Organisation&)> admit;
+    // Runs for each request that was admitted and has not run.
+    std::function<void(const std::string& organisation)> on_not_run;
     // Forward a request to a gatherer, or to any peer, as
     // GatherForwarder::Forward() does.
     ForwardHook forward_to_gatherer;
@@ -200,6 +206,12 @@
                    const Route& route,
                    CallerRequest& caller,
                    const std::shared_ptr<HttpExchange>& exchange);
+  // Returns the exchange to use for the request, or null if the quota of its
+  // organisation is used up and the request is answered.
+  std::shared_ptr<HttpExchange> CheckQuota(
+      const RouteTable& table,
+      const CallerRequest& caller,
+      const std::shared_ptr<HttpExchange>& exchange);
   // As CheckAccess(), for a request whose caller another instance checked.
   bool AcceptForwarded(const RouteTable& table,
                        const Route& route,
--- a/src/coordination/feed_cache.cc
+++ b/src/coordination/feed_cache.cc
@@ -127,6 +127,8 @@
       epoch != epoch_ || sequence < forgotten_sequence_ || sequence > sequence_;
   page.age = AgeAt(now);
   page.searchers_revision = searchers_revision_;
+  page.has_evacuations =
+      current_at_[IndexOf(FeedKind::kEvacuation)].has_value();
   for (const auto& [key, entry] : entries_) {
     if (page.complete ? entry.object.is_present() : entry.sequence > sequence) {
       page.objects.push_back(entry.object);
--- a/src/coordination/gatherers.cc
+++ b/src/coordination/gatherers.cc
@@ -73,10 +73,12 @@
 std::vector<const InstanceRecord*> GathererChooser::Usable(
     TimePoint now,
     const std::vector<InstanceRecord>& among,
-    const std::vector<std::string>& tried) const {
+    const std::vector<std::string>& tried,
+    const Filter& filter) const {
   std::vector<const InstanceRecord*> usable;
   for (const InstanceRecord& gatherer : among) {
     if (!backoff_.IsSkipped(now, gatherer.id) &&
+        (!filter || filter(gatherer)) &&
         std::find(tried.begin(), tried.end(), gatherer.id) == tried.end()) {
       usable.push_back(&gatherer);
     }
@@ -87,12 +89,13 @@
 const InstanceRecord* GathererChooser::Choose(
     TimePoint now,
     const std::vector<std::string>& tried,
-    std::minstd_rand& random) const {
+    std::minstd_rand& random,
+    const Filter& filter) const {
   const bool prefers_others = tried.size() >= kMaxGatherersTried;
   std::vector<const InstanceRecord*> usable =
-      Usable(now, prefers_others ? others_ : gatherers_, tried);
+      Usable(now, prefers_others ? others_ : gatherers_, tried, filter);
   if (usable.empty()) {
-    usable = Usable(now, prefers_others ? gatherers_ : others_, tried);
+    usable = Usable(now, prefers_others ? gatherers_ : others_, tried, filter);
   }
   if (usable.empty()) {
     return nullptr;
--- /dev/null
+++ b/src/coordination/quota_ledger.cc
@@ -0,0 +1,206 @@
+#include "greengage/coordination/quota_ledger.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "greengage/coordination/quota_gate.h"
+
+namespace greengage {
+namespace {
+
+using std::chrono::duration;
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+// Time from a change of the demand until all instances apply a new share: a
+// report, and the notice, each with its delay.
+constexpr duration<double> kReactionTime = milliseconds(300);
+
+// Time in which a level that is not zero is to return to it.
+constexpr duration<double> kCorrectionTime = milliseconds(1000);
+
+// The demand is the mean over about this time. Shorter ones would mistake a few
+// requests at once for a rise.
+constexpr Duration kDemandHalfLife = milliseconds(400);
+
+// An instance that has not reported for this long is not counted.
+constexpr Duration kReporterLifetime = kQuotaLedgerTimeout;
+
+// What an instance reported last is remembered for this time.
+constexpr Duration kReporterMemory = std::chrono::minutes(1);
+
+// A change of a share by less than this waits for the next regular notice.
+constexpr double kNoticedChange = 0.1;
+constexpr Duration kNoticeInterval = milliseconds(250);
+
+constexpr Duration kMinRetryAfter = milliseconds(100);
+constexpr Duration kMaxRetryAfter = std::chrono::seconds(5);
+
+double Seconds(Duration time) {
+  return duration<double>(time).count();
+}
+
+QuotaCounts Difference(const QuotaCounts& a, const QuotaCounts& b) {
+  return {a.asked - b.asked, a.admitted - b.admitted};
+}
+
+}  // namespace
+
+QuotaLedger::Account::Account(TimePoint now)
+    : updated_at(now), demand(now, 0, kDemandHalfLife), noticed_at(now) {}
+
+QuotaLedger::QuotaLedger(TimePoint now,
+                         QuotaLedgerOptions options,
+                         QuotaHook quota)
+    : options_(options), quota_(std::move(quota)), started_at_(now) {}
+
+double QuotaLedger::Capacity(const Account& account) const {
+  return account.quota.burst + options_.extra_burst;
+}
+
+// Until all instances have had the time to report, all of them count.
+double QuotaLedger::Coverage(TimePoint now) const {
+  if (now - started_at_ < kReporterLifetime + kQuotaHeartbeatInterval) {
+    return 1;
+  }
+  const auto reporting = static_cast<double>(std::count_if(
+      reporters_.begin(), reporters_.end(), [now](const auto& reporter) {
+        return now - reporter.second.heard_at < kReporterLifetime;
+      }));
+  return std::min(
+      1.0, reporting / static_cast<double>(std::max<size_t>(1, instances_)));
+}
+
+QuotaLedger::Account* QuotaLedger::Find(TimePoint now,
+                                        const std::string& organisation) {
+  const std::optional<RequestQuota> quota = quota_(organisation);
+  if (!quota || !quota->is_limited()) {
+    accounts_.erase(organisation);
+    return nullptr;
+  }
+  const auto [found, added] = accounts_.try_emplace(organisation, now);
+  Account& account = found->second;
+  if (!(account.quota == *quota)) {
+    account.quota = *quota;
+    account.tokens =
+        added ? Capacity(account) : std::min(account.tokens, Capacity(account));
+  }
+  account.tokens =
+      std::min(Capacity(account),
+               account.tokens + account.quota.rate * Coverage(now) *
+                                    Seconds(now - account.updated_at));
+  account.updated_at = now;
+  return &account;
+}
+
+void QuotaLedger::Charge(TimePoint now,
+                         Account& account,
+                         const QuotaCounts& counts) {
+  account.tokens -= static_cast<double>(counts.admitted);
+  // A request adds what the mean loses over its half-life.
+  const double per_request = std::log(2) / Seconds(kDemandHalfLife);
+  const double current = account.demand.At(now);
+  account.demand.Add(
+      now, current + static_cast<double>(counts.asked) * per_request, 1);
+}
+
+std::vector<QuotaShare> QuotaLedger::OnReport(TimePoint now,
+                                              const QuotaReport& report) {
+  const auto [found, is_new] = reporters_.try_emplace(report.sender);
+  Reporter& reporter = found->second;
+  if (is_new || reporter.process != report.process) {
+    reporter = Reporter{report.process, 0, now, {}};
+  }
+  const bool is_late = report.sequence <= reporter.sequence;
+  if (!is_late) {
+    reporter.sequence = report.sequence;
+    reporter.heard_at = now;
+  }
+  std::vector<QuotaShare> shares;
+  for (const OrganisationUse& use : report.uses) {
+    Account* const account = Find(now, use.organisation);
+    if (account == nullptr) {
+      continue;
+    }
+    if (!is_late) {
+      const auto [known, is_first] =
+          reporter.counts.try_emplace(use.organisation, use.acknowledged);
+      // Another ledger may have counted more of it meanwhile.
+      const QuotaCounts& counted = known->second.asked < use.acknowledged.asked
+                                       ? use.acknowledged
+                                       : known->second;
+      Charge(now, *account, Difference(use.total, counted));
+      known->second = use.total;
+    }
+    Decide(now, *account);
+    if (account->share < 1) {
+      shares.push_back(
+          {use.organisation, account->share, account->retry_after});
+    }
+  }
+  return shares;
+}
+
+void QuotaLedger::Decide(TimePoint now, Account& account) const {
+  const double rate = account.quota.rate * Coverage(now);
+  const double demand = account.demand.At(now);
+  const double level_after_reaction =
+      account.tokens - (demand - rate) * kReactionTime.count();
+  const bool lasts = account.share < 1
+                         ? demand <= rate && account.tokens >= 0
+                         : level_after_reaction >= 0 || demand <= rate;
+  if (lasts) {
+    account.share = 1;
+    account.retry_after = Duration::zero();
+    return;
+  }
+  const double admitted_rate =
+      std::max(0.0, rate + account.tokens / kCorrectionTime.count());
+  account.share = demand > 0 ? std::min(1.0, admitted_rate / demand) : 1;
+  // The requests of the last second that were not admitted come again. They can
+  // be admitted once the quota has grown by as many.
+  const double excess =
+      std::max(0.0, demand - rate) - std::min(0.0, account.tokens);
+  account.retry_after = std::clamp(
+      duration_cast<Duration>(duration<double>(excess / std::max(rate, 1e-3))),
+      kMinRetryAfter, kMaxRetryAfter);
+}
+
+std::vector<QuotaShare> QuotaLedger::TakeNotices(TimePoint now) {
+  std::erase_if(reporters_, [now](const auto& reporter) {
+    return now - reporter.second.heard_at >= kReporterMemory;
+  });
+  std::vector<std::string> names;
+  for (const auto& [organisation, account] : accounts_) {
+    names.push_back(organisation);
+  }
+  std::vector<QuotaShare> notices;
+  for (const std::string& organisation : names) {
+    Account* const account = Find(now, organisation);
+    if (account == nullptr) {
+      continue;
+    }
+    Decide(now, *account);
+    const bool was_limited = account->noticed_share < 1;
+    const bool is_limited = account->share < 1;
+    const bool changed =
+        was_limited != is_limited ||
+        std::abs(account->share - account->noticed_share) >= kNoticedChange;
+    const bool is_due =
+        is_limited && now - account->noticed_at >= kNoticeInterval;
+    if (changed || is_due) {
+      account->noticed_share = account->share;
+      account->noticed_at = now;
+      notices.push_back({organisation, account->share, account->retry_after});
+    }
+  }
+  return notices;
+}
+
+std::optional<double> QuotaLedger::Level(TimePoint now,
+                                         const std::string& organisation) {
+  const Account* const account = Find(now, organisation);
+  return account == nullptr ? std::nullopt : std::optional(account->tokens);
+}
+
+}  // namespace greengage
--- a/src/coordination/searcher_chooser.cc
+++ b/src/coordination/searcher_chooser.cc
@@ -27,6 +27,11 @@
   return context_->distances.Of(searcher.entry().data_centre);
 }
 
+bool SearcherChooser::IsPermitted(const RoutedSearcher& searcher) const {
+  return context_->placement.AllowsSearcher(*terms_,
+                                            searcher.entry().data_centre);
+}
+
 Duration SearcherChooser::LimitWait(TimePoint now,
                                     const RoutedSearcher& searcher,
                                     const TokenDemand& tokens) const {
@@ -50,6 +55,7 @@
     const bool was_tried =
         std::find(tried.begin(), tried.end(), searcher) != tried.end();
     if (usability == Usability::kUnusable || was_tried ||
+        !IsPermitted(*searcher) ||
         (requirements.only_healthy && usability != Usability::kHealthy) ||
         LimitWait(now, *searcher, requirements.tokens) > Duration::zero()) {
       continue;
@@ -73,17 +79,15 @@
     const std::string& service,
     TimePoint answer_by,
     const TokenDemand& tokens) const {
-  const std::vector<RoutedSearcherPtr>& searchers =
-      context_->searchers.ForService(service);
-  if (searchers.empty()) {
-    return std::nullopt;
-  }
-  Duration min_wait = kMaxRetryAfter;
-  for (const RoutedSearcherPtr& searcher : searchers) {
-    min_wait = std::min(
-        min_wait,
-        std::max(EstimateSearcherWait(now, typical, *searcher, answer_by),
-                 LimitWait(now, *searcher, tokens)));
+  std::optional<Duration> min_wait;
+  for (const RoutedSearcherPtr& searcher :
+       context_->searchers.ForService(service)) {
+    if (IsPermitted(*searcher)) {
+      min_wait = std::min(
+          min_wait.value_or(kMaxRetryAfter),
+          std::max(EstimateSearcherWait(now, typical, *searcher, answer_by),
+                   LimitWait(now, *searcher, tokens)));
+    }
   }
   return min_wait;
 }
@@ -96,7 +100,8 @@
   bool has_usable = false;
   for (const RoutedSearcherPtr& searcher :
        context_->searchers.ForService(service)) {
-    if (searcher->UsabilityAt(now, typical) != Usability::kUnusable) {
+    if (IsPermitted(*searcher) &&
+        searcher->UsabilityAt(now, typical) != Usability::kUnusable) {
       has_usable = true;
       min_wait = std::min(min_wait, LimitWait(now, *searcher, tokens));
     }
@@ -110,7 +115,8 @@
   std::optional<Duration> min_wait;
   for (const RoutedSearcherPtr& searcher :
        context_->searchers.ForService(service)) {
-    if (searcher->UsabilityAt(now, typical) != Usability::kUnusable) {
+    if (IsPermitted(*searcher) &&
+        searcher->UsabilityAt(now, typical) != Usability::kUnusable) {
       const Duration wait = searcher->ClosedFor(now);
       min_wait = std::min(min_wait.value_or(wait), wait);
     }
--- a/src/protocol/feed_codec.cc
+++ b/src/protocol/feed_codec.cc
@@ -53,6 +53,8 @@
     crash->set_service(report->service);
     crash->set_searcher(report->searcher);
     crash->set_started_ms(report->started.count());
+  } else if (std::holds_alternative<Evacuation>(object.value)) {
+    written->set_evacuation(true);
   }
 }
 
@@ -143,6 +145,10 @@
       }
       break;
     }
+    case wire::FeedObject::kEvacuation:
+      kind_of_value = FeedKind::kEvacuation;
+      object.value = Evacuation{object.name};
+      break;
     case wire::FeedObject::VALUE_NOT_SET:
       break;
   }
@@ -159,10 +165,12 @@
   written.set_complete(page.complete);
   written.set_age_ms(ToMilliseconds(page.age).count());
   Write(page.searchers_revision, written.mutable_searchers_revision());
+  written.set_has_evacuations(page.has_evacuations);
   for (const FeedObject& object : page.objects) {
-    Write(object, object.kind == FeedKind::kCrashReport
-                      ? written.add_newer_objects()
-                      : written.add_objects());
+    const bool is_newer = object.kind == FeedKind::kCrashReport ||
+                          object.kind == FeedKind::kEvacuation;
+    Write(object,
+          is_newer ? written.add_newer_objects() : written.add_objects());
   }
   return written.SerializeAsString();
 }
@@ -182,6 +190,7 @@
   page.complete = read.complete();
   page.age = milliseconds(read.age_ms());
   page.searchers_revision = Read(read.searchers_revision());
+  page.has_evacuations = read.has_evacuations();
   for (const auto* const objects : {&read.objects(), &read.newer_objects()}) {
     for (const wire::FeedObject& object : *objects) {
       std::optional<FeedObject> decoded = Read(object);
--- a/src/protocol/instance_settings.cc
+++ b/src/protocol/instance_settings.cc
@@ -106,20 +106,12 @@
       .NamePairs("regions", &S::regions, "",
                  "The region of each data centre, as DATA-CENTRE:REGION.")
       .Seconds("quota_window_s", &S::quota_window, 0, 3600, "0",
-               "Any time of this length keeps the quotas of organisations "
-               "with the overage and the allowance. 0: quotas are not "
-               "enforced.")
-      .Decimal("quota_overage", &S::quota_overage, 0, 1, "0",
-               "Share by which a quota may be exceeded in the window.")
+               "Any time of this length keeps the quotas of organisations, "
+               "but for the allowance. 0: quotas are not enforced.")
       .Integer("quota_allowance", &S::quota_allowance,
                {.maximum = 100000, .default_value = 0},
-               "Requests of an organisation beyond that share.")
-      .Decimal("warm_up_overage", &S::warm_up_overage, 0, 100, "1",
-               "Factor of the configured rate that a cold searcher gets at "
-               "most.")
-      .Integer("warm_up_allowance", &S::warm_up_allowance,
-               {.maximum = 100000, .default_value = 0},
-               "Requests in a second to a cold searcher beyond that.")
+               "Requests of an organisation beyond its quota in that time; a "
+               "quarter of them is used as a further burst.")
       .Time("evacuation_time_ms", &S::evacuation_time,
             {.maximum = 60000, .default_value = 0},
             "Time in which the evacuation of a data centre takes effect. 0: "
--- a/src/routed_instance.cc
+++ b/src/routed_instance.cc
@@ -47,7 +47,8 @@
              OnSearcherLeaving(searcher, cause);
            }},
           kRouteHedgeOptions,
-          settings.data_centre),
+          settings.data_centre,
+          settings.regions),
       suspects_(CrashSuspectOptions{}),
       crash_slots_(HeldCrashSlotOptions{}),
       reach_(SearcherReachOptions{}),
@@ -132,6 +133,14 @@
           [this](const CrashSlot& slot, SlotUse use) {
             OnCrashSlotEnded(slot, use);
           },
+          [this](const Organisation& organisation) {
+            return AdmitWithinQuota(organisation);
+          },
+          [this](const std::string& organisation) {
+            if (quotas_) {
+              quotas_->OnNotRun(organisation);
+            }
+          },
           ForwardHookOf(forwarder_), ForwardHookOf(peer_forwarder_)});
   for (const auto& step : {&RoutedInstanceImpl::ListenForCallers,
                            &RoutedInstanceImpl::ListenForReadinessChecks,
--- a/src/routed_instance_feed.cc
+++ b/src/routed_instance_feed.cc
@@ -2,6 +2,7 @@
 // the configuration and the searchers from the store or from a peer.
 #include <algorithm>
 #include <chrono>
+#include <set>
 #include <utility>
 
 #include "greengage/transport/guard.h"
@@ -203,6 +204,7 @@
   std::sort(instance_ids_.begin(), instance_ids_.end());
   UpdatePeers();
   UpdateGatherers();
+  UpdateQuotas();
   const size_t count = Now() < instance_count_kept_until_
                            ? std::max(instance_count_, instances.size())
                            : instances.size();
@@ -351,6 +353,7 @@
   searchers_revision_ = page.searchers_revision;
   std::vector<SearcherChange> searchers;
   bool instances_changed = false;
+  std::set<std::string> evacuated;
   if (page.complete) {
     instances_.clear();
   }
@@ -374,6 +377,11 @@
       } else if (object.removed) {
         suspects_.Remove(object.name);
       }
+    } else if (object.kind == FeedKind::kEvacuation) {
+      if (object.is_present()) {
+        evacuated.insert(object.name);
+      }
+      UseEvacuation(object.name, object.is_present(), "peer");
     } else if (object.kind == FeedKind::kInstance) {
       instances_changed = true;
       if (const auto* record = std::get_if<InstanceRecord>(&object.value)) {
@@ -383,6 +391,9 @@
       }
     }
   }
+  if (page.complete && page.has_evacuations) {
+    EndEvacuationsExcept(evacuated, "peer");
+  }
   UseSearchers(Now() - page.age, searchers, page.complete);
   if (instances_changed) {
     std::vector<InstanceRecord> instances;
--- a/src/routed_instance_impl.h
+++ b/src/routed_instance_impl.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_set>
@@ -32,6 +33,7 @@
 #include "greengage/transport/feed_server.h"
 #include "greengage/transport/http_server.h"
 #include "greengage/transport/log_line.h"
+#include "greengage/transport/quota_service.h"
 #include "greengage/transport/request_router.h"
 #include "transport/clock.h"
 
@@ -45,10 +47,11 @@
 // known to this instance.
 inline constexpr size_t kMaxUnsharedReports = 64;
 
-// The member functions are in five files: routed_instance.cc creates the
+// The member functions are in six files: routed_instance.cc creates the
 // components and listens, routed_instance_feed.cc chooses whether to read the
 // store or a peer, routed_instance_store.cc processes the data of either,
 // routed_instance_crash.cc shares reports of searchers that ended,
+// routed_instance_terms.cc handles evacuations and quotas,
 // routed_instance_stop.cc handles reload and shutdown. All of them run on one
 // thread.
 class RoutedInstanceImpl
@@ -130,6 +133,21 @@
   void OnStoredCrashReports(const std::vector<StoreItem<CrashReport>>& items,
                             StoreRevision revision,
                             bool is_snapshot);
+  void StartEvacuationWatch();
+  void OnStoredEvacuations(const std::vector<StoreItem<Evacuation>>& items,
+                           StoreRevision revision,
+                           bool is_snapshot);
+  void UseEvacuation(const std::string& data_centre,
+                     bool evacuated,
+                     std::string_view source);
+  // Ends the evacuations of all data centres that are not in `listed`.
+  void EndEvacuationsExcept(const std::set<std::string>& listed,
+                            std::string_view source);
+  // Starts or updates the exchange with other instances about quotas, if the
+  // configuration and the settings have any.
+  void UpdateQuotas();
+  std::optional<RequestQuota> QuotaOf(const std::string& organisation) const;
+  QuotaVerdict AdmitWithinQuota(const Organisation& organisation);
   void StartCrashReportWatch();
   void OnSearcherCrashed(const CrashReport& report, CrashedRequest request);
   void UseCrashReport(const CrashReport& report, std::string_view source);
@@ -182,6 +200,7 @@
   std::vector<CrashReport> unshared_reports_;
   const std::shared_ptr<ReceiveBudget> receive_budget_;
   std::shared_ptr<SearcherClients> clients_;
+  std::shared_ptr<QuotaService> quotas_;
   std::shared_ptr<RequestRouter> router_;
   std::shared_ptr<HttpServer> caller_server_;
   std::shared_ptr<HttpServer> readiness_server_;
@@ -191,6 +210,9 @@
   std::shared_ptr<ListWatcher<StoredConfiguration>> configuration_watcher_;
   std::shared_ptr<ListWatcher<SearcherEntry>> searcher_watcher_;
   std::shared_ptr<ListWatcher<CrashReport>> crash_report_watcher_;
+  std::shared_ptr<ListWatcher<Evacuation>> evacuation_watcher_;
+  // This instance has read which data centres are evacuated.
+  bool evacuations_read_ = false;
   Duration watch_delay_{};  // Of the running `searcher_watcher_`.
   StoreRevision searchers_revision_;
   FeedCache feed_cache_;
--- a/src/routed_instance_stop.cc
+++ b/src/routed_instance_stop.cc
@@ -180,6 +180,9 @@
 
 void RoutedInstanceImpl::FinishStop() {
   feed_timer_.cancel();
+  if (quotas_) {
+    quotas_->Stop();
+  }
   StopStoreWatches();
   peer_server_->StopAccepting();
   housekeeping_timer_.cancel();
--- a/src/routed_instance_store.cc
+++ b/src/routed_instance_store.cc
@@ -103,6 +103,7 @@
       context_, options, std::move(searcher_hooks));
   searcher_watcher_->Start();
   StartCrashReportWatch();
+  StartEvacuationWatch();
 }
 
 void RoutedInstanceImpl::StopStoreWatches() {
@@ -114,6 +115,10 @@
     crash_report_watcher_.reset();
     searcher_watcher_.reset();
   }
+  if (evacuation_watcher_) {
+    evacuation_watcher_->Stop();
+    evacuation_watcher_.reset();
+  }
 }
 
 // Peers get the active configuration, which may be newer than that of a store
@@ -158,6 +163,7 @@
   configuration_name_ = name;
   configuration_text_ = configuration.text;
   UpdateGatherers();
+  UpdateQuotas();
   caller_server_->SetLimits(ActiveServerLimits());
   LogLine(DecisionEvent::kConfigurationInForce)
       .Add("configuration", version.version)
--- a/src/state/decision_event.cc
+++ b/src/state/decision_event.cc
@@ -77,6 +77,16 @@
       {kObjectUnreadable, "object_unreadable", LogLevel::kWarning,
        "object, revision, detail",
        "An object of the store is left out because it cannot be read."},
+      {kEvacuationChanged, "evacuation_changed", LogLevel::kWarning,
+       "data_centre, evacuated, source",
+       "The searchers of a data centre get no more requests because operators "
+       "evacuate it, or get them again; and whether the store or a peer says "
+       "so."},
+      {kQuotaLimited, "quota_limited", LogLevel::kInfo,
+       "organisation, share, retry_after_ms, level",
+       "This instance keeps the ledger of an organisation and begins to limit "
+       "it, or no longer does: the share of its requests that all instances "
+       "admit, and the requests that its quota still allows at once."},
       {kSearcherAdded, "searcher_added", LogLevel::kInfo,
        "searcher, service, endpoint", "A searcher may get work."},
       {kSearcherLeaving, "searcher_leaving", LogLevel::kInfo,
--- a/src/state/failure.cc
+++ b/src/state/failure.cc
@@ -38,6 +38,8 @@
       return "timed_out";
     case FailureKind::kCancelled:
       return "cancelled";
+    case FailureKind::kOverQuota:
+      return "over_quota";
     case FailureKind::kOverloaded:
       return "overloaded";
     case FailureKind::kUnavailable:
--- a/src/transport/gather_forwarder.cc
+++ b/src/transport/gather_forwarder.cc
@@ -160,7 +160,8 @@
     const InstanceRecord* const gatherer =
         tried_.size() >= forwarder_->max_peers_
             ? nullptr
-            : forwarder_->chooser_->Choose(now, tried_, *forwarder_->random_);
+            : forwarder_->chooser_->Choose(now, tried_, *forwarder_->random_,
+                                           query_.may_get);
     if (gatherer == nullptr) {
       GatherHere();
       return;
--- a/src/transport/request_router.cc
+++ b/src/transport/request_router.cc
@@ -22,6 +22,7 @@
   kBadRequest = 400,
   kUnauthorized = 401,
   kNotFound = 404,
+  kTooManyRequests = 429,
   kInternalError = 500,
   kBadGateway = 502,
   kUnavailable = 503,
@@ -155,12 +156,17 @@
                    "too many requests at once"});
     return;
   }
+  const std::shared_ptr<HttpExchange> counted =
+      CheckQuota(*table, *caller, exchange);
+  if (!counted) {
+    return;
+  }
   if (route->gather && hooks_.forwards_gathers()) {
-    Forward(std::move(request), *std::move(caller), exchange, table, route,
+    Forward(std::move(request), *std::move(caller), counted, table, route,
             hooks_.forward_to_gatherer, &RequestRouter::Serve);
     return;
   }
-  Serve(std::move(request), *std::move(caller), exchange, table, route);
+  Serve(std::move(request), *std::move(caller), counted, table, route);
 }
 
 void RequestRouter::Serve(HttpRequest request,
@@ -260,6 +266,12 @@
   const std::chrono::milliseconds time_left = TimeLeft(caller, *route);
   ForwardedQuery query;
   query.request_id = caller.id;
+  query.may_get =
+      [plans = plans_,
+       terms = TermsOf(*route, table->FindOrganisation(caller.organisation))](
+          const InstanceRecord& peer) {
+        return plans->placement.AllowsPeer(terms, peer.data_centre);
+      };
   query.info.configuration = table->version();
   if (table->requires_keys()) {
     query.info.organisation = caller.organisation;
@@ -309,6 +321,12 @@
     case FailureKind::kNotFound:
       exchange->Reply(ErrorResponse(kNotFound, failure));
       return;
+    case FailureKind::kOverQuota: {
+      HttpResponse response = ServiceUnavailable(failure, retry_delay);
+      response.status = kTooManyRequests;
+      exchange->Reply(std::move(response));
+      return;
+    }
     case FailureKind::kUnauthorized: {
       HttpResponse response = ErrorResponse(kUnauthorized, failure);
       response.headers.emplace_back("WWW-Authenticate", dialect_.key_scheme);
@@ -508,6 +526,11 @@
   if (send.searcher->IsLeaving(now)) {
     return Failure{FailureKind::kUnavailable, searcher, "it is leaving"};
   }
+  if (!plans_->placement.AllowsSearcher(found->second->plan->terms(),
+                                        send.searcher->entry().data_centre)) {
+    return Failure{FailureKind::kUnavailable, searcher,
+                   "its data centre is evacuated"};
+  }
   if (JudgeSend(now, *found->second).decision != SuspectDecision::kServe) {
     return Failure{FailureKind::kUnavailable, searcher, kSuspectDetail};
   }
--- a/src/transport/request_router_access.cc
+++ b/src/transport/request_router_access.cc
@@ -1,4 +1,8 @@
 // The parts of a RequestRouter that find out on whose behalf a caller sends.
+#include <functional>
+#include <memory>
+#include <utility>
+
 #include "greengage/coordination/caller_access.h"
 #include "greengage/state/request_terms.h"
 #include "transport/request_router_state.h"
@@ -10,6 +14,36 @@
 // can change that.
 constexpr Duration kNoRegionRetryDelay = std::chrono::seconds(5);
 
+// Reports an answer which says that the request has not run.
+class CountedExchange : public HttpExchange {
+ public:
+  CountedExchange(std::shared_ptr<HttpExchange> caller,
+                  std::function<void()> on_not_run)
+      : caller_(std::move(caller)), on_not_run_(std::move(on_not_run)) {}
+
+  void Reply(HttpResponse response) override {
+    if (response.status == kServiceUnavailable ||
+        response.status == kTooManyRequests) {
+      if (const auto on_not_run = std::exchange(on_not_run_, nullptr)) {
+        on_not_run();
+      }
+    }
+    caller_->Reply(std::move(response));
+  }
+  uint64_t connection() const override { return caller_->connection(); }
+  void Abort() override { caller_->Abort(); }
+  void OnClientDisconnected(std::function<void()> hook) override {
+    caller_->OnClientDisconnected(std::move(hook));
+  }
+
+ private:
+  static constexpr unsigned kTooManyRequests = 429;
+  static constexpr unsigned kServiceUnavailable = 503;
+
+  const std::shared_ptr<HttpExchange> caller_;
+  std::function<void()> on_not_run_;
+};
+
 }  // namespace
 
 bool RequestRouter::CheckAccess(const RouteTable& table,
@@ -65,6 +99,35 @@
   return headers;
 }
 
+std::shared_ptr<HttpExchange> RequestRouter::CheckQuota(
+    const RouteTable& table,
+    const CallerRequest& caller,
+    const std::shared_ptr<HttpExchange>& exchange) {
+  const Organisation* const organisation =
+      table.FindOrganisation(caller.organisation);
+  if (organisation == nullptr || !organisation->quota.is_limited() ||
+      !hooks_.admit) {
+    return exchange;
+  }
+  const QuotaVerdict verdict = hooks_.admit(*organisation);
+  if (!verdict.admitted) {
+    Reject(
+        caller.id, exchange,
+        Failure{FailureKind::kOverQuota, "organisation " + organisation->name,
+                verdict.is_alone ? "no ledger answers; its share of the "
+                                   "quota at this instance is used up"
+                                 : "its quota is used up"},
+        verdict.retry_after);
+    return nullptr;
+  }
+  return std::make_shared<CountedExchange>(
+      exchange, [weak = weak_from_this(), name = organisation->name] {
+        if (const auto self = weak.lock()) {
+          self->hooks_.on_not_run(name);
+        }
+      });
+}
+
 bool RequestRouter::AcceptForwarded(const RouteTable& table,
                                     const Route& route,
                                     const ForwardInfo& info,
