--- a/include/greengage/coordination/placement_rules.h
+++ b/include/greengage/coordination/placement_rules.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <utility>
 
+#include "greengage/coordination/data_centre_spill.h"
 #include "greengage/state/request_terms.h"
 
 namespace greengage {
@@ -33,6 +34,9 @@
   bool AllowsPeer(const RequestTerms& terms,
                   const std::string& data_centre) const;
 
+  // Returns how far a data centre is from this one.
+  Locality LocalityOf(const std::string& data_centre) const;
+
   // Changes whether the searchers of a data centre may get requests. Returns
   // false if that is how it was.
   bool SetEvacuated(const std::string& data_centre, bool evacuated);
--- a/include/greengage/coordination/quota_gate.h
+++ b/include/greengage/coordination/quota_gate.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <random>
@@ -27,11 +28,12 @@
 inline constexpr Duration kQuotaReportInterval = std::chrono::milliseconds(100);
 
 // Interval of reports to a ledger that has nothing to learn.
-inline constexpr Duration kQuotaHeartbeatInterval = std::chrono::seconds(1);
+inline constexpr Duration kQuotaHeartbeatInterval =
+    std::chrono::milliseconds(500);
 
-// A ledger that has not answered for this long is replaced, and an instance
+// A ledger that has not been heard for this long is replaced, and an instance
 // that has not reported for this long is not counted.
-inline constexpr Duration kQuotaLedgerTimeout = std::chrono::milliseconds(2500);
+inline constexpr Duration kQuotaLedgerTimeout = std::chrono::milliseconds(1300);
 
 // Selects the instances that keep ledgers: in each data centre the first by
 // rendezvous hashing of those with at least half of the largest capacity there.
@@ -104,11 +106,19 @@
     InstanceRecord instance;
     TimePoint heard_at;
     std::optional<TimePoint> reported_at;
+    // Time of the first report since the ledger was heard.
+    std::optional<TimePoint> unanswered_since;
     std::deque<SentReport> unacknowledged;
   };
 
+  static bool Answers(TimePoint now, const Ledger& ledger);
   // Returns the first ledger of the organisation that answers, or null.
   Ledger* LedgerOf(TimePoint now, const std::string& organisation);
+  // Returns the first ledger of the organisation, whether it answers or not, or
+  // null if there is none.
+  Ledger* FirstLedgerOf(const std::string& organisation);
+  Ledger* BestLedger(const std::string& organisation,
+                     const std::function<bool(const Ledger&)>& is_usable);
   QuotaVerdict AdmitAlone(TimePoint now,
                           const Organisation& organisation,
                           const LimitShare& own_share,
--- a/include/greengage/coordination/quota_ledger.h
+++ b/include/greengage/coordination/quota_ledger.h
@@ -20,9 +20,9 @@
 namespace greengage {
 
 struct QuotaLedgerOptions {
-  // Requests beyond the burst of each organisation that are admitted after a
-  // pause. They keep short bursts of small organisations from being rejected.
-  double extra_burst = 0;
+  // Requests of an organisation beyond its quota, in any window of some
+  // seconds, that the operators tolerate.
+  double allowance = 0;
 };
 
 // The ledger of some organisations. The load that it answers is an organisation
@@ -76,6 +76,7 @@
   struct Account {
     explicit Account(TimePoint now);
 
+    TimePoint opened_at;
     double tokens = 0;
     TimePoint updated_at;
     RequestQuota quota;
@@ -90,6 +91,9 @@
   Account* Find(TimePoint now, const std::string& organisation);
   void Charge(TimePoint now, Account& account, const QuotaCounts& counts);
   void Decide(TimePoint now, Account& account) const;
+  // Returns the requests beyond the burst that are admitted after a pause. They
+  // keep short bursts of small organisations from being rejected.
+  double ExtraBurst(const Account& account) const;
   double Capacity(const Account& account) const;
   // Returns the share of a quota that this ledger may use, 0 to 1.
   double Coverage(TimePoint now) const;
--- a/include/greengage/coordination/quota_messages.h
+++ b/include/greengage/coordination/quota_messages.h
@@ -22,6 +22,8 @@
   std::string organisation;
   QuotaCounts total;         // Since the start of the process.
   QuotaCounts acknowledged;  // The part of it that any ledger has confirmed.
+  // The first ledger of the organisation does not answer the sender.
+  bool is_replacement = false;
 };
 
 // A report without uses shows that the sender runs.
--- a/include/greengage/coordination/request_plan_context.h
+++ b/include/greengage/coordination/request_plan_context.h
@@ -56,6 +56,8 @@
   ExtraArrivalBudget extra_arrivals;
   DataCentreDistance distances;
   PlacementRules placement;
+  SpillMode spill_mode = SpillMode::kOff;
+  DataCentreSpill spill;
   ServiceSplit split;
   // Returns the part of this instance in a limit that a searcher of the service
   // names for all instances.
--- a/include/greengage/coordination/routed_searcher.h
+++ b/include/greengage/coordination/routed_searcher.h
@@ -83,6 +83,9 @@
                            Duration typical,
                            Duration distance) const;
 
+  // Returns whether the searcher reports how long work takes on its machine.
+  bool reports_work_time() const { return load_.work_time.has_value(); }
+
   // Returns the fraction (0 to 1) of recent attempts that failed, were rejected
   // or were lost.
   double ErrorRate(TimePoint now) const;
@@ -137,6 +140,13 @@
                      Duration typical,
                      DecayedMean& latency_ratio) const;
   void RecordError(TimePoint now, bool error);
+  void RecordLoad(TimePoint now, const ReportedLoad& load);
+  // Returns the weight of the last load report, 1 when it has just come.
+  double ReportWeight(TimePoint now) const;
+  // Returns the work time to expect now, relative to the usual one.
+  double ExpectedWorkTime(TimePoint now) const;
+  // Returns the number of requests that are before one that is sent now.
+  double RequestsAhead(TimePoint now) const;
 
   const uint64_t number_;
   SearcherEntry entry_;
@@ -155,6 +165,8 @@
   DecayedMean unanswered_latency_ratio_;
   DecayedMean error_rate_;
   SearcherRateLimit rate_limit_;
+  // Work time that the searcher reports, relative to the usual one.
+  DecayedMean work_time_;
   ReportedLoad load_;
   TimePoint load_received_at_;
 };
--- a/include/greengage/coordination/searcher_chooser.h
+++ b/include/greengage/coordination/searcher_chooser.h
@@ -26,6 +26,8 @@
 // What an attempt requires of its searcher.
 struct AttemptRequirements {
   bool only_healthy = false;  // Excludes unhealthy and unregistered searchers.
+  // Prefers searchers nearby, as DataCentreSpill decides.
+  bool prefers_nearby = false;
   TokenDemand tokens;
 };
 
@@ -82,6 +84,19 @@
                       const std::string& service) const;
 
  private:
+  // Returns those with the best usability among the searchers that Choose() may
+  // return.
+  std::vector<SearcherChoice> Candidates(
+      TimePoint now,
+      Duration typical,
+      const std::string& service,
+      const std::vector<RoutedSearcherPtr>& tried,
+      const AttemptRequirements& requirements);
+  // Keeps the candidates of the locality that the spill chooses, if it applies
+  // to the service.
+  void KeepChosenLocality(TimePoint now,
+                          const std::string& service,
+                          std::vector<SearcherChoice>& candidates);
   Duration EstimateSearcherWait(TimePoint now,
                                 Duration typical,
                                 const RoutedSearcher& searcher,
--- a/include/greengage/protocol/instance_settings.h
+++ b/include/greengage/protocol/instance_settings.h
@@ -11,6 +11,7 @@
 #include <string_view>
 #include <vector>
 
+#include "greengage/coordination/data_centre_spill.h"
 #include "greengage/protocol/setting_table.h"
 #include "greengage/protocol/validated.h"
 #include "greengage/state/endpoint.h"
@@ -58,6 +59,11 @@
   uint32_t extra_arrivals_allowance = 0;
   std::chrono::duration<double> extra_arrivals_window{};
   std::map<std::string, std::string> regions;  // By data centre.
+  SpillMode spill = SpillMode::kReported;
+  // Latency that a request must gain for it to pay to leave the data centre,
+  // and to leave the region.
+  std::chrono::milliseconds leaving_cost{};
+  std::chrono::milliseconds leaving_region_cost{};
   // All instances together may send `quota_allowance` requests of an
   // organisation beyond its quota in any such window. Zero means that quotas
   // are not enforced.
--- a/src/coordination/placement_rules.cc
+++ b/src/coordination/placement_rules.cc
@@ -15,11 +15,18 @@
 
 bool PlacementRules::AllowsPeer(const RequestTerms& terms,
                                 const std::string& data_centre) const {
-  if (data_centre == own_ || terms.AllowsRegion(RegionOf(data_centre))) {
-    return true;
+  return LocalityOf(data_centre) != Locality::kElsewhere ||
+         terms.AllowsRegion(RegionOf(data_centre));
+}
+
+Locality PlacementRules::LocalityOf(const std::string& data_centre) const {
+  if (data_centre == own_) {
+    return Locality::kDataCentre;
   }
   const std::string own_region = RegionOf(own_);
-  return !own_region.empty() && RegionOf(data_centre) == own_region;
+  return !own_region.empty() && RegionOf(data_centre) == own_region
+             ? Locality::kRegion
+             : Locality::kElsewhere;
 }
 
 bool PlacementRules::SetEvacuated(const std::string& data_centre,
--- a/src/coordination/quota_gate.cc
+++ b/src/coordination/quota_gate.cc
@@ -7,8 +7,14 @@
 namespace greengage {
 namespace {
 
-// A share that is not renewed is forgotten after this time.
-constexpr Duration kShareLifetime = std::chrono::seconds(2);
+// A share that is not renewed is forgotten after this time. It is longer than
+// the time until a ledger is replaced: in between, nobody limits the requests.
+constexpr Duration kShareLifetime =
+    kQuotaLedgerTimeout + std::chrono::milliseconds(500);
+
+// A ledger that has not answered a report, which is repeated meanwhile, for
+// this long is replaced until it answers again.
+constexpr Duration kAnswerTimeout = std::chrono::milliseconds(400);
 
 // Organisations in one report, so that it fits into a datagram.
 constexpr size_t kMaxUsesPerReport = 12;
@@ -62,7 +68,8 @@
                                       return ledger.instance.id == instance.id;
                                     });
     if (known == ledgers_.end()) {
-      changed.push_back({std::move(instance), now, std::nullopt, {}});
+      changed.push_back(
+          {std::move(instance), now, std::nullopt, std::nullopt, {}});
     } else {
       known->instance = std::move(instance);
       changed.push_back(std::move(*known));
@@ -71,16 +78,22 @@
   ledgers_ = std::move(changed);
 }
 
-QuotaGate::Ledger* QuotaGate::LedgerOf(TimePoint now,
-                                       const std::string& organisation) {
+bool QuotaGate::Answers(TimePoint now, const Ledger& ledger) {
+  return now - ledger.heard_at < kQuotaLedgerTimeout &&
+         (!ledger.unanswered_since ||
+          now - *ledger.unanswered_since < kAnswerTimeout);
+}
+
+QuotaGate::Ledger* QuotaGate::BestLedger(
+    const std::string& organisation,
+    const std::function<bool(const Ledger&)>& is_usable) {
   const uint64_t key = RendezvousHash(organisation);
   Ledger* best = nullptr;
   uint64_t best_weight = 0;
   for (Ledger& ledger : ledgers_) {
     const uint64_t weight =
         RendezvousWeight(key, RendezvousHash(ledger.instance.id));
-    if (now - ledger.heard_at < kQuotaLedgerTimeout &&
-        (best == nullptr || weight > best_weight)) {
+    if (is_usable(ledger) && (best == nullptr || weight > best_weight)) {
       best = &ledger;
       best_weight = weight;
     }
@@ -88,6 +101,17 @@
   return best;
 }
 
+QuotaGate::Ledger* QuotaGate::LedgerOf(TimePoint now,
+                                       const std::string& organisation) {
+  return BestLedger(organisation, [now](const Ledger& ledger) {
+    return Answers(now, ledger);
+  });
+}
+
+QuotaGate::Ledger* QuotaGate::FirstLedgerOf(const std::string& organisation) {
+  return BestLedger(organisation, [](const Ledger&) { return true; });
+}
+
 QuotaVerdict QuotaGate::Admit(TimePoint now,
                               const Organisation& organisation,
                               const LimitShare& own_share) {
@@ -145,7 +169,8 @@
     if (!(use.total == use.acknowledged)) {
       Ledger* const ledger = LedgerOf(now, organisation);
       if (ledger != nullptr && uses[ledger].size() < kMaxUsesPerReport) {
-        uses[ledger].push_back({organisation, use.total, use.acknowledged});
+        uses[ledger].push_back({organisation, use.total, use.acknowledged,
+                                ledger != FirstLedgerOf(organisation)});
       }
     }
   }
@@ -158,6 +183,7 @@
       continue;
     }
     ledger.reported_at = now;
+    ledger.unanswered_since = ledger.unanswered_since.value_or(now);
     OutgoingReport outgoing{ledger.instance,
                             {self_id_, process_, ++last_sequence_, {}}};
     if (found != uses.end()) {
@@ -182,6 +208,7 @@
     return;
   }
   ledger->heard_at = now;
+  ledger->unanswered_since.reset();
   if (decision.process == process_) {
     std::erase_if(ledger->unacknowledged, [&](const SentReport& sent) {
       if (sent.sequence == decision.sequence) {
--- a/src/coordination/quota_ledger.cc
+++ b/src/coordination/quota_ledger.cc
@@ -26,6 +26,17 @@
 // An instance that has not reported for this long is not counted.
 constexpr Duration kReporterLifetime = kQuotaLedgerTimeout;
 
+// Time from the start of a ledger until all instances have reported.
+constexpr Duration kFirstReportsTime =
+    kQuotaHeartbeatInterval + milliseconds(300);
+
+// Part of the allowance that is used as a further burst.
+constexpr double kMinExtraBurst = 0.2;
+constexpr double kMaxExtraBurst = 0.6;
+
+// Demand of an organisation that exceeds its quota, relative to the quota.
+constexpr double kExpectedSurge = 5;
+
 // What an instance reported last is remembered for this time.
 constexpr Duration kReporterMemory = std::chrono::minutes(1);
 
@@ -47,20 +58,32 @@
 }  // namespace
 
 QuotaLedger::Account::Account(TimePoint now)
-    : updated_at(now), demand(now, 0, kDemandHalfLife), noticed_at(now) {}
+    : opened_at(now),
+      updated_at(now),
+      demand(now, 0, kDemandHalfLife),
+      noticed_at(now) {}
 
 QuotaLedger::QuotaLedger(TimePoint now,
                          QuotaLedgerOptions options,
                          QuotaHook quota)
     : options_(options), quota_(std::move(quota)), started_at_(now) {}
 
+// Leaves the part of the allowance that is admitted before all instances know
+// of a limit.
+double QuotaLedger::ExtraBurst(const Account& account) const {
+  const double reaction =
+      kExpectedSurge * account.quota.rate * kReactionTime.count();
+  return std::max(options_.allowance * kMinExtraBurst,
+                  options_.allowance * kMaxExtraBurst - reaction);
+}
+
 double QuotaLedger::Capacity(const Account& account) const {
-  return account.quota.burst + options_.extra_burst;
+  return account.quota.burst + ExtraBurst(account);
 }
 
 // Until all instances have had the time to report, all of them count.
 double QuotaLedger::Coverage(TimePoint now) const {
-  if (now - started_at_ < kReporterLifetime + kQuotaHeartbeatInterval) {
+  if (now - started_at_ < kFirstReportsTime) {
     return 1;
   }
   const auto reporting = static_cast<double>(std::count_if(
@@ -80,15 +103,13 @@
   }
   const auto [found, added] = accounts_.try_emplace(organisation, now);
   Account& account = found->second;
-  if (!(account.quota == *quota)) {
-    account.quota = *quota;
-    account.tokens =
-        added ? Capacity(account) : std::min(account.tokens, Capacity(account));
-  }
+  account.quota = *quota;
+  const double coverage = Coverage(now);
+  const double capacity = Capacity(account) * coverage;
+  const double accrued =
+      account.quota.rate * coverage * Seconds(now - account.updated_at);
   account.tokens =
-      std::min(Capacity(account),
-               account.tokens + account.quota.rate * Coverage(now) *
-                                    Seconds(now - account.updated_at));
+      added ? capacity : std::min(capacity, account.tokens + accrued);
   account.updated_at = now;
   return &account;
 }
@@ -125,6 +146,11 @@
     if (!is_late) {
       const auto [known, is_first] =
           reporter.counts.try_emplace(use.organisation, use.acknowledged);
+      if ((use.is_replacement || (is_first && use.acknowledged.asked > 0)) &&
+          now - account->opened_at < kReporterLifetime) {
+        // Another ledger, or an earlier process, has given out the burst.
+        account->tokens = std::min(account->tokens, ExtraBurst(*account) / 2);
+      }
       // Another ledger may have counted more of it meanwhile.
       const QuotaCounts& counted = known->second.asked < use.acknowledged.asked
                                        ? use.acknowledged
--- a/src/coordination/request_plan.cc
+++ b/src/coordination/request_plan.cc
@@ -248,7 +248,8 @@
   // searcher.
   const SearcherChoice choice =
       chooser_.Choose(now, timing.typical, part.service, part.tried,
-                      {reason == AttemptReason::kHedge, TokensFor(reason)});
+                      {reason == AttemptReason::kHedge,
+                       reason == AttemptReason::kFirst, TokensFor(reason)});
   const RoutedSearcherPtr& searcher = choice.searcher;
   if (!searcher) {
     return false;
--- a/src/coordination/routed_searcher.cc
+++ b/src/coordination/routed_searcher.cc
@@ -43,9 +43,13 @@
 // then.
 constexpr Duration kTokenLifetime = std::chrono::seconds(1);
 
-// A load report is ignored once it is older than this.
+// A load report without a work time is ignored once it is older than this.
 constexpr Duration kLoadReportLifetime = milliseconds(100);
 
+// Half-life of a load report with a work time. Other work on the searcher's
+// machine changes several times per second.
+constexpr Duration kReportHalfLife = milliseconds(300);
+
 // An absurd load that a searcher reports would overflow a longer latency.
 constexpr duration<double> kMaxExpectedLatency{3600};
 
@@ -72,7 +76,8 @@
       latency_ratio_(now, 1, kEstimateHalfLife),
       unanswered_latency_ratio_(now, 1, kEstimateHalfLife),
       error_rate_(now, 0, kEstimateHalfLife),
-      rate_limit_(now) {}
+      rate_limit_(now),
+      work_time_(now, 1, kEstimateHalfLife) {}
 
 void RoutedSearcher::UpdateEntry(TimePoint now, SearcherEntry entry) {
   // A process that is draining never becomes available again.
@@ -165,8 +170,7 @@
   }
   outstanding_.erase(found);
   if (outcome.load) {
-    load_ = *outcome.load;
-    load_received_at_ = now;
+    RecordLoad(now, *outcome.load);
   }
   // A rejection that names no limit may come from a full queue.
   if (IsOwnAnswer(outcome.end) &&
@@ -177,7 +181,11 @@
     case AttemptEnd::kAnswered:
       OnSuccess(now);
       RecordError(now, false);
-      RecordLatency(now, latency - distance, typical, latency_ratio_);
+      // The work time is estimated by itself, from reports.
+      RecordLatency(now,
+                    duration_cast<Duration>((latency - distance) /
+                                            load_.work_time.value_or(1)),
+                    typical, latency_ratio_);
       break;
     case AttemptEnd::kFailed:
     case AttemptEnd::kRejected:
@@ -242,6 +250,39 @@
   error_rate_.Add(now, error ? 1 : 0, kSampleWeight);
 }
 
+void RoutedSearcher::RecordLoad(TimePoint now, const ReportedLoad& load) {
+  load_ = load;
+  load_received_at_ = now;
+  if (load.work_time) {
+    work_time_.Add(now, *load.work_time, kSampleWeight);
+  }
+}
+
+double RoutedSearcher::ReportWeight(TimePoint now) const {
+  return std::exp2(-duration<double>(now - load_received_at_) /
+                   duration<double>(kReportHalfLife));
+}
+
+double RoutedSearcher::ExpectedWorkTime(TimePoint now) const {
+  if (!load_.work_time) {
+    return 1;
+  }
+  const double usual = work_time_.At(now);
+  return usual + (*load_.work_time - usual) * ReportWeight(now);
+}
+
+double RoutedSearcher::RequestsAhead(TimePoint now) const {
+  const auto outstanding = static_cast<double>(outstanding_.size());
+  const double reported =
+      static_cast<double>(load_.running) + static_cast<double>(load_.waiting);
+  if (load_.work_time) {
+    return std::max(outstanding, reported * ReportWeight(now));
+  }
+  return now - load_received_at_ < kLoadReportLifetime
+             ? std::max(outstanding, reported)
+             : outstanding;
+}
+
 double RoutedSearcher::ErrorRate(TimePoint now) const {
   return error_rate_.At(now);
 }
@@ -284,17 +325,13 @@
                                          Duration typical,
                                          Duration distance) const {
   const double slots = std::max(1U, entry_.slots);
-  double requests_ahead = static_cast<double>(outstanding_.size());
-  if (now - load_received_at_ < kLoadReportLifetime) {
-    const double reported =
-        static_cast<double>(load_.running) + static_cast<double>(load_.waiting);
-    requests_ahead = std::max(requests_ahead, reported);
-  }
+  const double requests_ahead = RequestsAhead(now);
   double factor =
       std::max(latency_ratio_.At(now), unanswered_latency_ratio_.At(now));
   if (now < warm_at_) {
     factor = std::max(factor, kWarmUpLatencyRatio);
   }
+  factor *= ExpectedWorkTime(now);
   factor *= 1 + std::max(0.0, requests_ahead + 1 - slots) / slots;
   // A small penalty per request spreads the load over equal searchers even
   // while they have free slots.
--- a/src/coordination/searcher_chooser.cc
+++ b/src/coordination/searcher_chooser.cc
@@ -40,14 +40,14 @@
                       now, context_->LimitShareOf(searcher), tokens));
 }
 
-SearcherChoice SearcherChooser::Choose(
+std::vector<SearcherChoice> SearcherChooser::Candidates(
     TimePoint now,
     Duration typical,
     const std::string& service,
     const std::vector<RoutedSearcherPtr>& tried,
     const AttemptRequirements& requirements) {
   std::uniform_real_distribution<double> jitter(1.0, 1.1);
-  SearcherChoice best;
+  std::vector<SearcherChoice> candidates;
   Usability best_usability = Usability::kUnusable;
   for (const RoutedSearcherPtr& searcher :
        context_->searchers.ForService(service)) {
@@ -64,13 +64,65 @@
     const auto expected = std::chrono::duration_cast<Duration>(
         searcher->ExpectedLatency(now, typical, distance) *
         jitter(context_->random));
-    if (!best.searcher || usability < best_usability ||
-        (usability == best_usability && expected < best.expected)) {
-      best = {searcher, expected, distance};
+    if (usability < best_usability) {
       best_usability = usability;
+      candidates.clear();
+    }
+    if (usability == best_usability) {
+      candidates.push_back({searcher, expected, distance});
     }
   }
-  return best;
+  return candidates;
+}
+
+void SearcherChooser::KeepChosenLocality(
+    TimePoint now,
+    const std::string& service,
+    std::vector<SearcherChoice>& candidates) {
+  const bool applies =
+      context_->spill_mode == SpillMode::kAlways ||
+      (context_->spill_mode == SpillMode::kReported &&
+       std::any_of(candidates.begin(), candidates.end(),
+                   [](const SearcherChoice& candidate) {
+                     return candidate.searcher->reports_work_time();
+                   }));
+  if (!applies || candidates.size() < 2) {
+    return;
+  }
+  const auto locality_of = [this](const SearcherChoice& candidate) {
+    return context_->placement.LocalityOf(
+        candidate.searcher->entry().data_centre);
+  };
+  LocalityLatencies latencies;
+  for (const SearcherChoice& candidate : candidates) {
+    std::optional<Duration>& best =
+        latencies[static_cast<size_t>(locality_of(candidate))];
+    best = std::min(best.value_or(candidate.expected), candidate.expected);
+  }
+  const Locality chosen =
+      context_->spill.Choose(now, service, latencies, route_->target_latency);
+  std::erase_if(candidates, [&](const SearcherChoice& candidate) {
+    return locality_of(candidate) != chosen;
+  });
+}
+
+SearcherChoice SearcherChooser::Choose(
+    TimePoint now,
+    Duration typical,
+    const std::string& service,
+    const std::vector<RoutedSearcherPtr>& tried,
+    const AttemptRequirements& requirements) {
+  std::vector<SearcherChoice> candidates =
+      Candidates(now, typical, service, tried, requirements);
+  if (requirements.prefers_nearby) {
+    KeepChosenLocality(now, service, candidates);
+  }
+  const auto best =
+      std::min_element(candidates.begin(), candidates.end(),
+                       [](const SearcherChoice& a, const SearcherChoice& b) {
+                         return a.expected < b.expected;
+                       });
+  return best == candidates.end() ? SearcherChoice{} : *best;
 }
 
 std::optional<Duration> SearcherChooser::EstimateWait(
--- a/src/protocol/instance_settings.cc
+++ b/src/protocol/instance_settings.cc
@@ -105,13 +105,29 @@
                "10", "Any time of this length keeps these two bounds.")
       .NamePairs("regions", &S::regions, "",
                  "The region of each data centre, as DATA-CENTRE:REGION.")
+      .OneOf("spill", &S::spill,
+             {{"off", SpillMode::kOff},
+              {"reported", SpillMode::kReported},
+              {"always", SpillMode::kAlways}},
+             "reported",
+             "For which services it is decided when requests leave the data "
+             "centre, and how many: none, those whose searchers report how "
+             "long work takes, or all. Otherwise each request goes to the "
+             "searcher with the least expected latency.")
+      .Time("leaving_cost_ms", &S::leaving_cost,
+            {.maximum = 60000, .default_value = 2},
+            "Latency that a request must gain for it to leave the data "
+            "centre.")
+      .Time("leaving_region_cost_ms", &S::leaving_region_cost,
+            {.maximum = 60000, .default_value = 10},
+            "Latency that a request must gain for it to leave the region.")
       .Seconds("quota_window_s", &S::quota_window, 0, 3600, "0",
                "Any time of this length keeps the quotas of organisations, "
                "but for the allowance. 0: quotas are not enforced.")
       .Integer("quota_allowance", &S::quota_allowance,
                {.maximum = 100000, .default_value = 0},
                "Requests of an organisation beyond its quota in that time; a "
-               "quarter of them is used as a further burst.")
+               "part of them is used as a further burst.")
       .Time("evacuation_time_ms", &S::evacuation_time,
             {.maximum = 60000, .default_value = 0},
             "Time in which the evacuation of a data centre takes effect. 0: "
--- a/src/protocol/quota_codec.cc
+++ b/src/protocol/quota_codec.cc
@@ -43,7 +43,8 @@
     if (!total || !acknowledged || use.organisation().empty()) {
       return Malformed();
     }
-    report.uses.push_back({use.organisation(), *total, *acknowledged});
+    report.uses.push_back(
+        {use.organisation(), *total, *acknowledged, use.is_replacement()});
   }
   return report.sender.empty() ? Result<QuotaMessage>(Malformed())
                                : QuotaMessage(std::move(report));
@@ -79,6 +80,7 @@
     added->set_organisation(use.organisation);
     Write(use.total, added->mutable_total());
     Write(use.acknowledged, added->mutable_acknowledged());
+    added->set_is_replacement(use.is_replacement);
   }
   return datagram.SerializeAsString();
 }
--- a/src/routed_instance.cc
+++ b/src/routed_instance.cc
@@ -70,6 +70,9 @@
       instances_timer_(context),
       feed_timer_(context) {
   AssumeMaxInstances();
+  plan_context_.spill_mode = settings.spill;
+  plan_context_.spill =
+      DataCentreSpill({settings.leaving_cost, settings.leaving_region_cost});
   plan_context_.limit_share = [this](const std::string& service) {
     return LimitShareOf(service);
   };
--- a/src/routed_instance_terms.cc
+++ b/src/routed_instance_terms.cc
@@ -8,14 +8,6 @@
 #include "transport/random_base.h"
 
 namespace greengage {
-namespace {
-
-// Part of the allowance beyond a quota that a pause lets an organisation use.
-// The rest covers what instances admit before they learn of a limit.
-constexpr double kExtraBurstShare = 0.25;
-
-}  // namespace
-
 void RoutedInstanceImpl::StartEvacuationWatch() {
   if (settings_.evacuation_time.count() == 0) {
     return;
@@ -108,7 +100,7 @@
         context_,
         QuotaService::Options{
             settings_.id, RandomBase(), settings_.peer,
-            QuotaLedgerOptions{kExtraBurstShare * settings_.quota_allowance}},
+            QuotaLedgerOptions{static_cast<double>(settings_.quota_allowance)}},
         QuotaService::Hooks{[this](const std::string& organisation) {
                               return QuotaOf(organisation);
                             },
