--- a/include/greengage/coordination/data_centre_spill.h
+++ b/include/greengage/coordination/data_centre_spill.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "greengage/state/time.h"
 
@@ -18,6 +19,9 @@
 enum class Locality : uint8_t { kDataCentre, kRegion, kElsewhere };
 inline constexpr size_t kLocalities = 3;
 
+// Name in snake_case, for metrics.
+std::string_view LocalityName(Locality locality);
+
 // Where DataCentreSpill decides; elsewhere the best estimate does.
 enum class SpillMode : uint8_t {
   kOff,
@@ -42,10 +46,11 @@
 //
 // Requests stay as long as the local searchers are expected to answer within
 // the objective, and not later than others by more than the cost of leaving.
-// Otherwise the share that leaves rises in steps until the estimates differ by
-// just that cost, and it falls again in steps. Choosing the best estimate for
-// each request instead would send all requests of all instances to the same
-// searchers at once, back and forth, since estimates lag behind the load.
+// Otherwise the share that leaves rises in steps, and it falls again in steps
+// once leaving no longer pays, so that both estimates meet. Choosing the best
+// estimate for each request instead would send all requests of all instances to
+// the same searchers at once, back and forth, since estimates lag behind the
+// load.
 //
 // Not thread-safe.
 class DataCentreSpill {
@@ -73,10 +78,7 @@
   };
   using Shares = std::array<Leaving, kLocalities>;
 
-  static void Adjust(TimePoint now,
-                     bool pays,
-                     bool is_needed,
-                     Leaving& leaving);
+  static void Adjust(TimePoint now, bool pays, Leaving& leaving);
 
   DataCentreSpillOptions options_;
   std::map<std::string, Shares, std::less<>> services_;
--- a/include/greengage/state/routed_metrics.h
+++ b/include/greengage/state/routed_metrics.h
@@ -20,7 +20,10 @@
   std::map<std::string, Distribution> request_time;  // By route.
   std::map<Labels, Counter> attempts;                // By reason and end.
   std::map<Labels, Counter> limited_attempts;        // By service and reason.
-  std::map<Labels, Counter> store_changes;           // By feed and change.
+  std::map<Labels, Counter> local_attempts;          // By locality and reason.
+  // Of organisations with a quota, by organisation and decision.
+  std::map<Labels, Counter> quota_decisions;
+  std::map<Labels, Counter> store_changes;  // By feed and change.
   Counter searchers_added;
   Counter searchers_left;
   Counter searchers_crashed;
--- a/src/coordination/data_centre_spill.cc
+++ b/src/coordination/data_centre_spill.cc
@@ -12,9 +12,9 @@
 constexpr Duration kStepInterval = milliseconds(100);
 constexpr double kStep = 0.1;
 
-// Estimates must differ from the cost of leaving by this factor of the estimate
-// for a share to change, so that it does not follow their noise.
-constexpr double kDeadBand = 0.1;
+// Leaving must gain this fraction of the estimate beyond its cost, so that a
+// share does not follow the noise of the estimates.
+constexpr double kMinGain = 0.1;
 
 size_t IndexOf(Locality locality) {
   return static_cast<size_t>(locality);
@@ -22,18 +22,26 @@
 
 }  // namespace
 
+std::string_view LocalityName(Locality locality) {
+  switch (locality) {
+    case Locality::kDataCentre:
+      return "data_centre";
+    case Locality::kRegion:
+      return "region";
+    case Locality::kElsewhere:
+      return "elsewhere";
+  }
+  return "unknown";
+}
+
 // Steps follow each other in time, not by the number of requests: instances
 // with many requests would otherwise swing.
-void DataCentreSpill::Adjust(TimePoint now,
-                             bool pays,
-                             bool is_needed,
-                             Leaving& leaving) {
+void DataCentreSpill::Adjust(TimePoint now, bool pays, Leaving& leaving) {
   if (leaving.changed_at && now - *leaving.changed_at < kStepInterval) {
     return;
   }
   leaving.changed_at = now;
-  const double step = pays ? kStep : is_needed ? 0 : -kStep;
-  leaving.share = std::clamp(leaving.share + step, 0.0, 1.0);
+  leaving.share = std::clamp(leaving.share + (pays ? kStep : -kStep), 0.0, 1.0);
 }
 
 Locality DataCentreSpill::Choose(TimePoint now,
@@ -60,10 +68,9 @@
     }
     Leaving& leaving = shares[near];
     const Duration here = *latencies[near];
-    const auto band = std::chrono::duration_cast<Duration>(here * kDeadBand);
+    const auto min_gain = std::chrono::duration_cast<Duration>(here * kMinGain);
     const bool is_late = here > objective && *beyond < here;
-    Adjust(now, is_late || here > *beyond + band, here > *beyond - band,
-           leaving);
+    Adjust(now, is_late || here > *beyond + min_gain, leaving);
     leaving.remainder += leaving.share;
     if (leaving.remainder < 1) {
       return static_cast<Locality>(near);
--- a/src/state/routed_metrics.cc
+++ b/src/state/routed_metrics.cc
@@ -23,6 +23,15 @@
     "greengage_limited_attempts_total", "counter",
     "Attempts at searchers that name a limit on their requests, by service and "
     "reason."};
+constexpr MetricInfo kLocalAttempts{
+    "greengage_attempts_by_locality_total", "counter",
+    "Attempts at searchers in the own data centre, in others of its region, "
+    "and elsewhere, by reason."};
+constexpr MetricInfo kQuotaDecisions{
+    "greengage_quota_decisions_total", "counter",
+    "Requests of organisations that have a quota, by organisation and whether "
+    "they were admitted, over the quota, or beyond this instance's share while "
+    "no ledger answered."};
 constexpr MetricInfo kStoreChanges{
     "greengage_store_changes_total", "counter",
     "Times that a feed of the store was lost, regained or restored."};
@@ -54,11 +63,9 @@
 
 const std::vector<MetricInfo>& AllRoutedMetrics() {
   static const std::vector<MetricInfo> metrics{
-      kRequests,       kRequestTime,
-      kAttempts,       kLimitedAttempts,
-      kStoreChanges,   kAdded,
-      kLeft,           kCrashed,
-      kCallersLeft,    kUnfinishedAnswerBytes,
+      kRequests,       kRequestTime,    kAttempts,     kLimitedAttempts,
+      kLocalAttempts,  kQuotaDecisions, kStoreChanges, kAdded,
+      kLeft,           kCrashed,        kCallersLeft,  kUnfinishedAnswerBytes,
       kHandlerFailures};
   return metrics;
 }
@@ -74,6 +81,10 @@
   WriteLabelled(out, kAttempts, "reason", "end", metrics.attempts);
   WriteLabelled(out, kLimitedAttempts, "service", "reason",
                 metrics.limited_attempts);
+  WriteLabelled(out, kLocalAttempts, "locality", "reason",
+                metrics.local_attempts);
+  WriteLabelled(out, kQuotaDecisions, "organisation", "decision",
+                metrics.quota_decisions);
   WriteLabelled(out, kStoreChanges, "feed", "change", metrics.store_changes);
   WriteCounter(out, kAdded, metrics.searchers_added);
   WriteCounter(out, kLeft, metrics.searchers_left);
--- a/src/transport/request_router.cc
+++ b/src/transport/request_router.cc
@@ -473,6 +473,11 @@
                                     searcher.id, now - active.arrived,
                                     send.expected, std::nullopt,
                                     Duration::zero(), ""});
+  metrics_
+      ->local_attempts[{std::string(LocalityName(plans_->placement.LocalityOf(
+                            searcher.data_centre))),
+                        std::string(AttemptReasonName(send.reason))}]
+      .Add();
   if (send.searcher->rate_limit().limit()) {
     metrics_
         ->limited_attempts[{searcher.service,
--- a/src/transport/request_router_access.cc
+++ b/src/transport/request_router_access.cc
@@ -110,6 +110,10 @@
     return exchange;
   }
   const QuotaVerdict verdict = hooks_.admit(*organisation);
+  const std::string decision = verdict.admitted   ? "admitted"
+                               : verdict.is_alone ? "beyond_own_share"
+                                                  : "over_quota";
+  metrics_->quota_decisions[{organisation->name, decision}].Add();
   if (!verdict.admitted) {
     Reject(
         caller.id, exchange,
--- a/tools/bench/routed_driver.cc
+++ b/tools/bench/routed_driver.cc
@@ -19,6 +19,7 @@
       : plan_(now,
               std::move(table),
               route,
+              TermsOf(*route, nullptr),
               deadline,
               context,
               std::move(next_attempt)) {}
