--- a/include/greengage/coordination/request_plan.h
+++ b/include/greengage/coordination/request_plan.h
@@ -178,6 +178,8 @@
   TokenDemand TokensFor(AttemptReason reason) const;
   // Expected number of answered parts, including those in flight.
   double ExpectedParts(TimePoint now) const;
+  // Returns whether DataCentreSpill chooses the data centre of an attempt.
+  bool MaySpill(AttemptReason reason) const;
   bool MayRetry(const Part& part) const;
   bool MayHedge() const;
   // Sends the parts that are held back, or only the first of them.
--- a/src/coordination/request_plan.cc
+++ b/src/coordination/request_plan.cc
@@ -248,8 +248,8 @@
   // searcher.
   const SearcherChoice choice =
       chooser_.Choose(now, timing.typical, part.service, part.tried,
-                      {reason == AttemptReason::kHedge,
-                       reason == AttemptReason::kFirst, TokensFor(reason)});
+                      {reason == AttemptReason::kHedge, MaySpill(reason),
+                       TokensFor(reason)});
   const RoutedSearcherPtr& searcher = choice.searcher;
   if (!searcher) {
     return false;
@@ -278,6 +278,12 @@
   return true;
 }
 
+// The slowest part decides when a gathered request is answered, so each part
+// goes to the searcher with the best estimate. So does every further attempt.
+bool RequestPlan::MaySpill(AttemptReason reason) const {
+  return reason == AttemptReason::kFirst && !route_->gather;
+}
+
 // A non-idempotent request is retried only if no attempt may have run.
 bool RequestPlan::MayRetry(const Part& part) const {
   if (!idempotent_ && (part.may_have_run || part.in_flight > 0)) {
