Fix what reviews of the new parts found

Cause: answers of searchers with 503 gave quota back; admissions without a ledger were charged at once later; a suspended ledger or instance counted silence as loss; a notice that a limit had ended could be lost; a relay passed on evacuations from its earlier time; an instance served before it had read evacuations; a list of the wrong type removed a restriction; a caller of an older release could name its organisation to a newer gatherer.

Change: answers carry whether the request ran, reports and ledgers allow for pauses, readiness waits for evacuations, the name of the organisation goes into the header that older releases remove.

--- a/include/greengage/coordination/feed_cache.h
+++ b/include/greengage/coordination/feed_cache.h
@@ -87,6 +87,9 @@
              StoreRevision revision,
              std::vector<FeedObject> objects);
 
+  // Forgets the objects of `kind`, as if they had never been read.
+  void Forget(FeedKind kind);
+
   // Returns true once the configuration and the searchers are known.
   bool is_filled() const;
 
--- a/include/greengage/coordination/quota_gate.h
+++ b/include/greengage/coordination/quota_gate.h
@@ -35,8 +35,14 @@
 // that has not reported for this long is not counted.
 inline constexpr Duration kQuotaLedgerTimeout = std::chrono::milliseconds(1300);
 
+// A share that is not renewed is forgotten after this time. It is longer than
+// the time until a ledger is replaced: in between, nobody limits the requests.
+inline constexpr Duration kQuotaShareLifetime =
+    kQuotaLedgerTimeout + std::chrono::milliseconds(500);
+
 // Selects the instances that keep ledgers: in each region the first by
-// rendezvous hashing of those with at least half of the largest capacity there.
+// rendezvous hashing of those with at least half of the largest capacity there,
+// and the next ones if these are few.
 // `regions` holds the regions of data centres; one that it lacks counts as a
 // region.
 std::vector<InstanceRecord> SelectQuotaLedgers(
@@ -73,7 +79,7 @@
                      const Organisation& organisation,
                      const LimitShare& own_share);
 
-  // Reports that a request that was admitted has not run.
+  // Reports that a request that was admitted, not alone, has not run.
   void OnNotRun(const std::string& organisation);
 
   struct OutgoingReport {
@@ -91,6 +97,7 @@
     QuotaCounts total;
     QuotaCounts acknowledged;
     double share = 1;
+    std::string share_from;  // Id of the ledger.
     Duration retry_after{};
     std::optional<TimePoint> share_until;
     // Part of a request that the share has left over, 0 to 1. Random at first,
@@ -122,6 +129,11 @@
   Ledger* FirstLedgerOf(const std::string& organisation);
   Ledger* BestLedger(const std::string& organisation,
                      const std::function<bool(const Ledger&)>& is_usable);
+  void UseShare(TimePoint now,
+                const std::string& ledger,
+                const QuotaShare& share);
+  // Moves the times of ledgers on after a pause of this process.
+  void AllowForPause(TimePoint now);
   QuotaVerdict AdmitAlone(TimePoint now,
                           const Organisation& organisation,
                           const LimitShare& own_share,
@@ -131,6 +143,7 @@
   const uint64_t process_;
   uint64_t last_sequence_ = 0;
   std::minstd_rand random_;
+  TimePoint reported_at_;  // Time of the last TakeReports().
   std::vector<Ledger> ledgers_;
   std::map<std::string, Use> uses_;
 };
--- a/include/greengage/coordination/quota_ledger.h
+++ b/include/greengage/coordination/quota_ledger.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -35,11 +36,11 @@
 // they are told which share of the requests to admit, so that the level returns
 // to zero within about a second.
 //
-// Of the instances that have reported to it in the last minute, the ledger
-// counts those that still do, and uses the same share of each quota. Two
-// ledgers of an organisation whose instances are cut off from each other thus
-// admit no more than its quota together. Instances that have not reported yet
-// do not count, since most of them are only starting.
+// Of the instances that have reported to it and are still registered, the
+// ledger counts those that report now, and uses the same share of each quota.
+// Two ledgers of an organisation whose instances are cut off from each other
+// thus admit no more than its quota together. Instances that have not reported
+// yet do not count, since most of them are only starting.
 //
 // Not thread-safe.
 class QuotaLedger {
@@ -52,9 +53,14 @@
   QuotaLedger(QuotaLedgerOptions options, QuotaHook quota)
       : options_(options), quota_(std::move(quota)) {}
 
-  // Returns the present shares of the organisations in the report. Reports that
-  // arrive twice, or after later ones, change nothing.
-  std::vector<QuotaShare> OnReport(TimePoint now, const QuotaReport& report);
+  // Sets the instances in the registry.
+  void SetInstances(std::set<std::string> ids) { registered_ = std::move(ids); }
+
+  // Returns the present shares of the organisations in the report. Returns
+  // nothing, and the report must not be acknowledged, if it was not counted: it
+  // arrived twice or after a later one, or too many unknown senders report.
+  std::optional<std::vector<QuotaShare>> OnReport(TimePoint now,
+                                                  const QuotaReport& report);
 
   // Returns the shares that all instances must be told now: those that have
   // changed much, and regularly those below 1. Must be called at least every
@@ -76,8 +82,11 @@
   struct Account {
     explicit Account(TimePoint now);
 
-    TimePoint opened_at;
     double tokens = 0;
+    // Time at which reports began that another ledger may have answered before,
+    // and that of the last one.
+    TimePoint takeover_since;
+    std::optional<TimePoint> takeover_at;
     TimePoint updated_at;
     RequestQuota quota;
     DecayedMean demand;  // Requests per second.
@@ -89,7 +98,10 @@
 
   // Returns null if the organisation has no limit.
   Account* Find(TimePoint now, const std::string& organisation);
-  void Charge(TimePoint now, Account& account, const QuotaCounts& counts);
+  void Charge(TimePoint now, Account& account, const QuotaCounts& counts) const;
+  void LimitBurstOfTakeover(TimePoint now, Account& account) const;
+  // Moves the times of reporters on after a pause of this process.
+  void AllowForPause(TimePoint now);
   void Decide(TimePoint now, Account& account) const;
   // Returns the requests beyond the burst that are admitted after a pause. They
   // keep short bursts of small organisations from being rejected.
@@ -100,6 +112,8 @@
 
   const QuotaLedgerOptions options_;
   const QuotaHook quota_;
+  std::set<std::string> registered_;
+  std::optional<TimePoint> called_at_;
   std::map<std::string, Reporter> reporters_;
   std::map<std::string, Account> accounts_;
 };
--- a/include/greengage/coordination/routed_searcher.h
+++ b/include/greengage/coordination/routed_searcher.h
@@ -141,12 +141,8 @@
                      DecayedMean& latency_ratio) const;
   void RecordError(TimePoint now, bool error);
   void RecordLoad(TimePoint now, const ReportedLoad& load);
-  // Returns the weight of the last load report, 1 when it has just come.
-  double ReportWeight(TimePoint now) const;
   // Returns the work time to expect now, relative to the usual one.
   double ExpectedWorkTime(TimePoint now) const;
-  // Returns the number of requests that are before one that is sent now.
-  double RequestsAhead(TimePoint now) const;
 
   const uint64_t number_;
   SearcherEntry entry_;
--- a/include/greengage/protocol/routed_call_codec.h
+++ b/include/greengage/protocol/routed_call_codec.h
@@ -20,9 +20,9 @@
 struct CallerRequest {
   std::string id;
   std::string host;
-  std::chrono::milliseconds time_left{};  // Zero if the header is absent.
-  // The Authorization header, if there is exactly one.
-  std::optional<std::string> credentials;
+  std::chrono::milliseconds time_left{};   // Zero if the header is absent.
+  std::optional<std::string> credentials;  // The first Authorization header.
+  bool has_ambiguous_credentials = false;  // There are several.
   // Name of the organisation on whose behalf the caller sends. Empty if none.
   // Not from the headers: the credentials, or another instance, say so.
   std::string organisation;
--- a/include/greengage/transport/gather_forwarder.h
+++ b/include/greengage/transport/gather_forwarder.h
@@ -32,26 +32,30 @@
 // Header of a refusal by an instance that does not reach the searchers.
 inline constexpr char kCutOffHeader[] = "Greengage-Cut-Off";
 
-// What an instance tells the gatherer about a query, in headers.
+// What an instance tells the gatherer about a query, in a header.
 struct ForwardInfo {
   uint64_t configuration = 0;  // Oldest version that may be used.
   // Name of the organisation whose key the caller has; empty if the caller
-  // needs none. Not set by an instance that checks no keys.
+  // needs none. Set if only gatherers that know organisations and regions may
+  // have the query.
   std::optional<std::string> organisation;
 };
 
-// Replaces headers of the same names.
+// Replaces a header of the same name.
 void AddForwardInfo(const ForwardInfo& info, HeaderList& headers);
 
 bool HasForwardInfo(const HeaderList& headers);
 
-// Removes the headers that AddForwardInfo() adds. Returns nothing if that of
-// the configuration is missing or malformed.
+// Removes the header that AddForwardInfo() adds. Returns nothing if it is
+// missing or malformed.
 std::optional<ForwardInfo> TakeForwardInfo(HeaderList& headers);
 
 // Header of a gatherer's answer: the id of the request that it answers.
 inline constexpr char kAnsweredRequestHeader[] = "Greengage-Answered";
 
+// Header of a gatherer's answer if it rejected the query, which has not run.
+inline constexpr char kNotRunHeader[] = "Greengage-Query-Not-Run";
+
 struct ForwardedQuery {
   std::string request_id;
   HttpCall call;  // The request for the gatherer, without ForwardInfo.
--- a/include/greengage/transport/http_message.h
+++ b/include/greengage/transport/http_message.h
@@ -27,6 +27,9 @@
   std::string content_type = "application/json";
   HeaderList headers;
   std::string body;
+  // This system rejected the request, and no searcher has run it or will. Not
+  // part of the message.
+  bool not_run = false;
 };
 
 }  // namespace greengage
--- a/src/coordination/feed_cache.cc
+++ b/src/coordination/feed_cache.cc
@@ -69,6 +69,12 @@
   MarkCurrent(now, kind, revision);
 }
 
+void FeedCache::Forget(FeedKind kind) {
+  current_at_[IndexOf(kind)].reset();
+  std::erase_if(entries_,
+                [kind](const auto& item) { return item.first.first == kind; });
+}
+
 void FeedCache::Update(TimePoint now, FeedObject object) {
   Entry& entry = entries_[{object.kind, object.name}];
   if (const auto* const next = std::get_if<SearcherEntry>(&object.value)) {
@@ -90,6 +96,11 @@
 void FeedCache::MarkCurrent(TimePoint now,
                             FeedKind kind,
                             StoreRevision revision) {
+  if (kind == FeedKind::kEvacuation && !current_at_[IndexOf(kind)]) {
+    // Those who have read a page without evacuations need a complete one, since
+    // no change tells them which evacuations have ended.
+    forgotten_sequence_ = ++sequence_;
+  }
   current_at_[IndexOf(kind)] = now;
   if (kind == FeedKind::kSearcher) {
     searchers_revision_ = std::max(searchers_revision_, revision);
--- a/src/coordination/quota_gate.cc
+++ b/src/coordination/quota_gate.cc
@@ -1,17 +1,15 @@
 #include "greengage/coordination/quota_gate.h"
 
 #include <algorithm>
+#include <cstddef>
+#include <functional>
+#include <iterator>
 
 #include "greengage/coordination/rendezvous.h"
 
 namespace greengage {
 namespace {
 
-// A share that is not renewed is forgotten after this time. It is longer than
-// the time until a ledger is replaced: in between, nobody limits the requests.
-constexpr Duration kShareLifetime =
-    kQuotaLedgerTimeout + std::chrono::milliseconds(500);
-
 // A ledger that has not answered a report, which is repeated meanwhile, for
 // this long is replaced until it answers again.
 constexpr Duration kAnswerTimeout = std::chrono::milliseconds(400);
@@ -19,6 +17,20 @@
 // Organisations in one report, so that it fits into a datagram.
 constexpr size_t kMaxUsesPerReport = 12;
 
+// Organisations that are remembered. Ledgers only name configured ones, but
+// anything can send a datagram.
+constexpr size_t kMaxOrganisations = 16384;
+
+// Longest retry delay while no ledger answers. One may do so soon.
+constexpr Duration kMaxRetryAfterAlone = std::chrono::seconds(5);
+
+// A longer time between two reports is a pause of this process, in which it
+// could not hear any ledger.
+constexpr Duration kMaxReportGap = 3 * kQuotaReportInterval;
+
+// Ledgers that are kept if there are instances enough.
+constexpr size_t kMinLedgers = 3;
+
 // Reports that a ledger has not acknowledged and that are remembered.
 constexpr size_t kMaxUnacknowledged = 32;
 
@@ -44,27 +56,38 @@
     double& largest = max_capacity[region_of(instance)];
     largest = std::max(largest, instance.capacity);
   }
-  std::map<std::string, std::pair<InstanceRecord, uint64_t>> best;
+  // By region, the best first.
+  std::map<std::string, std::multimap<uint64_t, InstanceRecord, std::greater<>>>
+      ranked;
   for (const InstanceRecord& instance : instances) {
     const std::string region = region_of(instance);
-    if (instance.capacity < max_capacity[region] * kMinRelativeCapacity) {
-      continue;
-    }
-    const uint64_t weight =
-        RendezvousWeight(RendezvousHash(region), RendezvousHash(instance.id));
-    const auto [found, added] = best.try_emplace(region, instance, weight);
-    if (!added && weight > found->second.second) {
-      found->second = {instance, weight};
+    if (instance.capacity >= max_capacity[region] * kMinRelativeCapacity) {
+      ranked[region].emplace(
+          RendezvousWeight(RendezvousHash(region), RendezvousHash(instance.id)),
+          instance);
     }
   }
   std::vector<InstanceRecord> ledgers;
-  for (auto& [region, entry] : best) {
-    ledgers.push_back(std::move(entry.first));
+  bool has_more = true;
+  for (size_t round = 0;
+       has_more && (round == 0 || ledgers.size() < kMinLedgers); ++round) {
+    has_more = false;
+    for (const auto& [region, candidates] : ranked) {
+      if (round < candidates.size()) {
+        ledgers.push_back(
+            std::next(candidates.begin(), static_cast<std::ptrdiff_t>(round))
+                ->second);
+        has_more = true;
+      }
+    }
   }
   return ledgers;
 }
 
 void QuotaGate::SetLedgers(TimePoint now, std::vector<InstanceRecord> ledgers) {
+  if (ledgers_.empty()) {
+    reported_at_ = now;
+  }
   std::vector<Ledger> changed;
   for (InstanceRecord& instance : ledgers) {
     const auto known = std::find_if(ledgers_.begin(), ledgers_.end(),
@@ -131,12 +154,18 @@
     verdict.retry_after = use.retry_after;
     remainder -= verdict.admitted ? 1 : 0;
     use.remainder = remainder;
-  } else if (LedgerOf(now, organisation.name) == nullptr) {
+  } else if (LedgerOf(std::min(now, reported_at_ + kMaxReportGap),
+                      organisation.name) == nullptr) {
     verdict = AdmitAlone(now, organisation, own_share, use);
   } else {
     use.alone.reset();
   }
-  use.total.admitted += verdict.admitted ? 1 : 0;
+  if (verdict.is_alone) {
+    // Paid from the own share, which no ledger gives out.
+    --use.total.asked;
+  } else {
+    use.total.admitted += verdict.admitted ? 1 : 0;
+  }
   return verdict;
 }
 
@@ -154,6 +183,7 @@
   verdict.share = own_share.fraction;
   verdict.retry_after = use.alone->WaitFor(now, own_share, TokenDemand{});
   verdict.admitted = verdict.retry_after <= Duration::zero();
+  verdict.retry_after = std::min(verdict.retry_after, kMaxRetryAfterAlone);
   if (verdict.admitted) {
     use.alone->OnSent(now, own_share);
   }
@@ -167,7 +197,22 @@
   }
 }
 
+void QuotaGate::AllowForPause(TimePoint now) {
+  const Duration gap = now - reported_at_;
+  reported_at_ = now;
+  if (gap <= kMaxReportGap) {
+    return;
+  }
+  for (Ledger& ledger : ledgers_) {
+    ledger.heard_at += gap;
+    if (ledger.unanswered_since) {
+      *ledger.unanswered_since += gap;
+    }
+  }
+}
+
 std::vector<QuotaGate::OutgoingReport> QuotaGate::TakeReports(TimePoint now) {
+  AllowForPause(now);
   std::map<Ledger*, std::vector<OrganisationUse>> uses;
   for (auto& [organisation, use] : uses_) {
     if (!(use.total == use.acknowledged)) {
@@ -217,19 +262,39 @@
     std::erase_if(ledger->unacknowledged, [&](const SentReport& sent) {
       if (sent.sequence == decision.sequence) {
         for (const OrganisationUse& reported : sent.uses) {
-          uses_[reported.organisation].acknowledged = reported.total;
+          Use& use = uses_[reported.organisation];
+          if (reported.total.asked >= use.acknowledged.asked) {
+            use.acknowledged = reported.total;
+          }
         }
       }
-      return sent.sequence <= decision.sequence;
+      return sent.sequence == decision.sequence;
     });
   }
   for (const QuotaShare& share : decision.shares) {
-    Use& use = uses_[share.organisation];
-    use.share = share.share;
-    use.retry_after = share.retry_after;
-    use.share_until =
-        share.share < 1 ? std::optional(now + kShareLifetime) : std::nullopt;
+    UseShare(now, decision.sender, share);
+  }
+}
+
+// A ledger that has been replaced may not lift the limit of the one that is
+// used now.
+void QuotaGate::UseShare(TimePoint now,
+                         const std::string& ledger,
+                         const QuotaShare& share) {
+  if (uses_.size() >= kMaxOrganisations &&
+      !uses_.contains(share.organisation)) {
+    return;
+  }
+  Use& use = uses_[share.organisation];
+  const bool is_limited = use.share_until && now < *use.share_until;
+  if (share.share >= 1 && is_limited && use.share_from != ledger) {
+    return;
   }
+  use.share = share.share;
+  use.share_from = ledger;
+  use.retry_after = share.retry_after;
+  use.share_until =
+      share.share < 1 ? std::optional(now + kQuotaShareLifetime) : std::nullopt;
 }
 
 }  // namespace greengage
--- a/src/coordination/quota_ledger.cc
+++ b/src/coordination/quota_ledger.cc
@@ -33,8 +33,16 @@
 // Demand of an organisation that exceeds its quota, relative to the quota.
 constexpr double kExpectedSurge = 5;
 
-// An instance that has not reported for this long has left.
-constexpr Duration kReporterMemory = std::chrono::minutes(1);
+// Instances that report and are not registered, as those that have just
+// started. Anything can send a datagram.
+constexpr size_t kMaxUnregistered = 256;
+
+// A longer time between two calls is a pause of this process.
+constexpr Duration kMaxCallGap = 3 * kQuotaReportInterval;
+
+// What was admitted beyond a quota is compensated by at most this time without
+// any request. What is older than the window of the bound needs none.
+constexpr duration<double> kMaxDebtTime = std::chrono::seconds(5);
 
 // A change of a share by less than this waits for the next regular notice.
 constexpr double kNoticedChange = 0.1;
@@ -54,11 +62,23 @@
 }  // namespace
 
 QuotaLedger::Account::Account(TimePoint now)
-    : opened_at(now),
+    : takeover_since(now),
       updated_at(now),
       demand(now, 0, kDemandHalfLife),
       noticed_at(now) {}
 
+// TakeNotices() runs every kQuotaReportInterval. After a longer gap, reports
+// that arrived meanwhile have not been read.
+void QuotaLedger::AllowForPause(TimePoint now) {
+  const Duration gap = called_at_ ? now - *called_at_ : Duration::zero();
+  called_at_ = now;
+  if (gap > kMaxCallGap) {
+    for (auto& [id, reporter] : reporters_) {
+      reporter.heard_at += gap;
+    }
+  }
+}
+
 // Leaves the part of the allowance that is admitted before all instances know
 // of a limit.
 double QuotaLedger::ExtraBurst(const Account& account) const {
@@ -105,8 +125,10 @@
 
 void QuotaLedger::Charge(TimePoint now,
                          Account& account,
-                         const QuotaCounts& counts) {
-  account.tokens -= static_cast<double>(counts.admitted);
+                         const QuotaCounts& counts) const {
+  account.tokens =
+      std::max(account.tokens - static_cast<double>(counts.admitted),
+               -account.quota.rate * kMaxDebtTime.count());
   // A request adds what the mean loses over its half-life.
   const double per_request = std::log(2) / Seconds(kDemandHalfLife);
   const double current = account.demand.At(now);
@@ -114,41 +136,57 @@
       now, current + static_cast<double>(counts.asked) * per_request, 1);
 }
 
-std::vector<QuotaShare> QuotaLedger::OnReport(TimePoint now,
-                                              const QuotaReport& report) {
+// Another ledger, or an earlier process, may have given out the burst.
+void QuotaLedger::LimitBurstOfTakeover(TimePoint now, Account& account) const {
+  if (!account.takeover_at || now - *account.takeover_at >= kReporterLifetime) {
+    account.takeover_since = now;
+  }
+  account.takeover_at = now;
+  if (now - account.takeover_since < kReporterLifetime) {
+    account.tokens = std::min(account.tokens, ExtraBurst(account) / 2);
+  }
+}
+
+std::optional<std::vector<QuotaShare>> QuotaLedger::OnReport(
+    TimePoint now,
+    const QuotaReport& report) {
+  AllowForPause(now);
+  if (!reporters_.contains(report.sender) &&
+      !registered_.contains(report.sender) &&
+      reporters_.size() >= registered_.size() + kMaxUnregistered) {
+    return std::nullopt;
+  }
   const auto [found, is_new] = reporters_.try_emplace(report.sender);
   Reporter& reporter = found->second;
   if (is_new || reporter.process != report.process) {
     reporter = Reporter{report.process, 0, now, {}};
   }
-  const bool is_late = report.sequence <= reporter.sequence;
-  if (!is_late) {
-    reporter.sequence = report.sequence;
-    reporter.heard_at = now;
+  if (report.sequence <= reporter.sequence) {
+    return std::nullopt;
   }
+  reporter.sequence = report.sequence;
+  reporter.heard_at = now;
   std::vector<QuotaShare> shares;
   for (const OrganisationUse& use : report.uses) {
     Account* const account = Find(now, use.organisation);
     if (account == nullptr) {
       continue;
     }
-    if (!is_late) {
-      const auto [known, is_first] =
-          reporter.counts.try_emplace(use.organisation, use.acknowledged);
-      if ((use.is_replacement || (is_first && use.acknowledged.asked > 0)) &&
-          now - account->opened_at < kReporterLifetime) {
-        // Another ledger, or an earlier process, has given out the burst.
-        account->tokens = std::min(account->tokens, ExtraBurst(*account) / 2);
-      }
-      // Another ledger may have counted more of it meanwhile.
-      const QuotaCounts& counted = known->second.asked < use.acknowledged.asked
-                                       ? use.acknowledged
-                                       : known->second;
-      Charge(now, *account, Difference(use.total, counted));
-      known->second = use.total;
+    const auto [known, is_first] =
+        reporter.counts.try_emplace(use.organisation, use.acknowledged);
+    // Another ledger may have counted more of it meanwhile.
+    const bool was_elsewhere = known->second.asked < use.acknowledged.asked;
+    if (use.is_replacement || was_elsewhere ||
+        (is_first && use.acknowledged.asked > 0)) {
+      LimitBurstOfTakeover(now, *account);
     }
+    Charge(now, *account,
+           Difference(use.total,
+                      was_elsewhere ? use.acknowledged : known->second));
+    known->second = use.total;
     Decide(now, *account);
-    if (account->share < 1) {
+    // The notice that a limit has ended may have been lost.
+    if (account->share < 1 || now - account->noticed_at < kQuotaShareLifetime) {
       shares.push_back(
           {use.organisation, account->share, account->retry_after});
     }
@@ -182,8 +220,10 @@
 }
 
 std::vector<QuotaShare> QuotaLedger::TakeNotices(TimePoint now) {
-  std::erase_if(reporters_, [now](const auto& reporter) {
-    return now - reporter.second.heard_at >= kReporterMemory;
+  AllowForPause(now);
+  std::erase_if(reporters_, [this, now](const auto& reporter) {
+    return !registered_.contains(reporter.first) &&
+           now - reporter.second.heard_at >= kReporterLifetime;
   });
   std::vector<std::string> names;
   for (const auto& [organisation, account] : accounts_) {
--- a/src/coordination/routed_searcher.cc
+++ b/src/coordination/routed_searcher.cc
@@ -43,12 +43,12 @@
 // then.
 constexpr Duration kTokenLifetime = std::chrono::seconds(1);
 
-// A load report without a work time is ignored once it is older than this.
+// The queue that a searcher reports is ignored once it is older than this.
 constexpr Duration kLoadReportLifetime = milliseconds(100);
 
-// Half-life of a load report with a work time. Other work on the searcher's
-// machine changes several times per second.
-constexpr Duration kReportHalfLife = milliseconds(300);
+// Half-life of a reported work time. Other work on the searcher's machine
+// changes several times per second.
+constexpr Duration kWorkTimeHalfLife = milliseconds(300);
 
 // An absurd load that a searcher reports would overflow a longer latency.
 constexpr duration<double> kMaxExpectedLatency{3600};
@@ -258,29 +258,14 @@
   }
 }
 
-double RoutedSearcher::ReportWeight(TimePoint now) const {
-  return std::exp2(-duration<double>(now - load_received_at_) /
-                   duration<double>(kReportHalfLife));
-}
-
 double RoutedSearcher::ExpectedWorkTime(TimePoint now) const {
   if (!load_.work_time) {
     return 1;
   }
   const double usual = work_time_.At(now);
-  return usual + (*load_.work_time - usual) * ReportWeight(now);
-}
-
-double RoutedSearcher::RequestsAhead(TimePoint now) const {
-  const auto outstanding = static_cast<double>(outstanding_.size());
-  const double reported =
-      static_cast<double>(load_.running) + static_cast<double>(load_.waiting);
-  if (load_.work_time) {
-    return std::max(outstanding, reported * ReportWeight(now));
-  }
-  return now - load_received_at_ < kLoadReportLifetime
-             ? std::max(outstanding, reported)
-             : outstanding;
+  const double weight = std::exp2(-duration<double>(now - load_received_at_) /
+                                  duration<double>(kWorkTimeHalfLife));
+  return usual + (*load_.work_time - usual) * weight;
 }
 
 double RoutedSearcher::ErrorRate(TimePoint now) const {
@@ -302,8 +287,10 @@
 bool RoutedSearcher::HasStalled(TimePoint now, Duration typical) const {
   const Duration stall_timeout = std::max(
       kMinStallTimeout,
-      kStallFactor * duration_cast<Duration>(
-                         typical * std::max(latency_ratio_.At(now), 1.0)));
+      kStallFactor *
+          duration_cast<Duration>(
+              typical *
+              std::max(latency_ratio_.At(now) * ExpectedWorkTime(now), 1.0)));
   return UnansweredFor(now) > stall_timeout;
 }
 
@@ -325,7 +312,12 @@
                                          Duration typical,
                                          Duration distance) const {
   const double slots = std::max(1U, entry_.slots);
-  const double requests_ahead = RequestsAhead(now);
+  double requests_ahead = static_cast<double>(outstanding_.size());
+  if (now - load_received_at_ < kLoadReportLifetime) {
+    const double reported =
+        static_cast<double>(load_.running) + static_cast<double>(load_.waiting);
+    requests_ahead = std::max(requests_ahead, reported);
+  }
   double factor =
       std::max(latency_ratio_.At(now), unanswered_latency_ratio_.At(now));
   if (now < warm_at_) {
--- a/src/protocol/routed_call_codec.cc
+++ b/src/protocol/routed_call_codec.cc
@@ -210,9 +210,9 @@
   const auto is_authorization = [](const auto& header) {
     return IsSameHeader(header.first, kAuthorizationHeader);
   };
-  if (std::count_if(headers.begin(), headers.end(), is_authorization) == 1) {
-    request.credentials = FindHeader(headers, kAuthorizationHeader);
-  }
+  request.credentials = FindHeader(headers, kAuthorizationHeader);
+  request.has_ambiguous_credentials =
+      std::count_if(headers.begin(), headers.end(), is_authorization) > 1;
   if (const auto time_left = FindHeader(headers, dialect.time_left)) {
     const auto milliseconds = ParseNumber<uint32_t>(Trim(*time_left));
     if (!milliseconds) {
--- a/src/routed_instance.cc
+++ b/src/routed_instance.cc
@@ -278,6 +278,10 @@
     reason = "no_configuration";
   } else if (!searchers_known_) {
     reason = "no_searchers";
+  } else if (!evacuations_read_ &&
+             Now() - started_at_ < settings_.evacuation_time) {
+    // Later, this instance serves with what it knows.
+    reason = "no_evacuations";
   }
   const bool ready = reason.empty();
   return HttpResponse{.status = ready ? 200U : 503U,
--- a/src/routed_instance_feed.cc
+++ b/src/routed_instance_feed.cc
@@ -289,6 +289,7 @@
   if (peer != nullptr) {
     if (searcher_watcher_) {
       StopStoreWatches();
+      feed_cache_.Forget(FeedKind::kEvacuation);
       feed_client_->Reset(searchers_revision_);
       LogLine(DecisionEvent::kFeedSourceChosen).Add("source", peer->id).Write();
     }
@@ -391,6 +392,7 @@
       }
     }
   }
+  evacuations_read_ = evacuations_read_ || page.has_evacuations;
   if (page.complete && page.has_evacuations) {
     EndEvacuationsExcept(evacuated, "peer");
   }
--- a/src/routed_instance_impl.h
+++ b/src/routed_instance_impl.h
@@ -211,6 +211,7 @@
   std::shared_ptr<ListWatcher<SearcherEntry>> searcher_watcher_;
   std::shared_ptr<ListWatcher<CrashReport>> crash_report_watcher_;
   std::shared_ptr<ListWatcher<Evacuation>> evacuation_watcher_;
+  const TimePoint started_at_ = Now();
   // This instance has read which data centres are evacuated.
   bool evacuations_read_ = false;
   Duration watch_delay_{};  // Of the running `searcher_watcher_`.
--- a/src/transport/gather_forwarder.cc
+++ b/src/transport/gather_forwarder.cc
@@ -17,7 +17,9 @@
 namespace {
 
 constexpr char kConfigurationHeader[] = "Greengage-Configuration";
-constexpr char kOrganisationHeader[] = "Greengage-Caller-Organisation";
+// Before the name of the organisation. A release that knows none refuses such a
+// query, and removes the header if a caller sends it.
+constexpr char kOrganisationSeparator = ';';
 
 // A peer that does not answer a small request in this time counts as lost.
 constexpr std::chrono::milliseconds kAliveTimeout{200};
@@ -77,8 +79,7 @@
 // Callers may send headers of the same names.
 void RemoveForwardInfo(HeaderList& headers) {
   std::erase_if(headers, [](const auto& header) {
-    return IsSameHeader(header.first, kConfigurationHeader) ||
-           IsSameHeader(header.first, kOrganisationHeader);
+    return IsSameHeader(header.first, kConfigurationHeader);
   });
 }
 
@@ -86,11 +87,11 @@
 
 void AddForwardInfo(const ForwardInfo& info, HeaderList& headers) {
   RemoveForwardInfo(headers);
-  headers.emplace_back(kConfigurationHeader,
-                       std::to_string(info.configuration));
+  std::string value = std::to_string(info.configuration);
   if (info.organisation) {
-    headers.emplace_back(kOrganisationHeader, *info.organisation);
+    value += kOrganisationSeparator + *info.organisation;
   }
+  headers.emplace_back(kConfigurationHeader, std::move(value));
 }
 
 bool HasForwardInfo(const HeaderList& headers) {
@@ -103,14 +104,15 @@
     return std::nullopt;
   }
   ForwardInfo info;
+  const size_t separator =
+      std::min(version->find(kOrganisationSeparator), version->size());
   const auto parsed = std::from_chars(
-      version->data(), version->data() + version->size(), info.configuration);
-  if (parsed.ec != std::errc() ||
-      parsed.ptr != version->data() + version->size()) {
+      version->data(), version->data() + separator, info.configuration);
+  if (parsed.ec != std::errc() || parsed.ptr != version->data() + separator) {
     return std::nullopt;
   }
-  if (const auto organisation = FindHeader(headers, kOrganisationHeader)) {
-    info.organisation = *organisation;
+  if (separator < version->size()) {
+    info.organisation = version->substr(separator + 1);
   }
   RemoveForwardInfo(headers);
   return info;
@@ -215,8 +217,10 @@
   }
 
   void Reply(HttpResponse response, TimePoint now) {
+    response.not_run = FindHeader(response.headers, kNotRunHeader).has_value();
     std::erase_if(response.headers, [](const auto& header) {
       return IsSameHeader(header.first, kAnsweredRequestHeader) ||
+             IsSameHeader(header.first, kNotRunHeader) ||
              IsSameHeader(header.first, "Content-Length") ||
              IsSameHeader(header.first, "Content-Type") ||
              IsSameHeader(header.first, "Connection") ||
--- a/src/transport/quota_service.cc
+++ b/src/transport/quota_service.cc
@@ -1,6 +1,8 @@
 #include "greengage/transport/quota_service.h"
 
+#include <algorithm>
 #include <chrono>
+#include <set>
 #include <utility>
 #include <variant>
 
@@ -57,6 +59,11 @@
 void QuotaService::SetInstances(const std::vector<InstanceRecord>& instances) {
   instances_ = instances;
   if (is_running()) {
+    std::set<std::string> ids;
+    for (const InstanceRecord& instance : instances_) {
+      ids.insert(instance.id);
+    }
+    ledger_.SetInstances(std::move(ids));
     gate_.SetLedgers(Now(), SelectQuotaLedgers(instances_, options_.regions));
   }
 }
@@ -122,9 +129,13 @@
     return;
   }
   const auto& report = std::get<QuotaReport>(*message);
-  QuotaDecision decision{options_.self_id, report.process, report.sequence,
-                         ledger_.OnReport(Now(), report)};
-  socket_->Send(sender, EncodeQuotaDecision(decision));
+  auto shares = ledger_.OnReport(Now(), report);
+  if (!shares) {
+    return;
+  }
+  socket_->Send(sender,
+                EncodeQuotaDecision({options_.self_id, report.process,
+                                     report.sequence, *std::move(shares)}));
   // Instances that have not reported must hear of a new limit at once.
   SendNotices();
 }
--- a/src/transport/request_router.cc
+++ b/src/transport/request_router.cc
@@ -57,6 +57,7 @@
 HttpResponse ServiceUnavailable(const Failure& failure, Duration retry_delay) {
   HttpResponse response = ErrorResponse(kUnavailable, failure);
   response.headers.emplace_back("Retry-After", FormatSeconds(retry_delay));
+  response.not_run = true;
   return response;
 }
 
@@ -273,7 +274,7 @@
         return plans->placement.AllowsPeer(terms, peer.data_centre);
       };
   query.info.configuration = table->version();
-  if (table->requires_keys()) {
+  if (table->requires_keys() || !route->allowed_regions.empty()) {
     query.info.organisation = caller.organisation;
   }
   query.expected_by = now + route->target_latency;
@@ -649,6 +650,9 @@
   LogRequestEnd(active, result, response.status, now);
   if (active.origin == Origin::kPeer) {
     response.headers.emplace_back(kAnsweredRequestHeader, active.caller.id);
+    if (response.not_run) {
+      response.headers.emplace_back(kNotRunHeader, "1");
+    }
   }
   active.exchange->Reply(std::move(response));
 }
--- a/src/transport/request_router_access.cc
+++ b/src/transport/request_router_access.cc
@@ -1,6 +1,8 @@
 // The parts of a RequestRouter that find out on whose behalf a caller sends.
 #include <functional>
 #include <memory>
+#include <optional>
+#include <string>
 #include <utility>
 
 #include "greengage/coordination/caller_access.h"
@@ -14,6 +16,10 @@
 // can change that.
 constexpr Duration kNoRegionRetryDelay = std::chrono::seconds(5);
 
+std::optional<std::string> CredentialsOf(const CallerRequest& caller) {
+  return caller.has_ambiguous_credentials ? std::nullopt : caller.credentials;
+}
+
 // Reports an answer which says that the request has not run.
 class CountedExchange : public HttpExchange {
  public:
@@ -22,8 +28,7 @@
       : caller_(std::move(caller)), on_not_run_(std::move(on_not_run)) {}
 
   void Reply(HttpResponse response) override {
-    if (response.status == kServiceUnavailable ||
-        response.status == kTooManyRequests) {
+    if (response.not_run) {
       if (const auto on_not_run = std::exchange(on_not_run_, nullptr)) {
         on_not_run();
       }
@@ -37,9 +42,6 @@
   }
 
  private:
-  static constexpr unsigned kTooManyRequests = 429;
-  static constexpr unsigned kServiceUnavailable = 503;
-
   const std::shared_ptr<HttpExchange> caller_;
   std::function<void()> on_not_run_;
 };
@@ -51,7 +53,7 @@
                                 CallerRequest& caller,
                                 const std::shared_ptr<HttpExchange>& exchange) {
   const CallerAccess access =
-      DecideAccess(table, route, dialect_.key_scheme, caller.credentials);
+      DecideAccess(table, route, dialect_.key_scheme, CredentialsOf(caller));
   switch (access.verdict) {
     case AccessVerdict::kAllowed:
       UseOrganisation(
@@ -124,6 +126,9 @@
         verdict.retry_after);
     return nullptr;
   }
+  if (verdict.is_alone) {
+    return exchange;  // No ledger counts it.
+  }
   return std::make_shared<CountedExchange>(
       exchange, [weak = weak_from_this(), name = organisation->name] {
         if (const auto self = weak.lock()) {
@@ -137,9 +142,9 @@
                                     const ForwardInfo& info,
                                     CallerRequest& caller) const {
   if (!info.organisation) {
-    // The other instance is of a release without organisations.
+    // The other instance knows no organisations.
     const CallerAccess access =
-        DecideAccess(table, route, dialect_.key_scheme, caller.credentials);
+        DecideAccess(table, route, dialect_.key_scheme, CredentialsOf(caller));
     UseOrganisation(table, access.organisation ? access.organisation->name : "",
                     caller);
     return access.verdict == AccessVerdict::kAllowed;
