Take no answer with a status of 600 or above

Cause: the HTTP client took answers with a status of 600 to 999. From a searcher or a gatherer, one reached the caller. With the header that says that the request has not run, it counted as proof: a non-idempotent request arrived four times at searchers and was then rejected with 503.

Change: an answer with a status above 599 counts as malformed, as one below 100 does, and its connection is closed. Callers could not interpret such a status.

Statuses without exactly three digits were rejected already.

--- a/src/transport/http_client_connection.cc
+++ b/src/transport/http_client_connection.cc
@@ -23,7 +23,10 @@
 
 constexpr size_t kReadBytes = 4096;
 constexpr unsigned kHttp11 = 11;
+// Other statuses are invalid (RFC 9110, section 15), so that a caller could not
+// interpret them.
 constexpr unsigned kMinStatus = 100;
+constexpr unsigned kMaxStatus = 599;
 // TCP_USER_TIMEOUT: the connection is closed if the kernel of the peer does not
 // acknowledge sent bytes for this time. The searcher process has no influence.
 constexpr std::chrono::milliseconds kAcknowledgeTimeout{800};
@@ -316,12 +319,12 @@
     Close(Describe(FailureKind::kMalformedMessage, "unknown transfer coding"));
     return;
   }
-  if (parser_->get().result_int() < kMinStatus) {
+  const unsigned status = parser_->get().result_int();
+  if (status < kMinStatus || status > kMaxStatus) {
     Close(Describe(FailureKind::kMalformedMessage, "no such status"));
     return;
   }
-  if (http::to_status_class(parser_->get().result_int()) ==
-      http::status_class::informational) {
+  if (http::to_status_class(status) == http::status_class::informational) {
     SkipResponse("too many interim answers");
     return;
   }
--- /dev/null
+++ b/tests/status_test.cc
@@ -0,0 +1,461 @@
+// Answers with an invalid HTTP status, from each kind of server that
+// answers an instance.
+#include <boost/asio/io_context.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <future>
+#include <memory>
+#include <random>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "greengage/transport/gather_forwarder.h"
+#include "greengage/transport/list_watcher.h"
+#include "greengage/transport/request_router.h"
+#include "greengage/transport/searcher_clients.h"
+#include "platform/store_client.h"
+#include "tests/harness/io_threads.h"
+#include "tests/harness/plan_fixture.h"
+#include "tests/harness/raw_server.h"
+#include "tests/harness/start_call.h"
+
+#include <criterion/criterion.h>
+
+namespace greengage {
+namespace {
+
+using Ms = std::chrono::milliseconds;
+
+constexpr std::chrono::seconds kTimeout{5};
+
+// Numbers outside 100 to 599, and texts that do not have three digits.
+constexpr std::string_view kInvalidStatuses[] = {
+    "000", "099", "600", "700", "999", "1000", "2000", "0200", "9999", "20",
+    "2",   "+20", "-20", "2 0", " 20", "20 ",  "20x",  "2e2",  "0x2",  ""};
+
+std::string AnswerBytes(std::string_view status,
+                        const std::string& headers,
+                        const std::string& body) {
+  return "HTTP/1.1 " + std::string(status) + " Any\r\n" + headers +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// Returns the answer of a searcher that says that it did not run the request.
+// It is signed, as a success must be.
+std::string SearcherAnswerBytes(std::string_view status,
+                                const RawRequest& request) {
+  const CallDialect dialect;
+  return AnswerBytes(
+      status,
+      dialect.request_id + ": " + request.Header(dialect.request_id) + "\r\n" +
+          dialect.signature + ": s\r\n" + dialect.not_run + ": 1\r\n",
+      "not an answer");
+}
+
+class RecordingExchange : public HttpExchange {
+ public:
+  void Reply(HttpResponse response) override {
+    replies.push_back(std::move(response));
+  }
+  uint64_t connection() const override { return 1; }
+  void Abort() override {}
+  void OnClientDisconnected(std::function<void()>) override {}
+
+  std::vector<HttpResponse> replies;
+};
+
+// Runs the context until the exchange has a reply. Returns its status, or 0
+// without a reply.
+unsigned AwaitStatus(boost::asio::io_context& context,
+                     const RecordingExchange& exchange) {
+  const auto end = std::chrono::steady_clock::now() + kTimeout;
+  while (exchange.replies.empty() && std::chrono::steady_clock::now() < end) {
+    context.run_one_for(Ms(100));
+  }
+  return exchange.replies.empty() ? 0 : exchange.replies.front().status;
+}
+
+// A router with the services "s0" and "s1", each of one searcher.
+class Router {
+ public:
+  using Answer =
+      std::function<std::string(const std::string& service, const RawRequest&)>;
+
+  Router(Route route, Answer answer)
+      : answer_(std::move(answer)),
+        servers_{Serve("s0"), Serve("s1")},
+        plans_({[](const RoutedSearcher&) {},
+                [](const RoutedSearcher&, std::string_view) {}},
+               {},
+               "here"),
+        clients_(std::make_shared<SearcherClients>(
+            context_,
+            [](const std::string&) { return 2; },
+            nullptr)),
+        router_(std::make_shared<RequestRouter>(context_,
+                                                CallDialect(),
+                                                RequestRouter::Limits{1},
+                                                &plans_,
+                                                &suspects_,
+                                                &reach_,
+                                                clients_,
+                                                &metrics_,
+                                                MakeHooks())) {
+    std::vector<SearcherEntry> entries;
+    for (size_t i = 0; i < servers_.size(); ++i) {
+      SearcherEntry entry;
+      entry.service = "s" + std::to_string(i);
+      entry.id = entry.service + "/0";
+      entry.endpoint = servers_[i]->endpoint();
+      entry.slots = 2;
+      entries.push_back(std::move(entry));
+    }
+    plans_.searchers.Replace(std::chrono::steady_clock::now(), entries);
+    route.host = "h";
+    route.path_prefix = "/";
+    RouteTable::Builder builder;
+    builder.Add(std::move(route));
+    table_ = *builder.Build();
+  }
+
+  // Returns the answer to a request; that of status 0 if there is none.
+  HttpResponse Get() {
+    HttpRequest request;
+    request.method = "GET";
+    request.target = "/";
+    request.path = "/";
+    request.headers = {{"Host", "h"}, {CallDialect().request_id, "id"}};
+    const auto exchange = std::make_shared<RecordingExchange>();
+    router_->Handle(std::move(request), exchange);
+    return AwaitStatus(context_, *exchange) == 0 ? HttpResponse{.status = 0}
+                                                 : exchange->replies.front();
+  }
+
+  size_t arrivals(size_t service) const {
+    return servers_[service]->requests();
+  }
+
+ private:
+  std::shared_ptr<RawServer> Serve(const std::string& service) {
+    return RawServer::Start(context_,
+                            [this, service](const RawRequest& request) {
+                              return RawReply{answer_(service, request)};
+                            });
+  }
+
+  RequestRouter::Hooks MakeHooks() {
+    RequestRouter::Hooks hooks;
+    hooks.active_routes = [this] { return table_; };
+    hooks.takes = [](TimePoint, Duration) { return true; };
+    hooks.registry_age = [] { return Duration::zero(); };
+    hooks.may_be_stale = [] { return false; };
+    hooks.forwards_gathers = [] { return false; };
+    hooks.on_crash = [](const CrashReport&, const CrashedRequest&) {};
+    hooks.on_cleared = [](const std::vector<std::string>&) {};
+    return hooks;
+  }
+
+  boost::asio::io_context context_;
+  const Answer answer_;
+  std::vector<std::shared_ptr<RawServer>> servers_;
+  RequestPlanContext plans_;
+  CrashSuspects suspects_{CrashSuspectOptions{}};
+  SearcherReach reach_{SearcherReachOptions{}};
+  RoutedMetrics metrics_;
+  RouteTablePtr table_;
+  std::shared_ptr<SearcherClients> clients_;
+  std::shared_ptr<RequestRouter> router_;
+};
+
+// A forwarder with one gatherer, which answers with the given bytes, and
+// another peer, which would run the query.
+class Forwarder {
+ public:
+  explicit Forwarder(const std::string& answer)
+      : gatherer_(RawServer::Start(
+            context_,
+            [answer](const RawRequest&) { return RawReply{answer}; })),
+        other_(RawServer::Start(context_,
+                                [](const RawRequest&) {
+                                  return RawReply{HttpBytes(200, "", "ok")};
+                                })),
+        forwarder_(std::make_shared<GatherForwarder>(
+            context_,
+            2,
+            nullptr,
+            &chooser_,
+            &random_,
+            GatherForwarder::Hooks{
+                [](const auto&, const auto&, unsigned, Duration) {},
+                [this](const auto&, const auto&, const std::string& detail) {
+                  failures_.push_back(detail);
+                }})) {
+    InstanceRecord gatherer;
+    gatherer.id = "gatherer";
+    gatherer.peer = gatherer_->endpoint();
+    InstanceRecord other;
+    other.id = "other";
+    other.peer = other_->endpoint();
+    chooser_.SetGatherers({gatherer}, {other});
+  }
+
+  // Returns the status that the caller gets; 0 if there is none.
+  unsigned Forward() {
+    const TimePoint now = std::chrono::steady_clock::now();
+    ForwardedQuery query;
+    query.request_id = "id";
+    query.call.target = "/";
+    query.call.deadline = now + kTimeout;
+    query.expected_by = now + kTimeout;
+    const auto exchange = std::make_shared<RecordingExchange>();
+    forwarder_->Forward(std::move(query), exchange,
+                        [](const std::shared_ptr<HttpExchange>& caller) {
+                          caller->Reply(HttpResponse{.status = 299});
+                        });
+    return AwaitStatus(context_, *exchange);
+  }
+
+  size_t arrivals() const { return gatherer_->requests(); }
+  size_t arrivals_at_other() const { return other_->requests(); }
+  const std::vector<std::string>& failures() const { return failures_; }
+
+ private:
+  boost::asio::io_context context_;
+  std::shared_ptr<RawServer> gatherer_;
+  std::shared_ptr<RawServer> other_;
+  GathererChooser chooser_{"self"};
+  std::minstd_rand random_;
+  std::vector<std::string> failures_;
+  std::shared_ptr<GatherForwarder> forwarder_;
+};
+
+// Returns the bytes of a page without objects, as the store sends it.
+std::string EmptyPage(std::string_view status) {
+  return AnswerBytes(
+      status, "Store-Era: 7\r\n",
+      R"({"items": [], "events": [], "more": false, "as_of": 9})");
+}
+
+// Waits for the result of a call that `start` starts.
+template <typename Value>
+Result<Value> Await(
+    const std::function<void(std::function<void(Result<Value>)>)>& start) {
+  const auto ended = std::make_shared<std::promise<Result<Value>>>();
+  start([ended](Result<Value> result) { ended->set_value(std::move(result)); });
+  return ended->get_future().get();
+}
+
+}  // namespace
+
+// Guards against a client that takes such an answer, counts the call as not
+// sent, or uses the connection again.
+Test(InvalidStatus, MakesAnAnswerMalformed) {
+  for (const std::string_view status : kInvalidStatuses) {
+    const std::string text(status);
+    IoThreads io(1);
+    const auto server = RawServer::Start(io.context(), [&](const RawRequest&) {
+      return RawReply{AnswerBytes(text, "", "ok")};
+    });
+    const auto client =
+        HttpClient::Create(io.context(), server->endpoint(), {});
+    for (size_t calls = 1; calls <= 2; ++calls) {
+      const HttpCallResult result =
+          StartCall(*client,
+                    {.target = "/",
+                     .deadline = std::chrono::steady_clock::now() + kTimeout})
+              .get();
+      cr_expect(!result.response, "'%s'", text.c_str());
+      if (result.response) {
+        break;
+      }
+      const Failure& reason = result.response.last_reason();
+      cr_expect(reason.kind == FailureKind::kMalformedMessage, "'%s': %s",
+                text.c_str(), Describe(reason).c_str());
+      cr_expect(result.sent, "'%s'", text.c_str());
+      cr_expect(server->accepted() == calls, "'%s': %zu connections",
+                text.c_str(), server->accepted());
+    }
+  }
+}
+
+// Guards against a limit that excludes valid statuses.
+Test(ValidStatus, IsTaken) {
+  for (const unsigned status : {200U, 299U, 300U, 400U, 499U, 500U, 599U}) {
+    IoThreads io(1);
+    const auto server = RawServer::Start(io.context(), [&](const RawRequest&) {
+      return RawReply{HttpBytes(status, "", "ok")};
+    });
+    const auto answer =
+        CallAndWait(server->endpoint(), {.target = "/"}, kTimeout);
+    cr_assert(answer && answer->status == status, "%u", status);
+  }
+}
+
+// Guards against an answer that says that the request has not run: the request
+// must not be sent twice, nor be rejected as not run.
+Test(InvalidStatus, FromASearcherIsNoProofThatARequestHasNotRun) {
+  for (const std::string_view status : kInvalidStatuses) {
+    Router router(SingleRoute(RequestKind::kNonIdempotent),
+                  [&](const std::string&, const RawRequest& request) {
+                    return SearcherAnswerBytes(status, request);
+                  });
+    const HttpResponse answer = router.Get();
+    cr_expect(answer.status == 502, "'%s': %u", std::string(status).c_str(),
+              answer.status);
+    cr_expect(answer.body.find("not an answer") == std::string::npos);
+    cr_expect(router.arrivals(0) == 1, "'%s': %zu arrivals",
+              std::string(status).c_str(), router.arrivals(0));
+  }
+}
+
+// Guards against an answer that reaches the caller as it is.
+Test(InvalidStatus, FromASearcherReachesNoCaller) {
+  for (const std::string_view status : kInvalidStatuses) {
+    Router router(SingleRoute(RequestKind::kNonIdempotent),
+                  [&](const std::string&, const RawRequest& request) {
+                    const CallDialect dialect;
+                    return AnswerBytes(status,
+                                       dialect.request_id + ": " +
+                                           request.Header(dialect.request_id) +
+                                           "\r\n" + dialect.signature +
+                                           ": s\r\n",
+                                       "not an answer");
+                  });
+    const HttpResponse answer = router.Get();
+    cr_expect(answer.status == 502, "'%s': %u", std::string(status).c_str(),
+              answer.status);
+    cr_expect(answer.body.find("not an answer") == std::string::npos);
+  }
+}
+
+// Guards against a part that counts as answered, or as not run.
+Test(InvalidStatus, MakesAGatheredPartMissing) {
+  for (const std::string_view status : kInvalidStatuses) {
+    const std::string text(status);
+    const auto half_hostile = [&](const std::string& service,
+                                  const RawRequest& request) {
+      const CallDialect dialect;
+      return service == "s1"
+                 ? SearcherAnswerBytes(status, request)
+                 : HttpBytes(200,
+                             dialect.request_id + ": " +
+                                 request.Header(dialect.request_id) + "\r\n" +
+                                 dialect.signature + ": s\r\n",
+                             "0123456789abcdef");
+    };
+    Router part(GatherRoute(2, 0.5), half_hostile);
+    const HttpResponse merged = part.Get();
+    cr_expect(merged.status == 200, "'%s': %u", text.c_str(), merged.status);
+    cr_expect(merged.body == "0123456789abcdef", "'%s': %s", text.c_str(),
+              merged.body.c_str());
+    cr_expect(
+        FindHeader(merged.headers, CallDialect().missing_parts).value_or("") ==
+            "1",
+        "'%s'", text.c_str());
+    Router whole(GatherRoute(2, 1),
+                 [&](const std::string&, const RawRequest& request) {
+                   return SearcherAnswerBytes(status, request);
+                 });
+    const HttpResponse failed = whole.Get();
+    cr_expect(failed.status == 502 || failed.status == 504, "'%s': %u",
+              text.c_str(), failed.status);
+  }
+}
+
+// Guards against passing on the answer of a gatherer that is in trouble, and
+// against sending a query that it may have run to another one.
+Test(InvalidStatus, FromAGathererFailsTheQuery) {
+  for (const std::string_view status : kInvalidStatuses) {
+    const std::string text(status);
+    Forwarder forwarder(AnswerBytes(
+        status, std::string(kAnsweredRequestHeader) + ": id\r\n", "no"));
+    const unsigned answered = forwarder.Forward();
+    cr_expect(answered == 502, "'%s': %u", text.c_str(), answered);
+    cr_expect(forwarder.arrivals() == 1 && forwarder.arrivals_at_other() == 0,
+              "'%s': %zu and %zu arrivals", text.c_str(), forwarder.arrivals(),
+              forwarder.arrivals_at_other());
+    cr_expect(forwarder.failures().size() == 1, "'%s'", text.c_str());
+  }
+}
+
+// Guards against calls of the store that count as carried out, or as having
+// had nothing to do.
+Test(InvalidStatus, FromTheStoreFailsTheCall) {
+  for (const std::string_view status : kInvalidStatuses) {
+    const std::string text(status);
+    IoThreads io(1);
+    const auto server = RawServer::Start(io.context(), [&](const RawRequest&) {
+      return RawReply{EmptyPage(text)};
+    });
+    platform::StoreClient store(io.context(), server->endpoint(), kTimeout);
+    const auto listed = Await<platform::StoredPage>(
+        [&](auto done) { store.List("kind", "", false, done); });
+    const auto watched = Await<platform::StoredPage>(
+        [&](auto done) { store.Watch("kind", 1, Ms(100), done); });
+    const auto created =
+        Await<bool>([&](auto done) { store.Create("kind", "name", {}, done); });
+    const auto replaced = Await<Done>(
+        [&](auto done) { store.Replace("kind", "name", {}, done); });
+    const auto removed =
+        Await<Done>([&](auto done) { store.Remove("kind", "name", done); });
+    cr_assert(!listed && !watched && !created && !replaced && !removed, "'%s'",
+              text.c_str());
+    for (const Failure& reason :
+         {listed.last_reason(), watched.last_reason(), created.last_reason(),
+          replaced.last_reason(), removed.last_reason()}) {
+      cr_expect(reason.kind == FailureKind::kUnavailable, "'%s': %s",
+                text.c_str(), Describe(reason).c_str());
+    }
+  }
+}
+
+// Guards against an empty listing that replaces what is known.
+Test(InvalidStatus, FromTheStoreIsNoListing) {
+  using Watcher = ListWatcher<int>;
+  for (const std::string_view status : kInvalidStatuses) {
+    const std::string text(status);
+    boost::asio::io_context context;
+    const auto server = RawServer::Start(
+        context, [&](const RawRequest&) { return RawReply{EmptyPage(text)}; });
+    platform::StoreClient store(context, server->endpoint(), kTimeout);
+    size_t failing = 0;
+    size_t delivered = 0;
+    Watcher::Hooks hooks;
+    hooks.list = [&store](const std::string& after,
+                          const Watcher::PageCallback& done) {
+      store.List("kind", after, false,
+                 [done](const Result<platform::StoredPage>& page) {
+                   done(page ? Result<Watcher::Page>(Watcher::Page{})
+                             : Result<Watcher::Page>(page.last_reason()));
+                 });
+    };
+    hooks.watch = [](uint64_t, Ms, const Watcher::PageCallback&) {
+      return [] {};
+    };
+    hooks.on_snapshot = [&delivered](auto, StoreRevision) { ++delivered; };
+    hooks.on_changes = [&delivered](auto, StoreRevision) { ++delivered; };
+    hooks.on_failing = [&failing](const Failure&) { ++failing; };
+    hooks.on_recovered = [&delivered] { ++delivered; };
+    ListWatchOptions options;
+    options.backoff = {Ms(1), Ms(4)};
+    const auto watcher =
+        std::make_shared<Watcher>(context, options, std::move(hooks));
+    watcher->Start();
+    const auto end = std::chrono::steady_clock::now() + kTimeout;
+    while (server->requests() < 3 && delivered == 0 &&
+           std::chrono::steady_clock::now() < end) {
+      context.run_one_for(Ms(100));
+    }
+    watcher->Stop();
+    cr_expect(delivered == 0 && failing == 1, "'%s': %zu results, %zu failures",
+              text.c_str(), delivered, failing);
+    cr_expect(server->requests() >= 3, "'%s': %zu listings", text.c_str(),
+              server->requests());
+  }
+}
+
+}  // namespace greengage
