Use most of what the bound of a quota tolerates

Ledgers that nobody reports to any more told all instances to admit nothing.

Change: the ledger uses the overage and the allowance but for what is admitted before all instances know of a limit; without reports it decides nothing.

--- a/include/greengage/coordination/quota_ledger.h
+++ b/include/greengage/coordination/quota_ledger.h
@@ -21,8 +21,11 @@
 namespace greengage {
 
 struct QuotaLedgerOptions {
-  // Requests of an organisation beyond its quota, in any window of some
-  // seconds, that the operators tolerate.
+  // What operators tolerate in any `window`: a quota may be exceeded by the
+  // fraction `overage` and `allowance` requests. Most of it is used to admit
+  // more, and the rest covers what is admitted before all know of a limit.
+  Duration window = std::chrono::seconds(5);
+  double overage = 0;
   double allowance = 0;
 };
 
@@ -88,6 +91,7 @@
     TimePoint takeover_since;
     std::optional<TimePoint> takeover_at;
     TimePoint updated_at;
+    TimePoint reported_at;
     RequestQuota quota;
     DecayedMean demand;  // Requests per second.
     double share = 1;
@@ -103,9 +107,11 @@
   // Moves the times of reporters on after a pause of this process.
   void AllowForPause(TimePoint now);
   void Decide(TimePoint now, Account& account) const;
-  // Returns the requests beyond the burst that are admitted after a pause. They
-  // keep short bursts of small organisations from being rejected.
+  // Returns the requests beyond the quota that are admitted in a window: half
+  // of them at once after a pause, half by a higher rate.
+  double ExtraRequests(const RequestQuota& quota) const;
   double ExtraBurst(const Account& account) const;
+  double Rate(const Account& account) const;
   double Capacity(const Account& account) const;
   // Returns the share of a quota that this ledger may use, 0 to 1.
   double Coverage(TimePoint now) const;
--- a/include/greengage/protocol/instance_settings.h
+++ b/include/greengage/protocol/instance_settings.h
@@ -64,10 +64,11 @@
   // and to leave the region.
   std::chrono::milliseconds leaving_cost{};
   std::chrono::milliseconds leaving_region_cost{};
-  // All instances together may send `quota_allowance` requests of an
-  // organisation beyond its quota in any such window. Zero means that quotas
+  // In any such window, all instances together may exceed the quota of an
+  // organisation by a fraction and a number of requests. Zero means that quotas
   // are not enforced.
   std::chrono::duration<double> quota_window{};
+  double quota_overage = 0;
   uint32_t quota_allowance = 0;
   // Time in which an evacuation takes effect. Zero means that evacuations are
   // not read.
--- a/src/coordination/quota_ledger.cc
+++ b/src/coordination/quota_ledger.cc
@@ -26,9 +26,11 @@
 // An instance that has not reported for this long is not counted.
 constexpr Duration kReporterLifetime = kQuotaLedgerTimeout;
 
-// Part of the allowance that is used as a further burst.
-constexpr double kMinExtraBurst = 0.2;
-constexpr double kMaxExtraBurst = 0.6;
+// Part of the allowance that is used for the largest quotas.
+constexpr double kMinExtraUse = 0.2;
+
+// Requests of the tolerance that are never used.
+constexpr double kSafetyMargin = 2;
 
 // Demand of an organisation that exceeds its quota, relative to the quota.
 constexpr double kExpectedSurge = 5;
@@ -79,28 +81,35 @@
   }
 }
 
-// Leaves the part of the allowance that is admitted before all instances know
-// of a limit.
+double QuotaLedger::ExtraRequests(const RequestQuota& quota) const {
+  const double whole = quota.rate * Seconds(options_.window) + quota.burst;
+  const double tolerated = options_.allowance + options_.overage * whole;
+  const double before_reaction =
+      kExpectedSurge * quota.rate * kReactionTime.count() + kSafetyMargin;
+  return std::max(options_.allowance * kMinExtraUse,
+                  tolerated - before_reaction);
+}
+
 double QuotaLedger::ExtraBurst(const Account& account) const {
-  const double reaction =
-      kExpectedSurge * account.quota.rate * kReactionTime.count();
-  return std::max(options_.allowance * kMinExtraBurst,
-                  options_.allowance * kMaxExtraBurst - reaction);
+  return ExtraRequests(account.quota) / 2;
+}
+
+double QuotaLedger::Rate(const Account& account) const {
+  return account.quota.rate +
+         ExtraRequests(account.quota) / 2 / Seconds(options_.window);
 }
 
 double QuotaLedger::Capacity(const Account& account) const {
   return account.quota.burst + ExtraBurst(account);
 }
 
+// If nobody reports, other instances keep the ledgers now.
 double QuotaLedger::Coverage(TimePoint now) const {
-  if (reporters_.empty()) {
-    return 1;
-  }
   const auto reporting = static_cast<double>(std::count_if(
       reporters_.begin(), reporters_.end(), [now](const auto& reporter) {
         return now - reporter.second.heard_at < kReporterLifetime;
       }));
-  return reporting / static_cast<double>(reporters_.size());
+  return reporting > 0 ? reporting / static_cast<double>(reporters_.size()) : 1;
 }
 
 QuotaLedger::Account* QuotaLedger::Find(TimePoint now,
@@ -116,7 +125,7 @@
   const double coverage = Coverage(now);
   const double capacity = Capacity(account) * coverage;
   const double accrued =
-      account.quota.rate * coverage * Seconds(now - account.updated_at);
+      Rate(account) * coverage * Seconds(now - account.updated_at);
   account.tokens =
       added ? capacity : std::min(capacity, account.tokens + accrued);
   account.updated_at = now;
@@ -184,6 +193,7 @@
            Difference(use.total,
                       was_elsewhere ? use.acknowledged : known->second));
     known->second = use.total;
+    account->reported_at = now;
     Decide(now, *account);
     // The notice that a limit has ended may have been lost.
     if (account->share < 1 || now - account->noticed_at < kQuotaShareLifetime) {
@@ -195,7 +205,7 @@
 }
 
 void QuotaLedger::Decide(TimePoint now, Account& account) const {
-  const double rate = account.quota.rate * Coverage(now);
+  const double rate = Rate(account) * Coverage(now);
   const double demand = account.demand.At(now);
   const double level_after_reaction =
       account.tokens - (demand - rate) * kReactionTime.count();
@@ -232,7 +242,8 @@
   std::vector<QuotaShare> notices;
   for (const std::string& organisation : names) {
     Account* const account = Find(now, organisation);
-    if (account == nullptr) {
+    // Another ledger decides about organisations that nobody reports here.
+    if (account == nullptr || now - account->reported_at >= kReporterLifetime) {
       continue;
     }
     Decide(now, *account);
--- a/src/protocol/instance_settings.cc
+++ b/src/protocol/instance_settings.cc
@@ -123,11 +123,13 @@
             "Latency that a request must gain for it to leave the region.")
       .Seconds("quota_window_s", &S::quota_window, 0, 3600, "0",
                "Any time of this length keeps the quotas of organisations, "
-               "but for the allowance. 0: quotas are not enforced.")
+               "but for the overage and the allowance, most of which are "
+               "used. 0: quotas are not enforced.")
+      .Decimal("quota_overage", &S::quota_overage, 0, 1, "0",
+               "Fraction by which a quota may be exceeded in that time.")
       .Integer("quota_allowance", &S::quota_allowance,
                {.maximum = 100000, .default_value = 0},
-               "Requests of an organisation beyond its quota in that time; a "
-               "part of them is used as a further burst.")
+               "Requests of an organisation beyond that fraction.")
       .Time("evacuation_time_ms", &S::evacuation_time,
             {.maximum = 60000, .default_value = 0},
             "Time in which the evacuation of a data centre takes effect. 0: "
--- a/src/routed_instance_terms.cc
+++ b/src/routed_instance_terms.cc
@@ -1,6 +1,7 @@
 // The parts of a routed instance that handle the evacuation of data centres and
 // the quotas of organisations.
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 #include "greengage/transport/log_line.h"
@@ -100,7 +101,10 @@
         context_,
         QuotaService::Options{
             settings_.id, RandomBase(), settings_.peer, settings_.regions,
-            QuotaLedgerOptions{static_cast<double>(settings_.quota_allowance)}},
+            QuotaLedgerOptions{
+                std::chrono::duration_cast<Duration>(settings_.quota_window),
+                settings_.quota_overage,
+                static_cast<double>(settings_.quota_allowance)}},
         QuotaService::Hooks{[this](const std::string& organisation) {
                               return QuotaOf(organisation);
                             },
