--- a/src/coordination/request_plan.cc
+++ b/src/coordination/request_plan.cc
@@ -246,10 +246,9 @@
   Part& part = parts_[index];
   // A hedge helps only if it is likely to be faster, so it needs a healthy
   // searcher.
-  const SearcherChoice choice =
-      chooser_.Choose(now, timing.typical, part.service, part.tried,
-                      {reason == AttemptReason::kHedge, MaySpill(reason),
-                       TokensFor(reason)});
+  const SearcherChoice choice = chooser_.Choose(
+      now, timing.typical, part.service, part.tried,
+      {reason == AttemptReason::kHedge, MaySpill(reason), TokensFor(reason)});
   const RoutedSearcherPtr& searcher = choice.searcher;
   if (!searcher) {
     return false;
