--- a/src/coordination/quota_gate.cc
+++ b/src/coordination/quota_gate.cc
@@ -35,7 +35,7 @@
 constexpr size_t kMaxUnacknowledged = 32;
 
 // An instance that keeps a ledger has at least this share of the capacity of
-// the largest one of its data centre.
+// the largest one of its region.
 constexpr double kMinRelativeCapacity = 0.5;
 
 double DrawFraction(std::minstd_rand& random) {
