--- a/src/protocol/quota_codec.cc
+++ b/src/protocol/quota_codec.cc
@@ -14,7 +14,7 @@
 // Counts beyond this are not believable, and their differences could overflow.
 constexpr int64_t kMaxCount = int64_t{1} << 48;
 
-constexpr int64_t kMaxRetryAfterMs = 3600 * 1000;
+constexpr int64_t kMaxRetryAfterMs = int64_t{3600} * 1000;
 
 void Write(const QuotaCounts& counts, wire::QuotaCounts* written) {
   written->set_asked(counts.asked);
--- a/src/protocol/setting_value.cc
+++ b/src/protocol/setting_value.cc
@@ -143,7 +143,9 @@
   std::string text;
   for (const auto& [first, second] : pairs) {
     text += text.empty() ? "" : " ";
-    text += first + ":" + second;
+    text += first;
+    text += ':';
+    text += second;
   }
   return text;
 }
