--- a/src/coordination/routed_searcher.cc
+++ b/src/coordination/routed_searcher.cc
@@ -43,13 +43,9 @@
 // then.
 constexpr Duration kTokenLifetime = std::chrono::seconds(1);
 
-// The queue that a searcher reports is ignored once it is older than this.
+// A load report is ignored once it is older than this.
 constexpr Duration kLoadReportLifetime = milliseconds(100);
 
-// Half-life of a reported work time. Other work on the searcher's machine
-// changes several times per second.
-constexpr Duration kWorkTimeHalfLife = milliseconds(300);
-
 // An absurd load that a searcher reports would overflow a longer latency.
 constexpr duration<double> kMaxExpectedLatency{3600};
 
@@ -181,11 +177,7 @@
     case AttemptEnd::kAnswered:
       OnSuccess(now);
       RecordError(now, false);
-      // The work time is estimated by itself, from reports.
-      RecordLatency(now,
-                    duration_cast<Duration>((latency - distance) /
-                                            load_.work_time.value_or(1)),
-                    typical, latency_ratio_);
+      RecordLatency(now, latency - distance, typical, latency_ratio_);
       break;
     case AttemptEnd::kFailed:
     case AttemptEnd::kRejected:
@@ -250,22 +242,20 @@
   error_rate_.Add(now, error ? 1 : 0, kSampleWeight);
 }
 
+// A load with a work time changes faster than an instance hears of it. Choosing
+// searchers by it served callers no better, and sent more to other regions.
 void RoutedSearcher::RecordLoad(TimePoint now, const ReportedLoad& load) {
-  load_ = load;
-  load_received_at_ = now;
   if (load.work_time) {
+    load_.work_time = load.work_time;
     work_time_.Add(now, *load.work_time, kSampleWeight);
+    return;
   }
+  load_ = load;
+  load_received_at_ = now;
 }
 
 double RoutedSearcher::ExpectedWorkTime(TimePoint now) const {
-  if (!load_.work_time) {
-    return 1;
-  }
-  const double usual = work_time_.At(now);
-  const double weight = std::exp2(-duration<double>(now - load_received_at_) /
-                                  duration<double>(kWorkTimeHalfLife));
-  return usual + (*load_.work_time - usual) * weight;
+  return work_time_.At(now);
 }
 
 double RoutedSearcher::ErrorRate(TimePoint now) const {
@@ -287,10 +277,9 @@
 bool RoutedSearcher::HasStalled(TimePoint now, Duration typical) const {
   const Duration stall_timeout = std::max(
       kMinStallTimeout,
-      kStallFactor *
-          duration_cast<Duration>(
-              typical *
-              std::max(latency_ratio_.At(now) * ExpectedWorkTime(now), 1.0)));
+      kStallFactor * duration_cast<Duration>(
+                         typical * std::max({latency_ratio_.At(now),
+                                             ExpectedWorkTime(now), 1.0})));
   return UnansweredFor(now) > stall_timeout;
 }
 
@@ -323,7 +312,6 @@
   if (now < warm_at_) {
     factor = std::max(factor, kWarmUpLatencyRatio);
   }
-  factor *= ExpectedWorkTime(now);
   factor *= 1 + std::max(0.0, requests_ahead + 1 - slots) / slots;
   // A small penalty per request spreads the load over equal searchers even
   // while they have free slots.
