--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -568,5 +568,6 @@
         if os.environ.get("KEEP_LOGS"):
             os.system("cp %s/*.log %s" % (place, os.environ["KEEP_LOGS"]))
     record("exit code %d" % code)
-    print(open(os.path.join(folder, "record.txt")).read().splitlines()[-2])
+    with open(os.path.join(folder, "record.txt"), encoding="utf-8") as file:
+        print("\n".join(file.read().splitlines()[-5:]))
     raise SystemExit(code)
