--- a/review/7/case.py
+++ b/review/7/case.py
@@ -41,6 +41,7 @@
     instances.append(instance)
     await instance.start()
     if not await instance.wait_ready():
+        record("%s does not become ready" % instance.name)
         return 2
     results = {}  # Request id to status and order number.
 
--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -8,6 +8,7 @@
 import asyncio
 import json
 import os
+import random
 import re
 import signal
 import socket
@@ -18,6 +19,7 @@
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 PREFIX = "X-Greengageusher-"
+USED_PORTS = set()
 OBJECTS = "/greengageusher/objects/"
 
 
@@ -264,55 +266,30 @@
                     pass
 
 
-class Relay:
-    """A TCP relay to the store, whose open connections can go silent."""
+class StoreDoor(Server):
+    """The store's address for one machine, which it may turn away in silence.
 
-    def __init__(self, target):
-        self.target = target
-        self.silent_before = 0
-        self.connections = 0
+    A call that arrives meanwhile, or whose answer is due meanwhile, gets no
+    answer, and its connection returns nothing further. New connections work
+    once the silence is over.
+    """
 
-    async def listen(self):
-        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.port = server.sockets[0].getsockname()[1]
-
-    @property
-    def address(self):
-        return "127.0.0.1:%d" % self.port
-
-    def silence_open_connections(self):
-        """What is sent on them from now on is dropped, both ways."""
-        self.silent_before = self.connections
-        return self.connections
-
-    async def _serve(self, reader, writer):
-        self.connections += 1
-        number = self.connections
-        host, port = self.target.rsplit(":", 1)
-        try:
-            there_reader, there_writer = await asyncio.open_connection(
-                host, int(port))
-        except OSError:
-            writer.transport.abort()
-            return
-        await asyncio.gather(self._pipe(number, reader, there_writer),
-                             self._pipe(number, there_reader, writer))
+    def __init__(self, store):
+        super().__init__()
+        self.store = store
+        self.silent = False
+        self.lost = 0
 
-    async def _pipe(self, number, reader, writer):
-        try:
-            while True:
-                data = await reader.read(65536)
-                if number <= self.silent_before:
-                    if not data:
-                        return
-                    continue
-                if not data:
-                    break
-                writer.write(data)
-                await writer.drain()
-        except (ConnectionError, OSError):
-            pass
-        writer.close()
+    async def handle(self, request, reader, writer):
+        silent_at_start = self.silent
+        answer = await self.store.handle(request, reader, writer)
+        if silent_at_start or self.silent:
+            self.lost += 1
+            self.store.record("no answer to %s" % request.first)
+            while not reader.at_eof():
+                await reader.read(65536)
+            return None
+        return answer
 
 
 class Searcher(Server):
@@ -420,9 +397,18 @@
 
 
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """A free port below those that the system gives to new connections."""
+    for _ in range(1000):
+        port = random.randrange(15000, 32000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            if port not in USED_PORTS:
+                USED_PORTS.add(port)
+                return port
+    raise OSError("no free port")
 
 
 class Instance:
