--- a/src/transport/request_router_access.cc
+++ b/src/transport/request_router_access.cc
@@ -7,6 +7,7 @@
 
 #include "greengage/coordination/caller_access.h"
 #include "greengage/state/request_terms.h"
+#include "transport/forwarding_exchange.h"
 #include "transport/request_router_state.h"
 
 namespace greengage {
@@ -21,11 +22,12 @@
 }
 
 // Reports an answer which says that the request has not run.
-class CountedExchange : public HttpExchange {
+class CountedExchange : public ForwardingExchange {
  public:
   CountedExchange(std::shared_ptr<HttpExchange> caller,
                   std::function<void()> on_not_run)
-      : caller_(std::move(caller)), on_not_run_(std::move(on_not_run)) {}
+      : ForwardingExchange(std::move(caller)),
+        on_not_run_(std::move(on_not_run)) {}
 
   void Reply(HttpResponse response) override {
     if (response.not_run) {
@@ -33,16 +35,10 @@
         on_not_run();
       }
     }
-    caller_->Reply(std::move(response));
-  }
-  uint64_t connection() const override { return caller_->connection(); }
-  void Abort() override { caller_->Abort(); }
-  void OnClientDisconnected(std::function<void()> hook) override {
-    caller_->OnClientDisconnected(std::move(hook));
+    ForwardingExchange::Reply(std::move(response));
   }
 
  private:
-  const std::shared_ptr<HttpExchange> caller_;
   std::function<void()> on_not_run_;
 };
 
--- /dev/null
+++ b/tests/harness/router_fixture.h
@@ -0,0 +1,124 @@
+// A RequestRouter with searchers for tests.
+#ifndef GREENGAGE_TESTS_HARNESS_ROUTER_FIXTURE_H_
+#define GREENGAGE_TESTS_HARNESS_ROUTER_FIXTURE_H_
+
+#include <boost/asio/io_context.hpp>
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "greengage/transport/request_router.h"
+#include "greengage/transport/searcher_clients.h"
+#include "tests/harness/raw_server.h"
+
+namespace greengage {
+
+// Has one route, for all requests to the host "h", and the services "s0" and
+// "s1" with one searcher each.
+class RouterFixture {
+ public:
+  // Returns the bytes of the answer to a request.
+  using Answer =
+      std::function<std::string(const std::string& service, const RawRequest&)>;
+
+  RouterFixture(Route route, Answer answer)
+      : answer_(std::move(answer)),
+        servers_{Serve("s0"), Serve("s1")},
+        plans_({[](const RoutedSearcher&) {},
+                [](const RoutedSearcher&, std::string_view) {}},
+               {},
+               "here"),
+        clients_(std::make_shared<SearcherClients>(
+            context_,
+            [](const std::string&) { return 2; },
+            nullptr)),
+        router_(std::make_shared<RequestRouter>(context_,
+                                                CallDialect(),
+                                                RequestRouter::Limits{1},
+                                                &plans_,
+                                                &suspects_,
+                                                &reach_,
+                                                clients_,
+                                                &metrics_,
+                                                MakeHooks())) {
+    std::vector<SearcherEntry> entries;
+    for (size_t i = 0; i < servers_.size(); ++i) {
+      SearcherEntry entry;
+      entry.service = "s" + std::to_string(i);
+      entry.id = entry.service + "/0";
+      entry.endpoint = servers_[i]->endpoint();
+      entry.slots = 2;
+      entries.push_back(std::move(entry));
+    }
+    plans_.searchers.Replace(std::chrono::steady_clock::now(), entries);
+    route.host = "h";
+    route.path_prefix = "/";
+    RouteTable::Builder builder;
+    builder.Add(std::move(route));
+    table_ = *builder.Build();
+  }
+
+  // Handles a request with the id "id". Its answer comes while the context
+  // runs.
+  void Handle(const std::shared_ptr<HttpExchange>& exchange) {
+    HttpRequest request;
+    request.method = "GET";
+    request.target = "/";
+    request.path = "/";
+    request.headers = {{"Host", "h"}, {CallDialect().request_id, "id"}};
+    router_->Handle(std::move(request), exchange);
+  }
+
+  boost::asio::io_context& context() { return context_; }
+  size_t in_flight() const { return router_->in_flight(); }
+  size_t outstanding() const {
+    return plans_.searchers.ForService("s0").front()->outstanding();
+  }
+
+  // Returns the number of requests at the searcher of a service.
+  size_t arrivals(size_t service) const {
+    return servers_[service]->requests();
+  }
+
+ private:
+  std::shared_ptr<RawServer> Serve(const std::string& service) {
+    return RawServer::Start(context_,
+                            [this, service](const RawRequest& request) {
+                              return RawReply{answer_(service, request)};
+                            });
+  }
+
+  RequestRouter::Hooks MakeHooks() {
+    RequestRouter::Hooks hooks;
+    hooks.active_routes = [this] { return table_; };
+    hooks.takes = [](TimePoint, Duration) { return true; };
+    hooks.registry_age = [] { return Duration::zero(); };
+    hooks.may_be_stale = [] { return false; };
+    hooks.forwards_gathers = [] { return false; };
+    hooks.on_crash = [](const CrashReport&, const CrashedRequest&) {};
+    hooks.on_cleared = [](const std::vector<std::string>&) {};
+    return hooks;
+  }
+
+  boost::asio::io_context context_;
+  const Answer answer_;
+  std::array<std::shared_ptr<RawServer>, 2> servers_;
+  RequestPlanContext plans_;
+  CrashSuspects suspects_{CrashSuspectOptions{}};
+  SearcherReach reach_{SearcherReachOptions{}};
+  RoutedMetrics metrics_;
+  RouteTablePtr table_;
+  std::shared_ptr<SearcherClients> clients_;
+  std::shared_ptr<RequestRouter> router_;
+};
+
+}  // namespace greengage
+
+#endif  // GREENGAGE_TESTS_HARNESS_ROUTER_FIXTURE_H_
