Promise that a request has not run only where that is certain

Callers take 408, 429 and 503 as a promise that a request has not run, and repeat it even if it may run once only. A searcher's own 503 says nothing of the kind unless a header does. The instance's log shows the cause: outcome passed_on, status 503, one attempt that failed.

A request whose last failure has such a status now ends with an unknown outcome: 502 without the signature. The same goes for what an instance answers to a peer, and a relay passes on such a status only with the peer's statement; headers of a searcher with the names of that statement are removed. All other failures are passed on unchanged.

--- a/include/greengage/coordination/request_plan.h
+++ b/include/greengage/coordination/request_plan.h
@@ -196,6 +196,9 @@
   void CloseIfIdle(Part& part);
   void FinishIfDone(TimePoint now, RequestActions& actions);
   void FinishSingleIfDone(TimePoint now, RequestActions& actions);
+  // Ends the request with the answer of a searcher that failed, or without an
+  // answer if callers would take its status for a rejection.
+  void FinishWithFailure(SearcherAnswer failure, RequestActions& actions);
   void FinishGatherIfDone(TimePoint now, RequestActions& actions);
   void Finish(RequestResult result, RequestActions& actions);
   // Takes back attempts that are not sent yet.
--- a/include/greengage/state/searcher_answer.h
+++ b/include/greengage/state/searcher_answer.h
@@ -21,6 +21,13 @@
   std::string body;
 };
 
+// Returns whether callers take the status as a promise that the request has not
+// run and never will. A searcher's own status promises that only together with
+// a header, so it must not be passed on without that proof.
+inline bool PromisesNotRun(unsigned status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 // The load that a searcher reports with an answer.
 struct ReportedLoad {
   uint32_t running = 0;
--- a/include/greengage/transport/request_router.h
+++ b/include/greengage/transport/request_router.h
@@ -112,7 +112,8 @@
               const std::shared_ptr<HttpExchange>& exchange);
 
   // Handles a request that another instance forwarded. It is served here, or
-  // refused with kForwardRefusedStatus.
+  // refused with kForwardRefusedStatus. An answer has kAnsweredRequestHeader,
+  // and kNotRunHeader if the request has not run.
   void HandleForwarded(HttpRequest request,
                        const std::shared_ptr<HttpExchange>& exchange);
 
@@ -133,17 +134,11 @@
   struct WaitingRequest;
   class Timers;
 
-  enum class Origin : uint8_t {
-    kCaller,
-    kPeer,  // Another instance forwarded it.
-  };
-
   void StartRequest(HttpRequest request,
                     CallerRequest caller,
                     const std::shared_ptr<HttpExchange>& exchange,
                     RouteTablePtr table,
-                    const Route* route,
-                    Origin origin);
+                    const Route* route);
   // Sends a suspected request once it has a slot.
   void AwaitSlot(uint64_t number, Arrival arrival, size_t slots);
   void OnSlot(uint64_t number, const Result<std::optional<CrashSlot>>& slot);
--- a/src/coordination/request_plan.cc
+++ b/src/coordination/request_plan.cc
@@ -503,17 +503,32 @@
 
 void RequestPlan::FinishSingleIfDone(TimePoint now, RequestActions& actions) {
   Part& part = parts_.front();
-  if (part.answer || (part.closed && part.failure)) {
+  if (part.answer) {
     RequestResult result;
     result.outcome = RequestOutcome::kForwarded;
-    result.cause = part.answer ? "" : "the searcher answered with a failure";
-    result.answer = std::move(part.answer ? *part.answer : *part.failure);
+    result.answer = *std::move(part.answer);
     Finish(std::move(result), actions);
+  } else if (part.closed && part.failure) {
+    FinishWithFailure(*std::move(part.failure), actions);
   } else if (part.closed || now >= response_deadline_) {
     FinishWithoutAnswer(now, actions);
   }
 }
 
+void RequestPlan::FinishWithFailure(SearcherAnswer failure,
+                                    RequestActions& actions) {
+  RequestResult result;
+  if (PromisesNotRun(failure.status)) {
+    result.outcome = RequestOutcome::kUnknown;
+    result.cause = "the searcher's status would promise that it has not run";
+  } else {
+    result.outcome = RequestOutcome::kForwarded;
+    result.cause = "the searcher answered with a failure";
+    result.answer = std::move(failure);
+  }
+  Finish(std::move(result), actions);
+}
+
 void RequestPlan::FinishGatherIfDone(TimePoint now, RequestActions& actions) {
   size_t answered = 0;
   size_t pending = 0;
--- a/src/transport/gather_forwarder.cc
+++ b/src/transport/gather_forwarder.cc
@@ -10,8 +10,10 @@
 #include <vector>
 
 #include "greengage/protocol/caller_codec.h"
+#include "greengage/state/searcher_answer.h"
 #include "greengage/transport/guard.h"
 #include "transport/clock.h"
+#include "transport/forwarding_exchange.h"
 
 namespace greengage {
 namespace {
@@ -42,16 +44,10 @@
 // Passes a caller's exchange on to a local plan. The hook for the caller's
 // disconnection must be set before the handler of the exchange returns, so the
 // forwarder sets one of its own and calls the hook that the plan sets later.
-class RelayedExchange : public HttpExchange {
+class RelayedExchange : public ForwardingExchange {
  public:
-  explicit RelayedExchange(std::shared_ptr<HttpExchange> caller)
-      : caller_(std::move(caller)) {}
+  using ForwardingExchange::ForwardingExchange;
 
-  void Reply(HttpResponse response) override {
-    caller_->Reply(std::move(response));
-  }
-  uint64_t connection() const override { return caller_->connection(); }
-  void Abort() override { caller_->Abort(); }
   void OnClientDisconnected(std::function<void()> hook) override {
     hook_ = std::move(hook);
   }
@@ -63,7 +59,6 @@
   }
 
  private:
-  const std::shared_ptr<HttpExchange> caller_;
   std::function<void()> hook_;
 };
 
@@ -216,8 +211,15 @@
     }
   }
 
+  // A status may promise that the query has not run only if the gatherer says
+  // so. One of an earlier release passes on the status of a searcher that may
+  // have run it.
   void Reply(HttpResponse response, TimePoint now) {
     response.not_run = FindHeader(response.headers, kNotRunHeader).has_value();
+    if (PromisesNotRun(response.status) && !response.not_run) {
+      Fail(kBadGateway, now, "it does not say that the query has not run");
+      return;
+    }
     std::erase_if(response.headers, [](const auto& header) {
       return IsSameHeader(header.first, kAnsweredRequestHeader) ||
              IsSameHeader(header.first, kNotRunHeader) ||
@@ -233,15 +235,17 @@
     End();
   }
 
-  void Fail(unsigned status, TimePoint now) {
+  void Fail(unsigned status,
+            TimePoint now,
+            std::string detail = "it did not answer the query") {
     forwarder_->hooks_.on_answered(query_.request_id, tried_.back(), status,
                                    now - started_);
-    exchange_->Reply(HttpResponse{
-        .status = status,
-        .body = SerializeFailure(
-            {status == kGatewayTimeout ? FailureKind::kTimedOut
-                                       : FailureKind::kUnavailable,
-             "gatherer " + tried_.back(), "it did not answer the query"})});
+    exchange_->Reply(
+        HttpResponse{.status = status,
+                     .body = SerializeFailure(
+                         {status == kGatewayTimeout ? FailureKind::kTimedOut
+                                                    : FailureKind::kUnavailable,
+                          "gatherer " + tried_.back(), std::move(detail)})});
     End();
   }
 
--- a/src/transport/request_router.cc
+++ b/src/transport/request_router.cc
@@ -12,6 +12,7 @@
 #include "greengage/transport/log_line.h"
 #include "transport/clock.h"
 #include "transport/deadline_timer.h"
+#include "transport/forwarding_exchange.h"
 #include "transport/request_router_state.h"
 
 namespace greengage {
@@ -86,6 +87,30 @@
   return outcome;
 }
 
+// Tells the peer that passed a request on which request is answered, and
+// whether it has run. A searcher may have sent headers of the same names.
+class PeerExchange : public ForwardingExchange {
+ public:
+  PeerExchange(std::shared_ptr<HttpExchange> peer, std::string request_id)
+      : ForwardingExchange(std::move(peer)),
+        request_id_(std::move(request_id)) {}
+
+  void Reply(HttpResponse response) override {
+    std::erase_if(response.headers, [](const auto& header) {
+      return IsSameHeader(header.first, kAnsweredRequestHeader) ||
+             IsSameHeader(header.first, kNotRunHeader);
+    });
+    response.headers.emplace_back(kAnsweredRequestHeader, request_id_);
+    if (response.not_run) {
+      response.headers.emplace_back(kNotRunHeader, "1");
+    }
+    ForwardingExchange::Reply(std::move(response));
+  }
+
+ private:
+  const std::string request_id_;
+};
+
 }  // namespace
 
 // Timers of all requests, multiplexed onto one timer.
@@ -188,8 +213,7 @@
                               const std::shared_ptr<HttpExchange>& exchange,
                               const RouteTablePtr& table,
                               const Route* route) {
-  StartRequest(std::move(request), std::move(caller), exchange, table, route,
-               Origin::kCaller);
+  StartRequest(std::move(request), std::move(caller), exchange, table, route);
 }
 
 bool RequestRouter::Takes(TimePoint now,
@@ -245,8 +269,8 @@
     exchange->Reply(HttpResponse{.status = kForwardRefusedStatus});
     return;
   }
-  StartRequest(std::move(request), *std::move(caller), exchange, table, route,
-               Origin::kPeer);
+  const auto answered = std::make_shared<PeerExchange>(exchange, caller->id);
+  StartRequest(std::move(request), *std::move(caller), answered, table, route);
 }
 
 void RequestRouter::Forward(HttpRequest request,
@@ -348,8 +372,7 @@
                                  CallerRequest caller,
                                  const std::shared_ptr<HttpExchange>& exchange,
                                  RouteTablePtr table,
-                                 const Route* route,
-                                 Origin origin) {
+                                 const Route* route) {
   const TimePoint now = Now();
   const RequestDigest digest =
       DigestOf(caller, request.method, request.target, request.body);
@@ -376,7 +399,6 @@
   arrival.exchange = exchange;
   arrival.table = std::move(table);
   arrival.route = route;
-  arrival.origin = origin;
   if (arrival.is_suspect) {
     AwaitSlot(number, std::move(arrival), verdict.slots);
   } else {
@@ -648,12 +670,6 @@
   metrics_->request_time[route.name].Record(now - active.arrived);
   HttpResponse response = ToResponse(route, result);
   LogRequestEnd(active, result, response.status, now);
-  if (active.origin == Origin::kPeer) {
-    response.headers.emplace_back(kAnsweredRequestHeader, active.caller.id);
-    if (response.not_run) {
-      response.headers.emplace_back(kNotRunHeader, "1");
-    }
-  }
   active.exchange->Reply(std::move(response));
 }
 
--- a/src/transport/request_router_state.h
+++ b/src/transport/request_router_state.h
@@ -41,7 +41,6 @@
   std::shared_ptr<HttpExchange> exchange;
   RouteTablePtr table;
   const Route* route = nullptr;
-  Origin origin = Origin::kCaller;
   RequestDigest digest;
   bool is_suspect = false;  // It may end the searchers that run it.
   TimePoint arrived;
--- a/tests/harness/router_fixture.h
+++ b/tests/harness/router_fixture.h
@@ -14,6 +14,7 @@
 #include <utility>
 #include <vector>
 
+#include "greengage/transport/gather_forwarder.h"
 #include "greengage/transport/request_router.h"
 #include "greengage/transport/searcher_clients.h"
 #include "tests/harness/raw_server.h"
@@ -68,12 +69,14 @@
   // Handles a request with the id "id". Its answer comes while the context
   // runs.
   void Handle(const std::shared_ptr<HttpExchange>& exchange) {
-    HttpRequest request;
-    request.method = "GET";
-    request.target = "/";
-    request.path = "/";
-    request.headers = {{"Host", "h"}, {CallDialect().request_id, "id"}};
-    router_->Handle(std::move(request), exchange);
+    router_->Handle(MakeRequest(), exchange);
+  }
+
+  // The same for a request that a peer passed on.
+  void HandleForwarded(const std::shared_ptr<HttpExchange>& exchange) {
+    HttpRequest request = MakeRequest();
+    AddForwardInfo({}, request.headers);
+    router_->HandleForwarded(std::move(request), exchange);
   }
 
   boost::asio::io_context& context() { return context_; }
@@ -88,6 +91,13 @@
   }
 
  private:
+  static HttpRequest MakeRequest() {
+    return {.method = "GET",
+            .path = "/",
+            .target = "/",
+            .headers = {{"Host", "h"}, {CallDialect().request_id, "id"}}};
+  }
+
   std::shared_ptr<RawServer> Serve(const std::string& service) {
     return RawServer::Start(context_,
                             [this, service](const RawRequest& request) {
