End a watch before what a lost answer hides is due

The store held watches of the configuration for 25 s.

WatchTimeout() now derives how long a watch is held from the time in which its changes are due, less the timeout of a call and the time of a listing. It holds for the configuration, evacuations and reports of ended searchers. Watches of the project's own platform end after 2 s, not 10.

--- a/include/greengage/state/decision_event.h
+++ b/include/greengage/state/decision_event.h
@@ -28,6 +28,7 @@
   kQueryForwarded,
   kGathererFailed,
   kStoreFailing,
+  kChangeMissed,
   kStoreRecovered,
   kStoreRestored,
   kConfigurationInForce,
--- a/include/greengage/transport/list_watcher.h
+++ b/include/greengage/transport/list_watcher.h
@@ -102,6 +102,9 @@
     std::function<void(const Failure&)> on_failing;
     // Runs on the first successful call after a failed one.
     std::function<void()> on_recovered;
+    // Runs when a poll finds a change, of `revision`, that the watch has not
+    // reported. Optional.
+    std::function<void(StoreRevision revision)> on_missed;
     // Runs when a listing is from a later era of the store than `known`, the
     // revision up to which changes were read. Optional.
     std::function<void(StoreRevision revision, StoreRevision known)>
@@ -204,20 +207,29 @@
         return;
       }
       self->SchedulePoll();
-      // A failed poll is ignored, since the watch reports the failure as well.
-      if (page && self->HasUndeliveredChange(*page)) {
-        self->RunStep([&self] { self->List(); });
+      // A failed poll is ignored, since the watch ends soon if the store is
+      // away.
+      const auto missed = page ? self->UndeliveredChange(*page) : std::nullopt;
+      if (missed) {
+        self->RunStep([&self, &missed] {
+          if (self->hooks_.on_missed) {
+            self->hooks_.on_missed(*missed);
+          }
+          self->List();
+        });
       }
     });
   }
 
-  // Returns true if the page has a change that no listing or watch has
+  // Returns the revision of a change on the page that no listing or watch has
   // delivered yet.
-  bool HasUndeliveredChange(const Page& page) const {
-    return std::any_of(page.items.begin(), page.items.end(),
-                       [this](const StoreItem<Item>& item) {
-                         return newest_revision_ < item.revision;
-                       });
+  std::optional<StoreRevision> UndeliveredChange(const Page& page) const {
+    const auto found = std::find_if(page.items.begin(), page.items.end(),
+                                    [this](const StoreItem<Item>& item) {
+                                      return newest_revision_ < item.revision;
+                                    });
+    return found == page.items.end() ? std::nullopt
+                                     : std::optional(found->revision);
   }
 
   void UpdateNewestRevision(const std::vector<StoreItem<Item>>& items) {
--- a/src/entry_instance_members.cc
+++ b/src/entry_instance_members.cc
@@ -16,8 +16,9 @@
 // gossip seeds.
 constexpr std::chrono::seconds kSeedInterval{2};
 
-// Maximum time that the platform holds a watch open without a change.
-constexpr std::chrono::milliseconds kWatchTimeout{10000};
+// Maximum time that the platform holds a watch open without a change. A watch
+// whose answer is lost hides changes until it ends.
+constexpr std::chrono::milliseconds kWatchTimeout{2000};
 
 ConfigurationText ToConfigurationText(PlatformObject object) {
   return ConfigurationText{object.version, std::move(object.value)};
--- a/src/routed_instance_crash.cc
+++ b/src/routed_instance_crash.cc
@@ -9,10 +9,14 @@
 #include "transport/random_base.h"
 
 namespace greengage {
+namespace {
+
+// Time in which an instance knows of a searcher that ended with a request.
+constexpr std::chrono::milliseconds kCrashReportTime{5000};
+
+}  // namespace
 
 void RoutedInstanceImpl::StartCrashReportWatch() {
-  ListWatchOptions options;
-  options.seed = RandomBase();
   auto hooks = ListWatchHooks<CrashReport>("crash_reports",
                                            platform_.crash_reports.source);
   hooks.on_snapshot = [this](const auto& items, StoreRevision revision) {
@@ -22,7 +26,7 @@
     OnStoredCrashReports(items, revision, false);
   };
   crash_report_watcher_ = std::make_shared<ListWatcher<CrashReport>>(
-      context_, options, std::move(hooks));
+      context_, WatchOptions(kCrashReportTime), std::move(hooks));
   crash_report_watcher_->Start();
 }
 
--- a/src/routed_instance_impl.h
+++ b/src/routed_instance_impl.h
@@ -183,6 +183,9 @@
   void AwaitLastAnswers(TimePoint now, TimePoint end);
   void FinishStop();
 
+  // Returns the options of a watch with which changes are known `known_within`
+  // after they were made, also if an answer is lost.
+  ListWatchOptions WatchOptions(std::chrono::milliseconds known_within) const;
   template <typename Item>
   typename ListWatcher<Item>::Hooks ListWatchHooks(
       const std::string& feed,
@@ -276,6 +279,13 @@
         .Write();
     metrics_.store_changes[{feed, "lost"}].Add();
   };
+  hooks.on_missed = [this, feed](StoreRevision revision) {
+    LogLine(DecisionEvent::kChangeMissed)
+        .Add("feed", feed)
+        .Add("revision", revision.number)
+        .Write();
+    metrics_.store_changes[{feed, "missed"}].Add();
+  };
   hooks.on_recovered = [this, feed] {
     LogLine(DecisionEvent::kStoreRecovered).Add("feed", feed).Write();
     metrics_.store_changes[{feed, "regained"}].Add();
--- a/src/routed_instance_store.cc
+++ b/src/routed_instance_store.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <utility>
 
+#include "greengage/coordination/watch_timeout.h"
 #include "greengage/transport/log_line.h"
 #include "routed_instance_impl.h"
 #include "transport/random_base.h"
@@ -65,9 +66,16 @@
   SetInstanceCount(kMaxExpectedInstances);
 }
 
-void RoutedInstanceImpl::StartStoreWatches() {
+ListWatchOptions RoutedInstanceImpl::WatchOptions(
+    std::chrono::milliseconds known_within) const {
   ListWatchOptions options;
+  options.watch_timeout =
+      WatchTimeout(known_within, settings_.platform_timeout);
   options.seed = RandomBase();
+  return options;
+}
+
+void RoutedInstanceImpl::StartStoreWatches() {
   auto configuration_hooks = ListWatchHooks<StoredConfiguration>(
       "configuration", platform_.configuration);
   configuration_hooks.on_snapshot = [this](auto items, StoreRevision revision) {
@@ -77,12 +85,14 @@
     OnStoredConfigurations(items, revision);
   };
   configuration_watcher_ = std::make_shared<ListWatcher<StoredConfiguration>>(
-      context_, options, std::move(configuration_hooks));
+      context_, WatchOptions(settings_.configuration_time),
+      std::move(configuration_hooks));
   configuration_watcher_->Start();
 
   // Searchers update their registrations all the time, so a watch that returns
   // no change points to a lost connection.
   watch_delay_ = RegistryReadInterval();
+  ListWatchOptions options;
   options.watch_timeout = kSearcherWatchTimeout;
   if (feed_source_.has_clients()) {
     options.watch_timeout =
--- a/src/routed_instance_terms.cc
+++ b/src/routed_instance_terms.cc
@@ -13,8 +13,6 @@
   if (settings_.evacuation_time.count() == 0) {
     return;
   }
-  ListWatchOptions options;
-  options.seed = RandomBase();
   auto hooks = ListWatchHooks<Evacuation>("evacuations", platform_.evacuations);
   hooks.on_snapshot = [this](const auto& items, StoreRevision revision) {
     OnStoredEvacuations(items, revision, true);
@@ -23,7 +21,7 @@
     OnStoredEvacuations(items, revision, false);
   };
   evacuation_watcher_ = std::make_shared<ListWatcher<Evacuation>>(
-      context_, options, std::move(hooks));
+      context_, WatchOptions(settings_.evacuation_time), std::move(hooks));
   evacuation_watcher_->Start();
 }
 
--- a/src/state/decision_event.cc
+++ b/src/state/decision_event.cc
@@ -62,6 +62,9 @@
       {kStoreFailing, "store_lost", LogLevel::kWarning, "feed, cause, detail",
        "A call to the store failed after others had not; what was known of "
        "the feed stays in use."},
+      {kChangeMissed, "change_missed", LogLevel::kWarning, "feed, revision",
+       "A poll found a change that the watch of the feed had not reported; all "
+       "objects are listed again."},
       {kStoreRecovered, "store_regained", LogLevel::kInfo, "feed",
        "The store answers again."},
       {kStoreRestored, "store_restored", LogLevel::kWarning,
--- a/tests/list_watcher_test.cc
+++ b/tests/list_watcher_test.cc
@@ -51,6 +51,9 @@
     hooks.on_changes = [this](auto items, StoreRevision) {
       changes += items.size();
     };
+    hooks.on_missed = [this](StoreRevision revision) {
+      missed.push_back(revision.number);
+    };
     hooks.on_failing = [this](const Failure&) { ++failing_calls; };
     hooks.on_recovered = [this] { ++recovered_calls; };
     hooks.on_restored = [this](StoreRevision revision, StoreRevision) {
@@ -71,6 +74,7 @@
   FakeStore store;
   std::vector<size_t> snapshots;
   std::vector<uint64_t> restored;  // Eras.
+  std::vector<uint64_t> missed;    // Revisions.
   size_t changes = 0;
   int failing_calls = 0;
   int recovered_calls = 0;
@@ -149,6 +153,7 @@
   fixture.RunUntilCall();
   cr_assert(fixture.store.calls.back() == "poll");
   fixture.store.Answer(PageOf(9, {"a"}, false));
+  cr_assert(fixture.missed == std::vector<uint64_t>{9});
   cr_assert(fixture.store.calls.back() == "list ");
   // The stalled watch must not keep its connection to the store.
   cr_assert(std::ranges::count(fixture.store.calls, "cancel") == 1);
