Date polls, and list again after one that may be too old

Polls cost a tenth of a call, but could be too old to show the change.

All kinds of objects share one counter of revisions, so the answers to the watches of the searchers tell how old the state of a poll is (RevisionHistory). A poll that fails, or that may lack changes older than recovery_time_ms allows, now has all objects listed again.

--- a/include/greengage/protocol/instance_settings.h
+++ b/include/greengage/protocol/instance_settings.h
@@ -70,8 +70,9 @@
   std::chrono::duration<double> quota_window{};
   double quota_overage = 0;
   uint32_t quota_allowance = 0;
-  // Time in which a stored configuration takes effect.
-  std::chrono::milliseconds configuration_time{};
+  // Time after which changes are known that an answer of the store reported
+  // which was lost.
+  std::chrono::milliseconds recovery_time{};
   // Time in which an evacuation takes effect. Zero means that evacuations are
   // not read.
   std::chrono::milliseconds evacuation_time{};
--- a/include/greengage/transport/list_watcher.h
+++ b/include/greengage/transport/list_watcher.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "greengage/coordination/backoff.h"
+#include "greengage/coordination/revision_history.h"
 #include "greengage/state/result.h"
 #include "greengage/state/store_revision.h"
 #include "greengage/state/time.h"
@@ -51,8 +52,12 @@
   // local state.
   std::chrono::milliseconds watch_delay{150};
   // Interval between polls. A poll is a cheap, possibly stale read that detects
-  // changes which a watch misses when its connection has stalled.
+  // changes which a watch misses when its connection has stalled or its answer
+  // was lost.
   std::chrono::milliseconds poll_interval{3000};
+  // A poll that may lack older changes than this proves nothing about the
+  // watch, so that all objects are listed again. Needs a RevisionHistory.
+  std::chrono::milliseconds max_poll_age{3000};
   // A watch that returns this many objects may have been cut off by the store's
   // page size. The next one starts at once, or the local state would fall
   // further behind with each watch.
@@ -61,6 +66,11 @@
   uint64_t seed = 0;
 };
 
+// A lost watch looks like one that waits for a change. Polls bound the time for
+// which it hides changes to `max_poll_age` and `poll_interval` together, as
+// long as the store answers: one that fails, or that may be too old, has all
+// objects listed again.
+//
 // Lists all objects, then watches for changes. After a failed watch it lists
 // all objects again: the store may have discarded history in the meantime, and
 // a watch from the old revision would then wait for changes that the store can
@@ -105,6 +115,9 @@
     // Runs when a poll finds a change, of `revision`, that the watch has not
     // reported. Optional.
     std::function<void(StoreRevision revision)> on_missed;
+    // Dates the polls. May be shared by all watchers of the store, whose
+    // answers add to it. Polls are not dated if it is null.
+    std::shared_ptr<RevisionHistory> history;
     // Runs when a listing is from a later era of the store than `known`, the
     // revision up to which changes were read. Optional.
     std::function<void(StoreRevision revision, StoreRevision known)>
@@ -133,26 +146,32 @@
   }
 
  private:
+  using Clock = std::chrono::steady_clock;
+
   void List() {
     // A poll may have called this while the next watch was due.
     timer_.cancel();
     CancelPendingWatch();
     partial_listing_.clear();
+    listing_ = true;
     ListAfter("");
   }
 
   void ListAfter(const std::string& after) {
-    hooks_.list(after, IgnoringStaleResults([this](Result<Page> page) {
-                  OnListed(std::move(page));
-                }));
+    hooks_.list(after, IgnoringStaleResults(
+                           [this, sent = Clock::now()](Result<Page> page) {
+                             RecordRevision(sent, page);
+                             OnListed(std::move(page));
+                           }));
   }
 
   void Watch() {
-    cancel_watch_ =
-        hooks_.watch(revision_.number, options_.watch_timeout,
-                     IgnoringStaleResults([this](Result<Page> page) {
-                       OnWatched(std::move(page));
-                     }));
+    cancel_watch_ = hooks_.watch(
+        revision_.number, options_.watch_timeout,
+        IgnoringStaleResults([this, sent = Clock::now()](Result<Page> page) {
+          RecordRevision(AnsweredAfter(sent, page), page);
+          OnWatched(std::move(page));
+        }));
   }
 
   // A superseded watch would occupy a connection to the store until its timeout
@@ -207,20 +226,49 @@
         return;
       }
       self->SchedulePoll();
-      // A failed poll is ignored, since the watch ends soon if the store is
-      // away.
-      const auto missed = page ? self->UndeliveredChange(*page) : std::nullopt;
-      if (missed) {
-        self->RunStep([&self, &missed] {
-          if (self->hooks_.on_missed) {
-            self->hooks_.on_missed(*missed);
-          }
-          self->List();
-        });
-      }
+      self->RunStep([&self, &page] { self->OnPolled(Clock::now(), page); });
     });
   }
 
+  // Leaves a listing that is under way alone, since it reads what is current.
+  void OnPolled(TimePoint now, const Result<Page>& page) {
+    if (listing_) {
+      return;
+    }
+    const auto missed = page ? UndeliveredChange(*page) : std::nullopt;
+    if (missed && hooks_.on_missed) {
+      hooks_.on_missed(*missed);
+    }
+    if (missed || !IsRecent(now, page)) {
+      List();
+    }
+  }
+
+  // Returns whether a poll proves that no older change than `max_poll_age` was
+  // missed.
+  bool IsRecent(TimePoint now, const Result<Page>& page) const {
+    if (!hooks_.history) {
+      return true;
+    }
+    const auto current_at =
+        page ? hooks_.history->CurrentAt(page->revision) : std::nullopt;
+    return current_at && now - *current_at <= options_.max_poll_age;
+  }
+
+  // Returns a time before which the store did not answer a watch that was sent
+  // at `sent`. It holds one without changes until the timeout.
+  TimePoint AnsweredAfter(TimePoint sent, const Result<Page>& page) const {
+    const bool was_held = page && page->items.empty() &&
+                          Clock::now() - sent >= options_.watch_timeout;
+    return was_held ? sent + options_.watch_timeout : sent;
+  }
+
+  void RecordRevision(TimePoint sent, const Result<Page>& page) {
+    if (page && hooks_.history) {
+      hooks_.history->OnAnswer(sent, page->revision);
+    }
+  }
+
   // Returns the revision of a change on the page that no listing or watch has
   // delivered yet.
   std::optional<StoreRevision> UndeliveredChange(const Page& page) const {
@@ -272,6 +320,7 @@
       hooks_.on_restored(listed_revision_, revision_);
     }
     is_listed_ = true;
+    listing_ = false;
     revision_ = listed_revision_;
     UpdateNewestRevision(partial_listing_);
     hooks_.on_snapshot(std::exchange(partial_listing_, {}), revision_);
@@ -295,6 +344,7 @@
           [this] { Watch(); });
       return;
     }
+    listing_ = true;
     const bool history_discarded =
         page.last_reason().kind == FailureKind::kStaleVersion;
     if (!history_discarded) {
@@ -341,6 +391,7 @@
   StoreRevision revision_;  // Up to which changes are known.
   StoreRevision listed_revision_;
   bool is_listed_ = false;  // A listing was complete.
+  bool listing_ = true;     // A listing is under way, or due after a failure.
   std::vector<StoreItem<Item>> partial_listing_;
   bool failing_ = false;
   bool stopped_ = false;
--- a/src/protocol/instance_settings.cc
+++ b/src/protocol/instance_settings.cc
@@ -130,11 +130,11 @@
       .Integer("quota_allowance", &S::quota_allowance,
                {.maximum = 100000, .default_value = 0},
                "Requests of an organisation beyond that fraction.")
-      .Time("configuration_time_ms", &S::configuration_time,
-            {.minimum = 100, .maximum = 60000, .default_value = 3000},
-            "Time in which a stored configuration takes effect, also if an "
-            "answer of the store is lost; longer means fewer calls to the "
-            "store.")
+      .Time("recovery_time_ms", &S::recovery_time,
+            {.minimum = 100, .maximum = 60000, .default_value = 5000},
+            "Time after which an instance knows of a change although the "
+            "store's answer that reported it was lost; longer means fewer "
+            "calls to the store.")
       .Time("evacuation_time_ms", &S::evacuation_time,
             {.maximum = 60000, .default_value = 0},
             "Time in which the evacuation of a data centre takes effect. 0: "
--- a/src/routed_instance_crash.cc
+++ b/src/routed_instance_crash.cc
@@ -9,12 +9,6 @@
 #include "transport/random_base.h"
 
 namespace greengage {
-namespace {
-
-// Time in which an instance knows of a searcher that ended with a request.
-constexpr std::chrono::milliseconds kCrashReportTime{5000};
-
-}  // namespace
 
 void RoutedInstanceImpl::StartCrashReportWatch() {
   auto hooks = ListWatchHooks<CrashReport>("crash_reports",
@@ -26,7 +20,7 @@
     OnStoredCrashReports(items, revision, false);
   };
   crash_report_watcher_ = std::make_shared<ListWatcher<CrashReport>>(
-      context_, WatchOptions(kCrashReportTime), std::move(hooks));
+      context_, WatchOptions(), std::move(hooks));
   crash_report_watcher_->Start();
 }
 
--- a/src/routed_instance_impl.h
+++ b/src/routed_instance_impl.h
@@ -183,9 +183,11 @@
   void AwaitLastAnswers(TimePoint now, TimePoint end);
   void FinishStop();
 
-  // Returns the options of a watch with which changes are known `known_within`
-  // after they were made, also if an answer is lost.
-  ListWatchOptions WatchOptions(std::chrono::milliseconds known_within) const;
+  // Returns the options of a watch whose polls show changes within
+  // recovery_time, also if an answer to the watch is lost.
+  ListWatchOptions WatchOptions() const;
+  // Returns how long the store holds a watch of the searchers.
+  std::chrono::milliseconds SearcherWatchTimeout() const;
   template <typename Item>
   typename ListWatcher<Item>::Hooks ListWatchHooks(
       const std::string& feed,
@@ -212,6 +214,8 @@
   // Running only while this instance reads the store itself.
   std::shared_ptr<ListWatcher<StoredConfiguration>> configuration_watcher_;
   std::shared_ptr<ListWatcher<SearcherEntry>> searcher_watcher_;
+  const std::shared_ptr<RevisionHistory> revision_history_ =
+      std::make_shared<RevisionHistory>();
   std::shared_ptr<ListWatcher<CrashReport>> crash_report_watcher_;
   std::shared_ptr<ListWatcher<Evacuation>> evacuation_watcher_;
   const TimePoint started_at_ = Now();
@@ -271,6 +275,7 @@
   hooks.list = std::move(source.list);
   hooks.watch = std::move(source.watch);
   hooks.poll = std::move(source.poll);
+  hooks.history = revision_history_;
   hooks.on_failing = [this, feed](const Failure& reason) {
     LogLine(DecisionEvent::kStoreFailing)
         .Add("feed", feed)
--- a/src/routed_instance_store.cc
+++ b/src/routed_instance_store.cc
@@ -4,7 +4,6 @@
 #include <chrono>
 #include <utility>
 
-#include "greengage/coordination/watch_timeout.h"
 #include "greengage/transport/log_line.h"
 #include "routed_instance_impl.h"
 #include "transport/random_base.h"
@@ -31,6 +30,13 @@
 constexpr std::chrono::milliseconds kSearcherWatchTimeout{1500};
 constexpr int kSearcherWatchPercent = 15;
 
+// Time in which the store answers a call, and time of the listing after a poll
+// that proves nothing.
+constexpr std::chrono::milliseconds kAnswerTime{300};
+constexpr std::chrono::milliseconds kListingTime{150};
+
+constexpr std::chrono::milliseconds kMinPollInterval{500};
+
 FeedObject MakeFeedObject(const StoreItem<SearcherEntry>& item) {
   FeedObject object{
       FeedKind::kSearcher, item.name, item.revision, item.removed, {}};
@@ -66,15 +72,26 @@
   SetInstanceCount(kMaxExpectedInstances);
 }
 
-ListWatchOptions RoutedInstanceImpl::WatchOptions(
-    std::chrono::milliseconds known_within) const {
+// Polls are dated by the answers to the watches of the searchers, so they look
+// as old as the time from one of these to the next.
+ListWatchOptions RoutedInstanceImpl::WatchOptions() const {
   ListWatchOptions options;
-  options.watch_timeout =
-      WatchTimeout(known_within, settings_.platform_timeout);
+  options.max_poll_age = ToMilliseconds(RegistryReadInterval()) +
+                         SearcherWatchTimeout() + kAnswerTime;
+  options.poll_interval =
+      std::clamp(settings_.recovery_time - options.max_poll_age - kListingTime,
+                 kMinPollInterval, options.poll_interval);
   options.seed = RandomBase();
   return options;
 }
 
+std::chrono::milliseconds RoutedInstanceImpl::SearcherWatchTimeout() const {
+  return feed_source_.has_clients()
+             ? std::min(kSearcherWatchTimeout,
+                        settings_.leave_time * kSearcherWatchPercent / 100)
+             : kSearcherWatchTimeout;
+}
+
 void RoutedInstanceImpl::StartStoreWatches() {
   auto configuration_hooks = ListWatchHooks<StoredConfiguration>(
       "configuration", platform_.configuration);
@@ -85,20 +102,14 @@
     OnStoredConfigurations(items, revision);
   };
   configuration_watcher_ = std::make_shared<ListWatcher<StoredConfiguration>>(
-      context_, WatchOptions(settings_.configuration_time),
-      std::move(configuration_hooks));
+      context_, WatchOptions(), std::move(configuration_hooks));
   configuration_watcher_->Start();
 
   // Searchers update their registrations all the time, so a watch that returns
   // no change points to a lost connection.
   watch_delay_ = RegistryReadInterval();
   ListWatchOptions options;
-  options.watch_timeout = kSearcherWatchTimeout;
-  if (feed_source_.has_clients()) {
-    options.watch_timeout =
-        std::min(options.watch_timeout,
-                 settings_.leave_time * kSearcherWatchPercent / 100);
-  }
+  options.watch_timeout = SearcherWatchTimeout();
   options.watch_delay = ToMilliseconds(watch_delay_);
   options.seed = RandomBase();
   auto searcher_hooks =
--- a/src/routed_instance_terms.cc
+++ b/src/routed_instance_terms.cc
@@ -21,7 +21,7 @@
     OnStoredEvacuations(items, revision, false);
   };
   evacuation_watcher_ = std::make_shared<ListWatcher<Evacuation>>(
-      context_, WatchOptions(settings_.evacuation_time), std::move(hooks));
+      context_, WatchOptions(), std::move(hooks));
   evacuation_watcher_->Start();
 }
 
--- a/tests/endless_answer_test.cc
+++ b/tests/endless_answer_test.cc
@@ -118,6 +118,61 @@
             FailureKind::kTooLarge);
 }
 
+// Guards against a way to frame an answer that no limit covers.
+Test(EndlessAnswer, EndsInEachFraming) {
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked(kChunkedHead);
+  const std::string filler(16, 'a');
+  const std::string line(4000, 'a');
+  const struct {
+    const char* name;
+    std::string start;
+    std::string piece;
+  } answers[] = {
+      {"no HTTP", "", filler},
+      {"zeros", "", std::string(16, '\0')},
+      {"empty lines", "", "\r\n"},
+      {"protocol name", "HTTP/1.", "1"},
+      {"status", "HTTP/1.1 ", "2"},
+      {"reason", "HTTP/1.1 200 ", filler},
+      {"field name", ok, filler},
+      {"field value", ok + "Name: ", filler},
+      {"spaces in a field", ok + "Name:", "    "},
+      {"folded field", ok + "Name: a\r\n", " a\r\n"},
+      {"100", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"interim with a field", "",
+       "HTTP/1.1 103 Early Hints\r\nLink: " + line + "\r\n\r\n"},
+      {"body of HTTP/1.0", "HTTP/1.0 200 OK\r\n\r\n", filler},
+      {"length", ok + "Content-Length: 1000000000000\r\n\r\n", filler},
+      {"greatest length", ok + "Content-Length: 18446744073709551615\r\n\r\n",
+       filler},
+      {"too great a length",
+       ok + "Content-Length: 99999999999999999999999\r\n\r\n", filler},
+      {"digits of a length", ok + "Content-Length: 1", "0"},
+      {"length and chunks",
+       ok + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n",
+       "5\r\naaaaa\r\n"},
+      {"great chunk", chunked + "fffffffffffff0\r\n", filler},
+      {"greatest chunk", chunked + "ffffffffffffffff\r\n", filler},
+      {"digits of a chunk", chunked, "0"},
+      {"chunk extensions", chunked, "1;" + line + "\r\na\r\n"},
+      {"end of a chunk", chunked + "1\r\na", filler},
+      {"field of a trailer", chunked + "0\r\nName: ", filler},
+      {"folded field of a trailer", chunked + "0\r\nName: a\r\n", " a\r\n"},
+      {"unknown coding", ok + "Transfer-Encoding: gzip\r\n\r\n", filler},
+      {"coding before chunks", ok + "Transfer-Encoding: gzip, chunked\r\n\r\n",
+       "5\r\naaaaa\r\n"},
+  };
+  for (const auto& answer : answers) {
+    const std::optional<FailureKind> end =
+        EndOfAnswer(answer.start, answer.piece);
+    cr_expect(
+        end == FailureKind::kTooLarge || end == FailureKind::kMalformedMessage,
+        "%s: %s", answer.name,
+        end ? std::string(FailureKindName(*end)).c_str() : "no end");
+  }
+}
+
 // Guards against a call that never ends since interim answers, or answers to
 // other calls, come again and again.
 Test(EndlessAnswer, EndsInterimAnswersThatNeverEnd) {
--- a/tests/list_watcher_test.cc
+++ b/tests/list_watcher_test.cc
@@ -27,7 +27,8 @@
 };
 
 struct Fixture {
-  explicit Fixture(ListWatchOptions options = {.watch_delay = Ms(0)}) {
+  explicit Fixture(ListWatchOptions options = {.watch_delay = Ms(0)},
+                   std::shared_ptr<RevisionHistory> history = nullptr) {
     options.backoff = {Ms(1), Ms(4)};
     Watcher::Hooks hooks;
     hooks.list = [this](const std::string& after, auto done) {
@@ -51,6 +52,7 @@
     hooks.on_changes = [this](auto items, StoreRevision) {
       changes += items.size();
     };
+    hooks.history = std::move(history);
     hooks.on_missed = [this](StoreRevision revision) {
       missed.push_back(revision.number);
     };
@@ -190,6 +192,65 @@
   cr_assert(fixture.snapshots.size() == 1);
 }
 
+// The answer to the watch is lost, and the poll is too old to show the change.
+Test(ListWatcher, ListsAgainAfterAPollThatMayBeTooOld) {
+  const auto history = std::make_shared<RevisionHistory>();
+  Fixture fixture(
+      {.watch_delay = Ms(0), .poll_interval = Ms(1), .max_poll_age = Ms(60000)},
+      history);
+  fixture.store.Answer(PageOf(7, {"a"}, false));
+  fixture.RunUntilCall();
+  fixture.store.pending = nullptr;
+  fixture.RunUntilCall();
+  cr_assert(fixture.store.calls.back() == "poll");
+  // The time of revision 7 is known, and recent.
+  fixture.store.Answer(PageOf(7, {}, false));
+  fixture.RunUntilCall();
+  cr_assert(fixture.store.calls.back() == "poll");
+  // That of revision 5 is not known.
+  fixture.store.Answer(PageOf(5, {}, false));
+  cr_assert(fixture.store.calls.back() == "list ");
+  cr_assert(fixture.missed.empty());
+}
+
+// The time of the poll's state is known, and too long ago.
+Test(ListWatcher, ListsAgainAfterAPollOfAnOldRevision) {
+  const auto history = std::make_shared<RevisionHistory>();
+  Fixture fixture(
+      {.watch_delay = Ms(0), .poll_interval = Ms(1), .max_poll_age = Ms(1000)},
+      history);
+  history->OnAnswer(std::chrono::steady_clock::now() - Ms(2000),
+                    StoreRevision(1, 3));
+  fixture.store.Answer(PageOf(7, {"a"}, false));
+  fixture.RunUntilCall();
+  fixture.store.pending = nullptr;
+  fixture.RunUntilCall();
+  cr_assert(fixture.store.calls.back() == "poll");
+  fixture.store.Answer(PageOf(5, {}, false));
+  cr_assert(fixture.store.calls.back() == "list ");
+}
+
+// A store that does not answer a poll may not have answered the watch either.
+Test(ListWatcher, ListsAgainAfterAFailedPoll) {
+  Fixture fixture({.watch_delay = Ms(0), .poll_interval = Ms(1)},
+                  std::make_shared<RevisionHistory>());
+  fixture.store.Answer(PageOf(7, {"a"}, false));
+  fixture.RunUntilCall();
+  fixture.store.pending = nullptr;
+  fixture.RunUntilCall();
+  cr_assert(fixture.store.calls.back() == "poll");
+  fixture.store.Answer(kStoreUnavailable);
+  cr_assert(fixture.store.calls.back() == "list ");
+  // The listing is not started again by the next poll.
+  const auto listing = std::exchange(fixture.store.pending, nullptr);
+  fixture.RunUntilCall();
+  cr_assert(fixture.store.calls.back() == "poll");
+  fixture.store.Answer(kStoreUnavailable);
+  cr_assert(fixture.store.calls.back() == "poll");
+  listing(PageOf(9, {"a"}, false));
+  cr_assert(fixture.snapshots.size() == 2);
+}
+
 Test(ListWatcher, BacksOffBeforeRetryingAFailedCall) {
   Fixture fixture;
   fixture.store.Answer(kStoreUnavailable);
