Bound unfinished requests, endless framing and stalled answers

Reports of other operators: a searcher's bytes without an end filled a machine's memory. Three things did not hold:

- Extensions of chunk lines are not part of a body, so a body of 1 MB could bring 4 GB with it.
A message now takes up twice the largest body at most.
One without memory gets 503.

--- a/include/greengage/transport/http_server.h
+++ b/include/greengage/transport/http_server.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 
+#include "greengage/coordination/receive_budget.h"
 #include "greengage/state/endpoint.h"
 #include "greengage/state/result.h"
 #include "greengage/transport/http_message.h"
@@ -24,6 +25,9 @@
   std::chrono::milliseconds read_timeout{5000};   // From first byte to end.
   std::chrono::milliseconds idle_timeout{60000};  // Between two requests.
   std::chrono::milliseconds write_timeout{5000};
+  // Bounds the unfinished requests of all servers, and the unfinished responses
+  // of all clients, that share it. Optional.
+  std::shared_ptr<ReceiveBudget> receive_budget = {};
 };
 
 // One request and its response. Thread-safe.
--- a/include/greengage/transport/owner_service.h
+++ b/include/greengage/transport/owner_service.h
@@ -124,6 +124,7 @@
   SubAnswer ToSubAnswer(const SubRequest& sent, HttpCallResult result) const;
 
   boost::asio::io_context& context_;
+  const std::shared_ptr<ReceiveBudget> receive_budget_;  // Of all clients.
   const Hooks hooks_;
   std::atomic<SubmissionId> next_id_;
   std::atomic<size_t> in_flight_{0};
--- a/src/coordination/receive_budget.cc
+++ b/src/coordination/receive_budget.cc
@@ -4,26 +4,91 @@
 
 namespace greengage {
 
-bool ReceiveBudget::Resize(size_t& reserved, size_t size) {
+ReceiveBudget::Share::Share(std::shared_ptr<ReceiveBudget> budget,
+                            std::function<void()> on_evicted)
+    : budget_(std::move(budget)), on_evicted_(std::move(on_evicted)) {}
+
+ReceiveBudget::Share::~Share() {
+  Release();
+}
+
+bool ReceiveBudget::Share::Resize(TimePoint now, size_t size) {
   const size_t needed = size > kFreeBytes ? size - kFreeBytes : 0;
-  if (needed <= reserved) {
-    reserved_ -= reserved - needed;
-    reserved = needed;
-    return true;
-  }
-  const size_t growth = needed - reserved;
-  size_t total = reserved_;
-  do {
-    if (growth > max_bytes_ || total > max_bytes_ - growth) {
+  std::vector<std::function<void()>> evicted;
+  {
+    const std::lock_guard lock(budget_->mutex_);
+    if (evicted_) {
       return false;
     }
-  } while (!reserved_.compare_exchange_weak(total, total + growth));
-  reserved = needed;
+    if (needed > reserved_ &&
+        !budget_->MakeRoom(now, *this, needed - reserved_, evicted)) {
+      return false;
+    }
+    if (reserved_ == 0 && needed > 0) {
+      since_ = now;
+      budget_->shares_.push_back(this);
+    }
+    budget_->reserved_ += needed - reserved_;
+    reserved_ = needed;
+    if (needed == 0) {
+      budget_->Remove(*this);
+    }
+  }
+  for (const std::function<void()>& on_evicted : evicted) {
+    on_evicted();
+  }
+  return true;
+}
+
+void ReceiveBudget::Share::Release() {
+  const std::lock_guard lock(budget_->mutex_);
+  budget_->Remove(*this);
+  evicted_ = false;
+}
+
+bool ReceiveBudget::Share::evicted() const {
+  const std::lock_guard lock(budget_->mutex_);
+  return evicted_;
+}
+
+size_t ReceiveBudget::reserved() const {
+  const std::lock_guard lock(mutex_);
+  return reserved_;
+}
+
+bool ReceiveBudget::MakeRoom(TimePoint now,
+                             const Share& share,
+                             size_t growth,
+                             std::vector<std::function<void()>>& evicted) {
+  if (growth > max_bytes_) {
+    return false;
+  }
+  const size_t allowed = max_bytes_ - growth;
+  std::vector<Share*> oldest;
+  size_t left = reserved_;
+  for (Share* const other : shares_) {
+    if (left <= allowed || now - other->since_ < kProtectedTime) {
+      break;
+    }
+    if (other != &share) {
+      oldest.push_back(other);
+      left -= other->reserved_;
+    }
+  }
+  if (left > allowed) {
+    return false;
+  }
+  for (Share* const other : oldest) {
+    Remove(*other);
+    other->evicted_ = true;
+    evicted.push_back(other->on_evicted_);
+  }
   return true;
 }
 
-void ReceiveBudget::Release(size_t& reserved) {
-  reserved_ -= std::exchange(reserved, 0);
+void ReceiveBudget::Remove(Share& share) {
+  reserved_ -= std::exchange(share.reserved_, 0);
+  shares_.remove(&share);
 }
 
 }  // namespace greengage
--- a/src/entry_instance.cc
+++ b/src/entry_instance.cc
@@ -13,6 +13,9 @@
 namespace greengage {
 namespace {
 
+// Memory of the unfinished requests of all callers.
+constexpr size_t kMaxUnfinishedRequestBytes = size_t{64} << 20;
+
 namespace asio = boost::asio;
 
 double Value(const Counter& counter) {
@@ -218,6 +221,8 @@
   limits.connections = settings_.http_connections;
   limits.read_timeout = settings_.http_read_timeout;
   limits.idle_timeout = settings_.http_idle_timeout;
+  limits.receive_budget =
+      std::make_shared<ReceiveBudget>(kMaxUnfinishedRequestBytes);
   Result<std::shared_ptr<HttpServer>> server = HttpServer::Listen(
       context_, settings_.http, limits,
       [http_api = http_api_](const HttpRequest& request,
--- a/src/routed_instance.cc
+++ b/src/routed_instance.cc
@@ -18,9 +18,9 @@
 // of the own data centre are often cut off as well and refuse.
 constexpr size_t kMaxPeers = 4;
 
-// Memory of unfinished answers, so that a process with a limit of 260 MB can
-// hold them beside everything else.
-constexpr size_t kMaxUnfinishedAnswerBytes = size_t{64} << 20;
+// Memory of unfinished requests and answers, so that a process with a limit of
+// 160 MB can hold them beside everything else.
+constexpr size_t kMaxUnfinishedBytes = size_t{64} << 20;
 
 RequestRouter::ForwardHook ForwardHookOf(
     const std::shared_ptr<GatherForwarder>& forwarder) {
@@ -53,7 +53,7 @@
       crash_slots_(HeldCrashSlotOptions{}),
       reach_(SearcherReachOptions{}),
       receive_budget_(
-          std::make_shared<ReceiveBudget>(kMaxUnfinishedAnswerBytes)),
+          std::make_shared<ReceiveBudget>(kMaxUnfinishedBytes)),
       clients_(std::make_shared<SearcherClients>(
           context,
           [this](const std::string& service) {
@@ -176,6 +176,7 @@
   limits.read_timeout = settings_.http_read_timeout;
   limits.idle_timeout =
       configured.idle_timeout.value_or(settings_.http_idle_timeout);
+  limits.receive_budget = receive_budget_;
   return limits;
 }
 
@@ -257,6 +258,7 @@
   HttpServerLimits limits;
   limits.body_bytes = settings_.http_body_bytes;
   limits.header_bytes = settings_.http_header_bytes;
+  limits.receive_budget = receive_budget_;
   Result<std::shared_ptr<HttpServer>> server =
       HttpServer::Listen(context_, settings_.peer, limits,
                          [this](HttpRequest request,
--- a/src/transport/http_client_connection.cc
+++ b/src/transport/http_client_connection.cc
@@ -13,6 +13,7 @@
 #include <utility>
 
 #include "greengage/transport/guard.h"
+#include "transport/clock.h"
 #include "transport/http_framing.h"
 
 namespace greengage {
@@ -35,6 +36,11 @@
 // answer to a call.
 constexpr size_t kMaxSkippedResponses = 16;
 
+// An answer may take up this multiple of the maximum body on the connection, as
+// the lines of chunks come on top. Without a limit, a server could spread a
+// small body over endless lines.
+constexpr size_t kMaxFramingFactor = 2;
+
 // TCP keep-alive detects an unresponsive connection that is idle or waits for a
 // response within about 3 s.
 constexpr int kKeepAliveIntervalSeconds = 1;
@@ -188,6 +194,7 @@
   parser_->header_limit(limits_.header_bytes);
   parser_->body_limit(limits_.body_bytes);
   parser_->skip(skip_body_);
+  received_bytes_ = input_.size();
 }
 
 void HttpClientConnection::Write() {
@@ -239,6 +246,7 @@
       OnEndOfStream(error);
     } else {
       input_.commit(size);
+      received_bytes_ += size;
       Parse();
     }
   };
@@ -286,19 +294,35 @@
                        std::to_string(limits_.header_bytes) + " bytes"));
     return false;
   }
+  if (received_bytes_ >
+      limits_.header_bytes + kMaxFramingFactor * limits_.body_bytes) {
+    Close(Describe(FailureKind::kTooLarge, "the answer has too many bytes"));
+    return false;
+  }
+  if (!limits_.receive_budget) {
+    return true;
+  }
+  if (!memory_) {
+    memory_.emplace(limits_.receive_budget, [weak = weak_from_this()] {
+      if (const auto self = weak.lock()) {
+        asio::post(self->strand_, [self] { self->OnEvicted(); });
+      }
+    });
+  }
   const size_t held = input_.size() + parser_->get().body().capacity();
-  if (limits_.receive_budget &&
-      !limits_.receive_budget->Resize(reserved_bytes_, held)) {
+  if (!memory_->Resize(Now(), held)) {
     Close(Describe(FailureKind::kTooLarge,
-                   "unfinished answers use up the memory for them"));
+                   "unfinished messages use up the memory for them"));
     return false;
   }
   return true;
 }
 
-void HttpClientConnection::ReleaseBudget() {
-  if (limits_.receive_budget) {
-    limits_.receive_budget->Release(reserved_bytes_);
+// The response may have ended meanwhile.
+void HttpClientConnection::OnEvicted() {
+  if (memory_->evicted()) {
+    Close(Describe(FailureKind::kTooLarge,
+                   "the memory of the answer is needed for others"));
   }
 }
 
@@ -314,7 +338,9 @@
 }
 
 void HttpClientConnection::OnParsed() {
-  ReleaseBudget();
+  if (memory_) {
+    memory_->Release();
+  }
   if (HasUnknownTransferCoding(parser_->get())) {
     Close(Describe(FailureKind::kMalformedMessage, "unknown transfer coding"));
     return;
@@ -401,7 +427,9 @@
     return;
   }
   closed_ = true;
-  ReleaseBudget();
+  if (memory_) {
+    memory_->Release();
+  }
   connect_timer_.cancel();
   boost::system::error_code ignored;
   socket_.close(ignored);
--- a/src/transport/http_client_connection.h
+++ b/src/transport/http_client_connection.h
@@ -96,7 +96,8 @@
   // Closes the connection and returns false if the unfinished response takes
   // up too much memory.
   bool IsWithinLimits();
-  void ReleaseBudget();
+  // Ends the response whose memory is needed for others.
+  void OnEvicted();
   HttpResponse TakeResponse();
 
   const Id id_;
@@ -111,9 +112,10 @@
   bool skip_body_ = false;  // Response to HEAD: no body despite Content-Length.
   std::optional<Serializer> serializer_;
   std::optional<Parser> parser_;  // Set while a response is expected.
-  size_t reserved_bytes_ = 0;     // Share of the receive budget.
-  size_t skipped_responses_ = 0;  // Since the call was sent.
-  size_t calls_ = 0;              // Calls sent on the connection.
+  std::optional<ReceiveBudget::Share> memory_;  // Of the response.
+  size_t received_bytes_ = 0;                   // Of the response.
+  size_t skipped_responses_ = 0;                // Since the call was sent.
+  size_t calls_ = 0;                            // Calls sent on the connection.
   bool connected_ = false;
   bool refused_ = false;
   bool sent_ = false;
--- a/src/transport/http_session.cc
+++ b/src/transport/http_session.cc
@@ -6,6 +6,7 @@
 
 #include "greengage/transport/guard.h"
 #include "greengage/transport/log_line.h"
+#include "transport/clock.h"
 #include "transport/http_framing.h"
 #include "transport/http_target.h"
 
@@ -30,7 +31,12 @@
 // discarded.
 constexpr size_t kReadBytes = size_t{16} * 1024;
 
+// A request may take up this multiple of the maximum body on the connection, as
+// the lines of chunks come on top.
+constexpr size_t kMaxFramingFactor = 2;
+
 constexpr unsigned kInternalError = 500;
+constexpr unsigned kUnavailable = 503;
 
 // Throws if a header is too long for a Beast message.
 http::response<http::string_body> ToMessage(HttpResponse response,
@@ -161,6 +167,9 @@
 
 void HttpSession::Close() {
   EndExchange();
+  if (memory_) {
+    memory_->Release();
+  }
   boost::system::error_code ignored;
   socket_.close(ignored);
   timeout_.Cancel();
@@ -234,19 +243,68 @@
 
 void HttpSession::ReadRequest() {
   awaiting_request_ = false;
-  const HttpServerLimits limits = host_->limits();
-  SetTimeout(limits.read_timeout);
+  request_limits_ = host_->limits();
+  SetTimeout(request_limits_.read_timeout);
   read_extended_ = false;
   parser_.emplace();
-  parser_->header_limit(static_cast<std::uint32_t>(limits.header_bytes));
-  parser_->body_limit(limits.body_bytes);
+  parser_->eager(true);
+  parser_->header_limit(
+      static_cast<std::uint32_t>(request_limits_.header_bytes));
+  parser_->body_limit(request_limits_.body_bytes);
   // The parser leaves the line of a chunk's size and the trailer in the buffer
   // until they are complete, without a limit.
-  buffer_.max_size(limits.header_bytes + kReadBytes);
-  http::async_read(socket_, buffer_, *parser_,
-                   [self = shared_from_this()](auto error, size_t) {
-                     self->OnRequest(error);
-                   });
+  buffer_.max_size(request_limits_.header_bytes + kReadBytes);
+  received_bytes_ = 0;
+  ReadMore();
+}
+
+void HttpSession::ReadMore() {
+  http::async_read_some(socket_, buffer_, *parser_,
+                        [self = shared_from_this()](auto error, size_t size) {
+                          self->OnReadSome(error, size);
+                        });
+}
+
+void HttpSession::OnReadSome(boost::system::error_code error, size_t size) {
+  if (!socket_.is_open() || error || parser_->is_done()) {
+    if (memory_) {
+      memory_->Release();
+    }
+    OnRequest(error);
+    return;
+  }
+  received_bytes_ += size;
+  if (received_bytes_ > request_limits_.header_bytes +
+                            kMaxFramingFactor * request_limits_.body_bytes) {
+    RejectRequest(http::error::body_limit);
+  } else if (!HasMemory()) {
+    RejectRequest(kUnavailable, "overloaded",
+                  "unfinished messages use up the memory for them");
+  } else {
+    ReadMore();
+  }
+}
+
+bool HttpSession::HasMemory() {
+  if (!request_limits_.receive_budget) {
+    return true;
+  }
+  if (!memory_) {
+    memory_.emplace(request_limits_.receive_budget, [weak = weak_from_this()] {
+      if (const auto self = weak.lock()) {
+        asio::post(self->socket_.get_executor(), [self] { self->OnEvicted(); });
+      }
+    });
+  }
+  return memory_->Resize(Now(),
+                         buffer_.size() + parser_->get().body().capacity());
+}
+
+void HttpSession::OnEvicted() {
+  if (memory_->evicted()) {
+    LogCut("memory");
+    Close();
+  }
 }
 
 void HttpSession::OnRequest(boost::system::error_code error) {
@@ -298,22 +356,29 @@
     Close();
     return;
   }
-  HttpResponse response;
-  response.status = 400;
-  std::string_view kind = "malformed_message";
   if (error == http::error::body_limit ||
       error == http::error::buffer_overflow) {
-    response.status = 413;
-    kind = "too_large";
+    RejectRequest(413, "too_large", error.message());
   } else if (error == http::error::header_limit) {
-    response.status = 431;
-    kind = "too_large";
+    RejectRequest(431, "too_large", error.message());
+  } else {
+    RejectRequest(400, "malformed_message", error.message());
   }
+}
+
+void HttpSession::RejectRequest(unsigned status,
+                                std::string_view kind,
+                                const std::string& detail) {
+  HttpResponse response;
+  response.status = status;
   response.body = "{\"error\": {\"kind\": \"" + std::string(kind) +
-                  "\", \"subject\": \"request\", \"detail\": \"" +
-                  error.message() + "\"}}";
+                  "\", \"subject\": \"request\", \"detail\": \"" + detail +
+                  "\"}}";
   is_head_ = IsHead();
   parser_.reset();
+  if (memory_) {
+    memory_->Release();
+  }
   StartExchange();
   Write(std::move(response), false);
 }
--- a/src/transport/http_session.h
+++ b/src/transport/http_session.h
@@ -67,8 +67,17 @@
 
   void WaitForRequest();
   void ReadRequest();
+  void ReadMore();
+  void OnReadSome(boost::system::error_code error, size_t size);
+  // Returns whether there is memory for the request that is being read.
+  bool HasMemory();
+  // Closes the connection if the memory of its request was taken away.
+  void OnEvicted();
   void OnRequest(boost::system::error_code error);
   void RejectRequest(boost::system::error_code error);
+  void RejectRequest(unsigned status,
+                     std::string_view kind,
+                     const std::string& detail);
   // Returns whether the request that is being read is a HEAD request.
   bool IsHead() const;
   Input PeekInput();
@@ -92,6 +101,9 @@
   std::shared_ptr<HttpSessionHost> host_;
   const uint64_t number_;
   boost::beast::flat_buffer buffer_;
+  HttpServerLimits request_limits_;  // Of the request that is being read.
+  std::optional<ReceiveBudget::Share> memory_;  // Of that request.
+  size_t received_bytes_ = 0;                   // Of that request.
   std::optional<
       boost::beast::http::request_parser<boost::beast::http::string_body>>
       parser_;
--- a/src/transport/owner_service.cc
+++ b/src/transport/owner_service.cc
@@ -8,6 +8,9 @@
 namespace greengage {
 namespace {
 
+// Memory of the unfinished answers of all searchers.
+constexpr size_t kMaxUnfinishedBytes = size_t{64} << 20;
+
 // Connections in addition to the slots, for cancel requests and health probes.
 constexpr size_t kExtraConnections = 2;
 
@@ -40,7 +43,10 @@
 OwnerService::OwnerService(boost::asio::io_context& context,
                            uint64_t first_id,
                            Hooks hooks)
-    : context_(context), hooks_(std::move(hooks)), next_id_(first_id) {}
+    : context_(context),
+      receive_budget_(std::make_shared<ReceiveBudget>(kMaxUnfinishedBytes)),
+      hooks_(std::move(hooks)),
+      next_id_(first_id) {}
 
 OwnerService::Shard& OwnerService::ShardOf(const Endpoint& searcher) {
   return shards_[std::hash<Endpoint>()(searcher) % kShards];
@@ -67,6 +73,7 @@
 HttpClientLimits OwnerService::ClientLimits(const Endpoint& endpoint) const {
   const RankQueueOptions queue = QueueOptions(endpoint);
   HttpClientLimits limits;
+  limits.receive_budget = receive_budget_;
   limits.probe_target = kHealthProbeTarget;
   limits.on_replaced = [on_replaced = hooks_.on_connection_replaced, endpoint] {
     if (on_replaced) {
--- a/tests/endless_answer_test.cc
+++ b/tests/endless_answer_test.cc
@@ -13,12 +13,14 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <thread>
 #include <utility>
 #include <vector>
 
 #include "greengage/transport/http_client.h"
 #include "greengage/transport/http_server.h"
 #include "tests/harness/endless_server.h"
+#include "tests/harness/http_calls.h"
 #include "tests/harness/io_threads.h"
 #include "tests/harness/scripted_server.h"
 #include "tests/harness/start_call.h"
@@ -233,6 +235,84 @@
   cr_assert(StartGet(*other).get().response->body == "ok");
 }
 
+// Guards against stalled answers that keep the memory from those of others.
+Test(EndlessAnswer, StalledAnswersMakeRoomForOthers) {
+  constexpr size_t kConnections = 20;
+  constexpr size_t kBudget = size_t{8} << 20;
+  IoThreads io(2);
+  const auto budget = std::make_shared<ReceiveBudget>(kBudget);
+  const auto stalled = EndlessServer::Start(
+      io.context(),
+      {"HTTP/1.1 200 OK\r\n\r\n", std::string(size_t{64} << 10, 'a'), 14});
+  const auto client = HttpClient::Create(
+      io.context(), stalled->endpoint(),
+      {.connections = kConnections, .receive_budget = budget});
+  std::vector<std::future<HttpCallResult>> calls;
+  for (size_t i = 0; i < kConnections; ++i) {
+    calls.push_back(StartGet(*client));
+  }
+  cr_assert(Eventually([&] { return budget->reserved() > kBudget * 4 / 5; }));
+  std::this_thread::sleep_for(ReceiveBudget::kProtectedTime);
+  const std::string body(size_t{900} << 10, 'b');
+  const auto ordinary = ScriptedServer::Start(
+      io.context(),
+      "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+          "\r\n\r\n" + body,
+      false);
+  const auto other = HttpClient::Create(io.context(), ordinary->endpoint(),
+                                        {.receive_budget = budget});
+  const HttpCallResult result = StartGet(*other).get();
+  cr_assert(result.response && result.response->body == body);
+  cr_assert(budget->reserved() <= kBudget);
+}
+
+// Guards against requests that take up all memory because they never end.
+Test(EndlessRequest, ManyKeepToTheSharedBudget) {
+  constexpr size_t kCallers = 60;
+  constexpr size_t kBudget = size_t{1} << 20;
+  const std::string body(size_t{60} << 10, 'a');
+  IoThreads io(2);
+  const auto budget = std::make_shared<ReceiveBudget>(kBudget);
+  const auto server = *HttpServer::Listen(
+      io.context(), {"127.0.0.1", 0}, {.receive_budget = budget},
+      [](const HttpRequest& request,
+         const std::shared_ptr<HttpExchange>& exchange) {
+        exchange->Reply({.body = request.body});
+      });
+  boost::asio::io_context context;
+  std::vector<boost::asio::ip::tcp::socket> callers;
+  for (size_t i = 0; i < kCallers; ++i) {
+    callers.emplace_back(context).connect(*ToTcp(server->endpoint()));
+    boost::asio::write(
+        callers.back(),
+        boost::asio::buffer("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+                            std::to_string(body.size() + 1) + "\r\n\r\n" +
+                            body));
+  }
+  cr_assert(Eventually([&] { return budget->reserved() > kBudget * 4 / 5; }));
+  std::this_thread::sleep_for(ReceiveBudget::kProtectedTime);
+  const auto answer = CallAndWait(
+      server->endpoint(), {.method = "POST", .target = "/", .body = body},
+      kTimeToReachALimit);
+  cr_assert(answer && answer->body == body);
+  cr_assert(budget->reserved() <= kBudget);
+}
+
+// Guards against a small body that is spread over endless lines of chunks.
+Test(EndlessRequest, RejectsEndlessChunkExtensions) {
+  IoThreads io(2);
+  const auto server = *HttpServer::Listen(
+      io.context(), {"127.0.0.1", 0}, {.read_timeout = kDeadline},
+      [](const HttpRequest&, const std::shared_ptr<HttpExchange>& exchange) {
+        exchange->Reply({});
+      });
+  cr_assert(AnswerToEndlessRequest(
+                server->endpoint(),
+                "POST / HTTP/1.1\r\nHost: a\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n",
+                "1;" + std::string(4000, 'a') + "\r\na\r\n") == "HTTP/1.1 413");
+}
+
 // Guards against the same fault in the requests of callers.
 Test(EndlessAnswer, RejectsARequestWhoseChunkLineNeverEnds) {
   IoThreads io(2);
