Count a test that fails and then crashes once

Criterion's summary has such a case as failing and as crashing, so the totals of run_tests.py had it twice.

--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -50,14 +50,17 @@
 
 
 def count_cases(output):
-    """Returns the numbers of passed and failed cases from the summary of Criterion."""
+    """Returns the numbers of passed and failed cases from the summary of Criterion.
+
+    A case that ends by a signal after a failed assertion is in the summary twice,
+    as failing and as crashing."""
     plain = re.sub(r"\x1b\[[0-9;]*m", "", output)
     summary = re.search(
         r"Synthesis: Tested: (\d+) \| Passing: (\d+) \| Failing: (\d+) \| Crashing: (\d+)", plain)
     if not summary:
         return None
-    _, passing, failing, crashing = map(int, summary.groups())
-    return passing, failing + crashing
+    tested, passing, _, _ = map(int, summary.groups())
+    return passing, tested - passing
 
 
 def main():
--- a/scripts/run_tests_test.py
+++ b/scripts/run_tests_test.py
@@ -26,6 +26,12 @@
             case = xml.etree.ElementTree.parse(report).getroot().find("testcase")
             self.assertEqual(run_tests.count_cases(case.findtext("system-out")), (2, 1))
 
+    def test_counts_a_case_that_fails_and_then_crashes_once(self):
+        summary = "[====] Synthesis: Tested: 9 | Passing: 8 | Failing: 1 | Crashing: 1"
+        self.assertEqual(run_tests.count_cases(summary), (8, 1))
+        summary = "[====] Synthesis: Tested: 9 | Passing: 7 | Failing: 1 | Crashing: 1"
+        self.assertEqual(run_tests.count_cases(summary), (7, 2))
+
 
 if __name__ == "__main__":
     unittest.main()
