Bound the limits that searchers name

A limit of 1e9 requests per second or more made the time between turns zero, by which SinceTurn takes a remainder: on x86-64, each instance that got such an answer ended with SIGFPE, and the requests that it had were left without an answer. Limits above 1e6 now count as 1e6.

SearcherRateLimit/AVeryHighLimitBoundsNothing crashed before.

--- a/src/coordination/searcher_rate_limit.cc
+++ b/src/coordination/searcher_rate_limit.cc
@@ -21,6 +21,10 @@
 // gets no request cannot tell that its limit has been lifted.
 constexpr double kMinLimit = 0.5;
 
+// Requests per second that are assumed if a limit is higher, since times of less
+// than a nanosecond would be zero.
+constexpr double kMaxLimit = 1e6;
+
 // A turn lasts for kMinTurnLength and the time of kTurnRequests at the limit,
 // at most kMaxTurnLength. Longer turns see more requests, but more of them
 // overlap.
@@ -43,7 +47,7 @@
 }
 
 double SearcherRateLimit::Rate(const LimitShare& share) const {
-  return std::max(*limit_, kMinLimit) * share.fraction;
+  return std::clamp(*limit_, kMinLimit, kMaxLimit) * share.fraction;
 }
 
 double SearcherRateLimit::SavedTokens(const LimitShare& share) const {
--- a/tests/searcher_rate_limit_test.cc
+++ b/tests/searcher_rate_limit_test.cc
@@ -233,6 +233,23 @@
   cr_assert(limit.WaitFor(kStart, {0.001}, kWholeToken) == Duration::zero());
 }
 
+// Guards against a division by a time that is rounded to zero, which ends the
+// process on x86-64.
+Test(SearcherRateLimit, AVeryHighLimitBoundsNothing) {
+  for (const double high : {1e6, 1e9, 1.25e9, 1e12, 1e308}) {
+    for (const double share : {0.8, 1e-3}) {
+      SearcherRateLimit limit(kStart);
+      limit.OnAnswer(kStart, high);
+      for (int i = 1; i <= 100; ++i) {
+        const TimePoint now = kStart + i * Ms(10);
+        cr_assert(limit.WaitFor(now, {share}, kWholeToken) == Duration::zero());
+        limit.OnSent(now, {share});
+      }
+      cr_assert(limit.limit() == high);
+    }
+  }
+}
+
 Test(SearcherRateLimit, ALimitAppliesAtOnceAndUntilAnAnswerNamesNone) {
   SearcherRateLimit limit(kStart);
   limit.OnSent(kStart, {0.5});
