Try further searchers if the first are not reached

Attempts that arrive nowhere no longer count against the most arrivals of a request; each searcher is still tried once, and again only up to the old bound, so that nobody waits for a deadline.

RequestPlan/TriesAllSearchersIfNoneOfTheFirstIsReached failed before.

--- a/include/greengage/coordination/request_plan.h
+++ b/include/greengage/coordination/request_plan.h
@@ -181,6 +181,8 @@
   // Returns whether DataCentreSpill chooses the data centre of an attempt.
   bool MaySpill(AttemptReason reason) const;
   bool MayRetry(const Part& part) const;
+  // Returns the most searchers of a service that a request may reach.
+  uint32_t MaxArrivals() const;
   bool MayHedge() const;
   // Sends the parts that are held back, or only the first of them.
   void SendHeldBack(TimePoint now,
--- a/src/coordination/request_plan.cc
+++ b/src/coordination/request_plan.cc
@@ -293,7 +293,12 @@
     return false;
   }
   return part.may_have_run_count < route_->max_attempts &&
-         part.sent_count < route_->max_attempts + kExtraRejectedAttempts;
+         part.sent_count - part.not_arrived_count < MaxArrivals();
+}
+
+// An attempt that arrives nowhere adds no load, and others may still be left.
+uint32_t RequestPlan::MaxArrivals() const {
+  return route_->max_attempts + kExtraRejectedAttempts;
 }
 
 bool RequestPlan::WasLostEverywhere() const {
@@ -395,8 +400,10 @@
       return;
     }
     // All searchers were tried. Those that rejected the request may have free
-    // capacity soon.
+    // capacity soon. Those that were not reached are tried again only a few
+    // times.
     if (part.may_have_run_count < part.sent_count &&
+        part.sent_count < MaxArrivals() &&
         now + kRetryDelay < response_deadline_) {
       part.tried.clear();
       part.retry_at = now + kRetryDelay;
--- a/tests/request_plan_test.cc
+++ b/tests/request_plan_test.cc
@@ -53,6 +53,44 @@
   cr_assert(lost.result->outcome == RequestOutcome::kUnknown);
 }
 
+// Guards against a request that is rejected since the first searchers that were
+// chosen have ended, although others are left.
+Test(RequestPlan, TriesAllSearchersIfNoneOfTheFirstIsReached) {
+  constexpr size_t kSearchers = 10;
+  PlanFixture fixture(1, kSearchers);
+  RequestPlan plan =
+      fixture.Plan(SingleRoute(RequestKind::kNonIdempotent), kDeadline);
+  RequestActions actions = plan.Start(kPlanStart);
+  std::set<RoutedSearcherPtr> tried;
+  for (size_t i = 0; i < kSearchers - 1; ++i) {
+    cr_assert(actions.sends.size() == 1 && !actions.result, "%zu", i);
+    tried.insert(actions.sends[0].searcher);
+    actions = plan.OnAttemptEnded(kPlanStart, actions.sends[0].id,
+                                  Ended(AttemptEnd::kNotSent));
+  }
+  cr_assert(actions.sends.size() == 1);
+  tried.insert(actions.sends[0].searcher);
+  cr_assert_eq(tried.size(), kSearchers);
+  const RequestActions ended = plan.OnAttemptEnded(
+      kPlanStart, actions.sends[0].id, Ended(AttemptEnd::kAnswered));
+  cr_assert(ended.result->outcome == RequestOutcome::kForwarded);
+}
+
+// Guards against a request that waits for its deadline although no searcher can
+// be reached.
+Test(RequestPlan, IsRejectedAtOnceIfNoSearcherIsReached) {
+  PlanFixture fixture(1, 10);
+  RequestPlan plan =
+      fixture.Plan(SingleRoute(RequestKind::kIdempotent), kDeadline);
+  RequestActions actions = plan.Start(kPlanStart);
+  while (!actions.result) {
+    cr_assert(actions.sends.size() == 1);
+    actions = plan.OnAttemptEnded(kPlanStart, actions.sends[0].id,
+                                  Ended(AttemptEnd::kNotSent));
+  }
+  cr_assert(actions.result->outcome == RequestOutcome::kNotRun);
+}
+
 Test(RequestPlan, RejectsAtOnceWhenTheLimitsOfAllSearchersAreUsedUp) {
   PlanFixture fixture(1, 2);
   for (const RoutedSearcherPtr& searcher :
