--- a/src/coordination/searcher_rate_limit.cc
+++ b/src/coordination/searcher_rate_limit.cc
@@ -21,8 +21,8 @@
 // gets no request cannot tell that its limit has been lifted.
 constexpr double kMinLimit = 0.5;
 
-// Requests per second that are assumed if a limit is higher, since times of less
-// than a nanosecond would be zero.
+// Requests per second that are assumed if a limit is higher, since times of
+// less than a nanosecond would be zero.
 constexpr double kMaxLimit = 1e6;
 
 // A turn lasts for kMinTurnLength and the time of kTurnRequests at the limit,
--- a/src/routed_instance.cc
+++ b/src/routed_instance.cc
@@ -52,8 +52,7 @@
       suspects_(CrashSuspectOptions{}),
       crash_slots_(HeldCrashSlotOptions{}),
       reach_(SearcherReachOptions{}),
-      receive_budget_(
-          std::make_shared<ReceiveBudget>(kMaxUnfinishedBytes)),
+      receive_budget_(std::make_shared<ReceiveBudget>(kMaxUnfinishedBytes)),
       clients_(std::make_shared<SearcherClients>(
           context,
           [this](const std::string& service) {
--- a/src/transport/http_client_connection.cc
+++ b/src/transport/http_client_connection.cc
@@ -36,11 +36,6 @@
 // answer to a call.
 constexpr size_t kMaxSkippedResponses = 16;
 
-// An answer may take up this multiple of the maximum body on the connection, as
-// the lines of chunks come on top. Without a limit, a server could spread a
-// small body over endless lines.
-constexpr size_t kMaxFramingFactor = 2;
-
 // TCP keep-alive detects an unresponsive connection that is idle or waits for a
 // response within about 3 s.
 constexpr int kKeepAliveIntervalSeconds = 1;
@@ -295,7 +290,7 @@
     return false;
   }
   if (received_bytes_ >
-      limits_.header_bytes + kMaxFramingFactor * limits_.body_bytes) {
+      MaxMessageBytes(limits_.header_bytes, limits_.body_bytes)) {
     Close(Describe(FailureKind::kTooLarge, "the answer has too many bytes"));
     return false;
   }
--- a/src/transport/http_framing.h
+++ b/src/transport/http_framing.h
@@ -6,9 +6,17 @@
 #include <boost/beast/http/field.hpp>
 
 #include <algorithm>
+#include <cstddef>
 
 namespace greengage {
 
+// Returns how many bytes a message may take up on its connection. The lines of
+// chunks come on top of the body; without a limit, a sender could spread a
+// small body over endless lines.
+constexpr size_t MaxMessageBytes(size_t header_bytes, size_t body_bytes) {
+  return header_bytes + 2 * body_bytes;
+}
+
 // Returns whether the message has a transfer coding other than "chunked". Beast
 // ignores those that it does not know, and takes the body for the next message.
 template <typename Fields>
--- a/src/transport/http_session.cc
+++ b/src/transport/http_session.cc
@@ -31,10 +31,6 @@
 // discarded.
 constexpr size_t kReadBytes = size_t{16} * 1024;
 
-// A request may take up this multiple of the maximum body on the connection, as
-// the lines of chunks come on top.
-constexpr size_t kMaxFramingFactor = 2;
-
 constexpr unsigned kInternalError = 500;
 constexpr unsigned kUnavailable = 503;
 
@@ -274,8 +270,8 @@
     return;
   }
   received_bytes_ += size;
-  if (received_bytes_ > request_limits_.header_bytes +
-                            kMaxFramingFactor * request_limits_.body_bytes) {
+  if (received_bytes_ > MaxMessageBytes(request_limits_.header_bytes,
+                                        request_limits_.body_bytes)) {
     RejectRequest(http::error::body_limit);
   } else if (!HasMemory()) {
     RejectRequest(kUnavailable, "overloaded",
