--- a/include/greengage/coordination/receive_budget.h
+++ b/include/greengage/coordination/receive_budget.h
@@ -75,8 +75,9 @@
   size_t reserved() const;
 
  private:
-  // Frees memory for `growth` more bytes of `share`. Returns the hooks of the
-  // evicted shares, or nothing if too few may be evicted.
+  // Frees memory for `growth` more bytes of `share`, and adds the hooks of the
+  // shares that it evicts to `evicted`. Returns false and evicts none if that
+  // would not free enough.
   bool MakeRoom(TimePoint now,
                 const Share& share,
                 size_t growth,
--- a/src/coordination/receive_budget.cc
+++ b/src/coordination/receive_budget.cc
@@ -20,19 +20,20 @@
     if (evicted_) {
       return false;
     }
+    if (needed == 0) {
+      budget_->Remove(*this);
+      return true;
+    }
     if (needed > reserved_ &&
         !budget_->MakeRoom(now, *this, needed - reserved_, evicted)) {
       return false;
     }
-    if (reserved_ == 0 && needed > 0) {
+    if (reserved_ == 0) {
       since_ = now;
       budget_->shares_.push_back(this);
     }
     budget_->reserved_ += needed - reserved_;
     reserved_ = needed;
-    if (needed == 0) {
-      budget_->Remove(*this);
-    }
   }
   for (const std::function<void()>& on_evicted : evicted) {
     on_evicted();
@@ -87,8 +88,10 @@
 }
 
 void ReceiveBudget::Remove(Share& share) {
-  reserved_ -= std::exchange(share.reserved_, 0);
-  shares_.remove(&share);
+  if (share.reserved_ > 0) {
+    reserved_ -= std::exchange(share.reserved_, 0);
+    shares_.remove(&share);
+  }
 }
 
 }  // namespace greengage
