--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <mutex>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 #include "greengage/transport/guard.h"
@@ -26,13 +27,13 @@
  public:
   Listener(asio::io_context& context,
            tcp::acceptor acceptor,
-           const HttpServerLimits& limits,
+           HttpServerLimits limits,
            HttpHandler handler)
       : handler_(std::move(handler)),
         context_(context),
         acceptor_(std::move(acceptor)),
         accept_timer_(acceptor_.get_executor()),
-        limits_(limits) {}
+        limits_(std::move(limits)) {}
 
   void Accept() {
     acceptor_.async_accept(
@@ -187,8 +188,8 @@
   if (!opened) {
     return opened.last_reason();
   }
-  const auto listener = std::make_shared<Listener>(context, std::move(acceptor),
-                                                   limits, std::move(handler));
+  const auto listener = std::make_shared<Listener>(
+      context, std::move(acceptor), std::move(limits), std::move(handler));
   listener->Accept();
   return std::shared_ptr<HttpServer>(listener);
 }
