--- a/tests/http_server_race_test.cc
+++ b/tests/http_server_race_test.cc
@@ -12,6 +12,7 @@
 #include <string>
 #include <string_view>
 #include <thread>
+#include <utility>
 
 #include "greengage/transport/http_server.h"
 #include "tests/harness/io_threads.h"
@@ -40,7 +41,7 @@
  public:
   explicit Fixture(HttpServerLimits limits) {
     server_ = *HttpServer::Listen(
-        threads_.context(), {"127.0.0.1", 0}, limits,
+        threads_.context(), {"127.0.0.1", 0}, std::move(limits),
         [this](const HttpRequest&,
                const std::shared_ptr<HttpExchange>& exchange) {
           ++handled_;
