--- a/src/routed_instance_crash.cc
+++ b/src/routed_instance_crash.cc
@@ -6,7 +6,6 @@
 
 #include "greengage/transport/log_line.h"
 #include "routed_instance_impl.h"
-#include "transport/random_base.h"
 
 namespace greengage {
 
