--- a/review/standins-3/deployment.py
+++ b/review/standins-3/deployment.py
@@ -117,11 +117,12 @@
         self.kinds = {}
         self.revision = 10
         self.events = []
-        self.changed = asyncio.Condition()
         self.refused = set()      # Machines that get 503.
         self.lose_late = None     # (machine, method, kind, name) -> seconds or None
         self.writes = 0
         self.lost_writes = 0
+        self.stale_s = 0          # Age of what reads with serializable=1 return.
+        self.history = []         # (time, kind, objects of the kind)
         self.servers = []
 
     async def listen(self, machine, port):
@@ -151,8 +152,7 @@
 
     async def note(self, kind, item, deleted):
         self.events.append((self.revision, kind, {"object": item, "deleted": deleted}))
-        async with self.changed:
-            self.changed.notify_all()
+        self.history.append((time.monotonic(), self.revision, kind, dict(self.kinds[kind])))
 
     async def serve(self, machine, reader, writer):
         try:
@@ -224,8 +224,17 @@
         if name:
             return self.reply(200, items[name]) if name in items else self.reply(404, {})
         after = args.get("after", "")
+        revision = self.revision
+        if args.get("serializable") == "1" and self.stale_s > 0:
+            until = time.monotonic() - self.stale_s
+            items, revision = {}, 10
+            for at, then, of, objects in self.history:
+                if at > until:
+                    break
+                revision = then
+                items = objects if of == kind else items
         return self.reply(200, {"items": [items[n] for n in sorted(items) if n > after],
-                                "more": False, "as_of": self.revision})
+                                "more": False, "as_of": revision})
 
     async def watch(self, machine, kind, revision, wait):
         end = time.monotonic() + wait
@@ -234,11 +243,7 @@
             left = end - time.monotonic()
             if events or left <= 0:
                 return self.reply(200, {"events": events, "as_of": self.revision})
-            try:
-                async with self.changed:
-                    await asyncio.wait_for(self.changed.wait(), min(left, 0.2))
-            except asyncio.TimeoutError:
-                pass
+            await asyncio.sleep(0.02)
             if machine in self.refused:
                 return self.reply(503, {})
 
@@ -402,6 +407,8 @@
         self.front, self.ready, self.metrics, self.peer, self.store = free_ports(5)
         self.process = None
         self.first = True
+        self.started = 0.0
+        self.in_rotation = False
 
     def start(self):
         d = self.deployment
@@ -431,6 +438,16 @@
         while self.process.poll() is None:
             await asyncio.sleep(0.02)
 
+    async def restart(self):
+        """SIGTERM, and a new start a moment after the process has ended."""
+        self.deployment.record.say("SIGTERM to %s" % self.name)
+        self.process.send_signal(signal.SIGTERM)
+        await self.ended()
+        await asyncio.sleep(0.3)
+        self.started = self.deployment.record.now()
+        self.start()
+        self.deployment.record.say("%s starts again" % self.name)
+
     async def is_ready(self):
         try:
             status, _, _ = await http(self.ready, "GET", "/greengageusher/readyz", {}, b"", 1)
@@ -523,6 +540,16 @@
                         self.record.say("store: the entry of %s has lapsed" % searcher.id)
             await asyncio.sleep(0.1)
 
+    async def rotation(self, instance):
+        """What the platform asks each second: two misses take an instance out."""
+        misses = 0
+        while True:
+            ready = await instance.is_ready()
+            misses = 0 if ready else misses + 1
+            if ready or misses >= 2:
+                instance.in_rotation = ready
+            await asyncio.sleep(1)
+
     def spawn(self, coroutine):
         self.tasks.append(asyncio.ensure_future(coroutine))
         return self.tasks[-1]
@@ -589,21 +616,25 @@
                 deployment.record.say("BROKEN: " + text)
             deployment.record.say("%d times broken%s" % (
                 len(broken), "" if TROUBLE else " (without the disruption)"))
-            return 1 if broken else 0
+            code = 1 if broken else 0
+        except CannotRun as error:
+            print("cannot run: %s" % error)
+            code = 2
         finally:
             deployment.close()
+        sys.stdout.flush()
+        os._exit(code)  # Connections that are still open need no further words.
     try:
         if not os.path.exists(PROGRAM):
             raise CannotRun("target/bin/greengaged is not built")
-        code = asyncio.run(finish(run()))
+        asyncio.run(finish(run()))
     except (CannotRun, asyncio.TimeoutError, OSError) as error:
         print("cannot run: %r" % error)
-        code = 2
     sys.stdout.flush()
-    os._exit(code)  # Connections that are still open need no further words.
+    os._exit(2)
 
 
 async def finish(play):
     """Ends what the stand-ins still wait for without a report."""
     asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
-    return await asyncio.wait_for(play, 110)
+    return await asyncio.wait_for(play, 112)
