--- a/review/tmpH/run.sh
+++ b/review/13/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.."
-exec python3 review/11/case.py
+exec python3 review/13/case.py
