Decide about a forwarded request by one version of the configuration

An instance that the store turned away admitted the request by its version 1 and passed the organisation's name to its gatherer. That one took the name on trust and ran the request by version 3, which has other shards and lacks the key.

Cause: one instance decided and another carried it out, each by its own version. Told apart at the peer port of the gatherer: version 1 with the name and no key ran, version 1 with the key and no name was refused, and the key sent to the gatherer itself got 401.

The sender now passes on the digest of the caller's key and whether it charged a quota. A peer whose version is not older decides about route, key, organisation, regions, class, services and quota by its own version alone, and rejects what that does not allow; the sender relays the rejection and gives the quota back. Names without a key, from earlier releases, count only where both have the same version. query_forwarded names the sender's version.

--- a/include/greengage/coordination/caller_access.h
+++ b/include/greengage/coordination/caller_access.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 
+#include "greengage/state/key_digest.h"
 #include "greengage/state/route_table.h"
 
 namespace greengage {
@@ -28,14 +29,18 @@
   const Organisation* organisation = nullptr;
 };
 
-// Decides about a request with the credentials `authorization`, the value of
-// its only Authorization header, or nothing if it has none or several. `scheme`
-// is the name before the key. Without organisations in the table, everything is
-// allowed. An unknown key is ignored on a public route.
+// Returns the digest of the key in `authorization`, the value of a request's
+// only Authorization header. Returns nothing if the request has none or
+// several, or if it is not of `scheme`, the name before the key.
+std::optional<KeyDigest> KeyOfCaller(
+    std::string_view scheme,
+    const std::optional<std::string>& authorization);
+
+// Decides about a request of a caller with `key`. Without organisations in the
+// table, everything is allowed. An unknown key is ignored on a public route.
 CallerAccess DecideAccess(const RouteTable& table,
                           const Route& route,
-                          std::string_view scheme,
-                          const std::optional<std::string>& authorization);
+                          const std::optional<KeyDigest>& key);
 
 }  // namespace greengage
 
--- a/include/greengage/protocol/routed_call_codec.h
+++ b/include/greengage/protocol/routed_call_codec.h
@@ -10,6 +10,7 @@
 
 #include "greengage/protocol/call_dialect.h"
 #include "greengage/protocol/header_list.h"
+#include "greengage/state/key_digest.h"
 #include "greengage/state/request_digest.h"
 #include "greengage/state/result.h"
 #include "greengage/state/searcher_answer.h"
@@ -23,8 +24,10 @@
   std::chrono::milliseconds time_left{};   // Zero if the header is absent.
   std::optional<std::string> credentials;  // The first Authorization header.
   bool has_ambiguous_credentials = false;  // There are several.
-  // Name of the organisation on whose behalf the caller sends. Empty if none.
-  // Not from the headers: the credentials, or another instance, say so.
+  // Not from the headers: the digest of the key in the credentials, and the name
+  // of the organisation on whose behalf the caller sends, which is empty if
+  // there is none.
+  std::optional<KeyDigest> key;
   std::string organisation;
 };
 
--- a/include/greengage/transport/gather_forwarder.h
+++ b/include/greengage/transport/gather_forwarder.h
@@ -16,6 +16,7 @@
 #include "greengage/coordination/gatherers.h"
 #include "greengage/protocol/header_list.h"
 #include "greengage/state/endpoint.h"
+#include "greengage/state/key_digest.h"
 #include "greengage/state/time.h"
 #include "greengage/transport/http_client.h"
 #include "greengage/transport/http_server.h"
@@ -32,13 +33,24 @@
 // Header of a refusal by an instance that does not reach the searchers.
 inline constexpr char kCutOffHeader[] = "Greengage-Cut-Off";
 
+// The caller of a forwarded query. Keys are not passed on, only their digests.
+struct ForwardedCaller {
+  std::optional<KeyDigest> key;
+  // The sender has charged the query to the quota of the organisation that it
+  // names.
+  bool is_charged = false;
+};
+
 // What an instance tells the gatherer about a query, in a header.
 struct ForwardInfo {
   uint64_t configuration = 0;  // Oldest version that may be used.
-  // Name of the organisation whose key the caller has; empty if the caller
-  // needs none. Set if only gatherers that know organisations and regions may
-  // have the query.
+  // Name of the organisation whose key the caller has by that version; empty if
+  // the caller needs none. Set if only gatherers that know organisations and
+  // regions may have the query.
   std::optional<std::string> organisation;
+  // Missing if the sender is of an earlier release, which decides for the
+  // gatherer whose key the caller has.
+  std::optional<ForwardedCaller> caller;
 };
 
 // Replaces a header of the same name.
@@ -46,7 +58,7 @@
 
 bool HasForwardInfo(const HeaderList& headers);
 
-// Removes the header that AddForwardInfo() adds. Returns nothing if it is
+// Removes the headers that AddForwardInfo() adds. Returns nothing if they are
 // missing or malformed.
 std::optional<ForwardInfo> TakeForwardInfo(HeaderList& headers);
 
@@ -79,8 +91,10 @@
   struct Hooks {
     // Runs once for each query that is answered after it was forwarded, whether
     // by a gatherer or with an error because the gatherer was lost.
+    // `configuration` is the version by which this instance forwarded it.
     std::function<void(const std::string& request_id,
                        const std::string& gatherer,
+                       uint64_t configuration,
                        unsigned status,
                        Duration took)>
         on_answered;
--- a/include/greengage/transport/request_router.h
+++ b/include/greengage/transport/request_router.h
@@ -111,8 +111,10 @@
   void Handle(HttpRequest request,
               const std::shared_ptr<HttpExchange>& exchange);
 
-  // Handles a request that another instance forwarded. It is served here, or
-  // refused with kForwardRefusedStatus. An answer has kAnsweredRequestHeader,
+  // Handles a request that another instance forwarded. It is refused with
+  // kForwardRefusedStatus if the other instance has a newer configuration or
+  // this one cannot take it. Otherwise it is decided and served by the
+  // configuration of this instance alone. An answer has kAnsweredRequestHeader,
   // and kNotRunHeader if the request has not run.
   void HandleForwarded(HttpRequest request,
                        const std::shared_ptr<HttpExchange>& exchange);
@@ -195,6 +197,14 @@
   void FailRequest(uint64_t number);
   void RecordReach(const AttemptToSend& sent, const HttpCallResult& result);
   void ExecuteActions(uint64_t number, RequestActions actions);
+  // Returns the digest of the key in the caller's credentials.
+  std::optional<KeyDigest> KeyOf(const CallerRequest& caller) const;
+  // Returns the route of the request, or null if there is none and the request
+  // is answered.
+  const Route* FindRoute(const RouteTable& table,
+                         const CallerRequest& caller,
+                         const std::string& path,
+                         const std::shared_ptr<HttpExchange>& exchange);
   // Decides whether the caller may use the route, and finds its organisation.
   // Answers the request if it may not.
   bool CheckAccess(const RouteTable& table,
@@ -207,11 +217,22 @@
       const RouteTable& table,
       const CallerRequest& caller,
       const std::shared_ptr<HttpExchange>& exchange);
-  // As CheckAccess(), for a request whose caller another instance checked.
-  bool AcceptForwarded(const RouteTable& table,
-                       const Route& route,
-                       const ForwardInfo& info,
-                       CallerRequest& caller) const;
+  // Returns whether an admitted request counts against a quota.
+  bool IsCharged(const RouteTable& table, const CallerRequest& caller) const;
+  // Returns whether `table` alone can decide about a forwarded request.
+  static bool CanDecide(const RouteTable& table, const ForwardInfo& info);
+  // As CheckAccess(), for a forwarded request.
+  bool CheckForwardedAccess(const RouteTable& table,
+                            const Route& route,
+                            const ForwardInfo& info,
+                            CallerRequest& caller,
+                            const std::shared_ptr<HttpExchange>& exchange);
+  // As CheckQuota(), unless the sender has charged the same organisation.
+  std::shared_ptr<HttpExchange> CheckForwardedQuota(
+      const RouteTable& table,
+      const ForwardInfo& info,
+      const CallerRequest& caller,
+      const std::shared_ptr<HttpExchange>& exchange);
   // Drops the credentials if they are for this system.
   static void UseOrganisation(const RouteTable& table,
                               const std::string& name,
--- a/src/coordination/caller_access.cc
+++ b/src/coordination/caller_access.cc
@@ -39,16 +39,19 @@
   return "unknown";
 }
 
+std::optional<KeyDigest> KeyOfCaller(
+    std::string_view scheme,
+    const std::optional<std::string>& authorization) {
+  const auto key = authorization ? KeyOf(*authorization, scheme) : std::nullopt;
+  return key ? std::optional(DigestOfKey(*key)) : std::nullopt;
+}
+
 CallerAccess DecideAccess(const RouteTable& table,
                           const Route& route,
-                          std::string_view scheme,
-                          const std::optional<std::string>& authorization) {
+                          const std::optional<KeyDigest>& key) {
   CallerAccess access;
   if (table.requires_keys()) {
-    const auto key =
-        authorization ? KeyOf(*authorization, scheme) : std::nullopt;
-    access.organisation =
-        key ? table.FindOrganisation(DigestOfKey(*key)) : nullptr;
+    access.organisation = key ? table.FindOrganisation(*key) : nullptr;
     if (access.organisation == nullptr && !route.is_public) {
       access.verdict = key ? AccessVerdict::kUnknownKey : AccessVerdict::kNoKey;
       return access;
--- a/src/routed_instance.cc
+++ b/src/routed_instance.cc
@@ -96,8 +96,8 @@
       context_, max_peers, receive_budget_, chooser, &plan_context_.random,
       GatherForwarder::Hooks{
           [this](const std::string& request_id, const std::string& gatherer,
-                 unsigned status, Duration took) {
-            OnForwarded(request_id, gatherer, status, took);
+                 uint64_t configuration, unsigned status, Duration took) {
+            OnForwarded(request_id, gatherer, configuration, status, took);
           },
           [this](const std::string& request_id, const std::string& gatherer,
                  const std::string& detail) {
--- a/src/routed_instance_feed.cc
+++ b/src/routed_instance_feed.cc
@@ -259,6 +259,7 @@
 
 void RoutedInstanceImpl::OnForwarded(const std::string& request_id,
                                      const std::string& gatherer,
+                                     uint64_t configuration,
                                      unsigned status,
                                      Duration took) {
   constexpr unsigned kOk = 200;
@@ -268,6 +269,7 @@
   LogLine(DecisionEvent::kQueryForwarded)
       .Add("request_id", request_id)
       .Add("gatherer", gatherer)
+      .Add("configuration", configuration)
       .Add("status", status)
       .Add("took_ms", took)
       .Write();
--- a/src/routed_instance_impl.h
+++ b/src/routed_instance_impl.h
@@ -105,6 +105,7 @@
   void OnTrialResult(TrialResult result);
   void OnForwarded(const std::string& request_id,
                    const std::string& gatherer,
+                   uint64_t configuration,
                    unsigned status,
                    Duration took);
   void OnPeerPage(const FeedPage& page);
--- a/src/state/decision_event.cc
+++ b/src/state/decision_event.cc
@@ -53,9 +53,11 @@
        "A peer that reads the store could not be read; another peer or the "
        "store takes its place."},
       {kQueryForwarded, "query_forwarded", LogLevel::kInfo,
-       "request_id, gatherer, status, took_ms",
-       "Another instance served the request; its log has the request's end. "
-       "All that failed are logged, and one in 32 of the others."},
+       "request_id, gatherer, configuration, status, took_ms",
+       "Another instance served or rejected the request, which this one had "
+       "admitted by this configuration; the other's log has the request's end "
+       "and its own configuration. All that failed are logged, and one in 32 "
+       "of the others."},
       {kGathererFailed, "gatherer_failed", LogLevel::kWarning,
        "request_id, gatherer, detail",
        "An instance did not serve a forwarded request; another one does."},
--- a/src/transport/gather_forwarder.cc
+++ b/src/transport/gather_forwarder.cc
@@ -22,6 +22,10 @@
 // Before the name of the organisation. A release that knows none refuses such a
 // query, and removes the header if a caller sends it.
 constexpr char kOrganisationSeparator = ';';
+// A second header of the same name describes the caller. Earlier releases read
+// the first one only, and remove both.
+constexpr std::string_view kKeyField = "key=";
+constexpr std::string_view kChargedSuffix = ";charged";
 
 // A peer that does not answer a small request in this time counts as lost.
 constexpr std::chrono::milliseconds kAliveTimeout{200};
@@ -78,6 +82,27 @@
   });
 }
 
+std::string FormatCaller(const ForwardedCaller& caller) {
+  std::string value(kKeyField);
+  value += caller.key ? ToString(*caller.key) : "";
+  value += caller.is_charged ? kChargedSuffix : "";
+  return value;
+}
+
+std::optional<ForwardedCaller> ParseCaller(std::string_view value) {
+  if (!value.starts_with(kKeyField)) {
+    return std::nullopt;
+  }
+  value.remove_prefix(kKeyField.size());
+  ForwardedCaller caller;
+  caller.is_charged = value.ends_with(kChargedSuffix);
+  if (caller.is_charged) {
+    value.remove_suffix(kChargedSuffix.size());
+  }
+  caller.key = ParseKeyDigest(value);
+  return caller.key || value.empty() ? std::optional(caller) : std::nullopt;
+}
+
 }  // namespace
 
 void AddForwardInfo(const ForwardInfo& info, HeaderList& headers) {
@@ -87,6 +112,9 @@
     value += kOrganisationSeparator + *info.organisation;
   }
   headers.emplace_back(kConfigurationHeader, std::move(value));
+  if (info.caller) {
+    headers.emplace_back(kConfigurationHeader, FormatCaller(*info.caller));
+  }
 }
 
 bool HasForwardInfo(const HeaderList& headers) {
@@ -94,20 +122,32 @@
 }
 
 std::optional<ForwardInfo> TakeForwardInfo(HeaderList& headers) {
-  const auto version = FindHeader(headers, kConfigurationHeader);
-  if (!version) {
+  std::vector<std::string_view> values;
+  for (const auto& [name, value] : headers) {
+    if (IsSameHeader(name, kConfigurationHeader)) {
+      values.push_back(value);
+    }
+  }
+  if (values.empty() || values.size() > 2) {
     return std::nullopt;
   }
+  const std::string_view version = values.front();
   ForwardInfo info;
   const size_t separator =
-      std::min(version->find(kOrganisationSeparator), version->size());
+      std::min(version.find(kOrganisationSeparator), version.size());
   const auto parsed = std::from_chars(
-      version->data(), version->data() + separator, info.configuration);
-  if (parsed.ec != std::errc() || parsed.ptr != version->data() + separator) {
+      version.data(), version.data() + separator, info.configuration);
+  if (parsed.ec != std::errc() || parsed.ptr != version.data() + separator) {
     return std::nullopt;
   }
-  if (separator < version->size()) {
-    info.organisation = version->substr(separator + 1);
+  if (separator < version.size()) {
+    info.organisation = version.substr(separator + 1);
+  }
+  if (values.size() == 2) {
+    info.caller = ParseCaller(values.back());
+    if (!info.caller) {
+      return std::nullopt;
+    }
   }
   RemoveForwardInfo(headers);
   return info;
@@ -230,7 +270,8 @@
              IsSameHeader(header.first, "Keep-Alive");
     });
     forwarder_->hooks_.on_answered(query_.request_id, tried_.back(),
-                                   response.status, now - started_);
+                                   query_.info.configuration, response.status,
+                                   now - started_);
     exchange_->Reply(std::move(response));
     End();
   }
@@ -238,7 +279,8 @@
   void Fail(unsigned status,
             TimePoint now,
             std::string detail = "it did not answer the query") {
-    forwarder_->hooks_.on_answered(query_.request_id, tried_.back(), status,
+    forwarder_->hooks_.on_answered(query_.request_id, tried_.back(),
+                                   query_.info.configuration, status,
                                    now - started_);
     exchange_->Reply(
         HttpResponse{.status = status,
--- a/src/transport/request_router.cc
+++ b/src/transport/request_router.cc
@@ -55,10 +55,15 @@
   return response;
 }
 
+HttpResponse Rejection(unsigned status, const Failure& failure) {
+  HttpResponse response = ErrorResponse(status, failure);
+  response.not_run = true;
+  return response;
+}
+
 HttpResponse ServiceUnavailable(const Failure& failure, Duration retry_delay) {
-  HttpResponse response = ErrorResponse(kUnavailable, failure);
+  HttpResponse response = Rejection(kUnavailable, failure);
   response.headers.emplace_back("Retry-After", FormatSeconds(retry_delay));
-  response.not_run = true;
   return response;
 }
 
@@ -159,15 +164,9 @@
                    "it has no configuration yet"});
     return;
   }
-  const Route* const route = table->Find(caller->host, request.path);
-  if (route == nullptr) {
-    Reject(caller->id, exchange,
-           Failure{FailureKind::kNotFound, caller->host + request.path,
-                   "no route of configuration " +
-                       std::to_string(table->version()) + " matches"});
-    return;
-  }
-  if (!CheckAccess(*table, *route, *caller, exchange)) {
+  const Route* const route = FindRoute(*table, *caller, request.path, exchange);
+  caller->key = KeyOf(*caller);
+  if (route == nullptr || !CheckAccess(*table, *route, *caller, exchange)) {
     return;
   }
   if (!Takes(last_request_, *caller, *route)) {
@@ -195,6 +194,21 @@
   Serve(std::move(request), *std::move(caller), counted, table, route);
 }
 
+const Route* RequestRouter::FindRoute(
+    const RouteTable& table,
+    const CallerRequest& caller,
+    const std::string& path,
+    const std::shared_ptr<HttpExchange>& exchange) {
+  const Route* const route = table.Find(caller.host, path);
+  if (route == nullptr) {
+    Reject(caller.id, exchange,
+           Failure{FailureKind::kNotFound, caller.host + path,
+                   "no route of configuration " +
+                       std::to_string(table.version()) + " matches"});
+  }
+  return route;
+}
+
 void RequestRouter::Serve(HttpRequest request,
                           CallerRequest caller,
                           const std::shared_ptr<HttpExchange>& exchange,
@@ -255,22 +269,33 @@
   const std::optional<ForwardInfo> info = TakeForwardInfo(request.headers);
   Result<CallerRequest> caller = ParseCallerRequest(dialect_, request.headers);
   const RouteTablePtr table = hooks_.active_routes();
-  const Route* const route =
-      caller && table ? table->Find(caller->host, request.path) : nullptr;
   if (reach_->is_cut_off()) {
     exchange->Reply(HttpResponse{.status = kForwardRefusedStatus,
                                  .headers = {{kCutOffHeader, "1"}}});
     return;
   }
-  if (!info || route == nullptr || !Takes(last_request_, *caller, *route) ||
-      table->version() < info->configuration ||
-      in_flight_ >= limits_.in_flight ||
-      !AcceptForwarded(*table, *route, *info, *caller)) {
+  if (!info || !caller || !table || !CanDecide(*table, *info) ||
+      in_flight_ >= limits_.in_flight) {
     exchange->Reply(HttpResponse{.status = kForwardRefusedStatus});
     return;
   }
   const auto answered = std::make_shared<PeerExchange>(exchange, caller->id);
-  StartRequest(std::move(request), *std::move(caller), answered, table, route);
+  const Route* const route = FindRoute(*table, *caller, request.path, answered);
+  if (route == nullptr) {
+    return;
+  }
+  if (!Takes(last_request_, *caller, *route)) {
+    exchange->Reply(HttpResponse{.status = kForwardRefusedStatus});
+    return;
+  }
+  if (!CheckForwardedAccess(*table, *route, *info, *caller, answered)) {
+    return;
+  }
+  const std::shared_ptr<HttpExchange> counted =
+      CheckForwardedQuota(*table, *info, *caller, answered);
+  if (counted) {
+    StartRequest(std::move(request), *std::move(caller), counted, table, route);
+  }
 }
 
 void RequestRouter::Forward(HttpRequest request,
@@ -301,12 +326,16 @@
   if (table->requires_keys() || !route->allowed_regions.empty()) {
     query.info.organisation = caller.organisation;
   }
+  query.info.caller = ForwardedCaller{caller.key, IsCharged(*table, caller)};
   query.expected_by = now + route->target_latency;
   query.call.method = request.method;
   query.call.target = request.target;
   query.call.body = request.body;
   query.call.deadline = now + time_left;
-  query.call.headers = HeadersForSearchers(request, caller, *table);
+  query.call.headers = ForwardedHeaders(dialect_, request.headers);
+  if (table->requires_keys()) {
+    SetOrganisation(dialect_, "", query.call.headers);  // The peer sets it.
+  }
   query.call.before_send = [weak = weak_from_this(),
                             deadline = query.call.deadline](
                                TimePoint sent, HeaderList& headers) {
@@ -344,7 +373,7 @@
   metrics_->requests[{"", std::string(FailureKindName(failure.kind))}].Add();
   switch (failure.kind) {
     case FailureKind::kNotFound:
-      exchange->Reply(ErrorResponse(kNotFound, failure));
+      exchange->Reply(Rejection(kNotFound, failure));
       return;
     case FailureKind::kOverQuota: {
       HttpResponse response = ServiceUnavailable(failure, retry_delay);
@@ -353,14 +382,14 @@
       return;
     }
     case FailureKind::kUnauthorized: {
-      HttpResponse response = ErrorResponse(kUnauthorized, failure);
+      HttpResponse response = Rejection(kUnauthorized, failure);
       response.headers.emplace_back("WWW-Authenticate", dialect_.key_scheme);
       exchange->Reply(std::move(response));
       return;
     }
     case FailureKind::kMissingKey:
     case FailureKind::kInvalidSyntax:
-      exchange->Reply(ErrorResponse(kBadRequest, failure));
+      exchange->Reply(Rejection(kBadRequest, failure));
       return;
     default:
       exchange->Reply(ServiceUnavailable(failure, retry_delay));
--- a/src/transport/request_router_access.cc
+++ b/src/transport/request_router_access.cc
@@ -17,10 +17,6 @@
 // can change that.
 constexpr Duration kNoRegionRetryDelay = std::chrono::seconds(5);
 
-std::optional<std::string> CredentialsOf(const CallerRequest& caller) {
-  return caller.has_ambiguous_credentials ? std::nullopt : caller.credentials;
-}
-
 // Reports an answer which says that the request has not run.
 class CountedExchange : public ForwardingExchange {
  public:
@@ -44,12 +40,18 @@
 
 }  // namespace
 
+std::optional<KeyDigest> RequestRouter::KeyOf(
+    const CallerRequest& caller) const {
+  return KeyOfCaller(dialect_.key_scheme, caller.has_ambiguous_credentials
+                                              ? std::nullopt
+                                              : caller.credentials);
+}
+
 bool RequestRouter::CheckAccess(const RouteTable& table,
                                 const Route& route,
                                 CallerRequest& caller,
                                 const std::shared_ptr<HttpExchange>& exchange) {
-  const CallerAccess access =
-      DecideAccess(table, route, dialect_.key_scheme, CredentialsOf(caller));
+  const CallerAccess access = DecideAccess(table, route, caller.key);
   switch (access.verdict) {
     case AccessVerdict::kAllowed:
       UseOrganisation(
@@ -74,7 +76,8 @@
   }
   Reject(caller.id, exchange,
          Failure{FailureKind::kUnauthorized, "caller",
-                 std::string(AccessVerdictName(access.verdict))});
+                 std::string(AccessVerdictName(access.verdict)) +
+                     " in configuration " + std::to_string(table.version())});
   return false;
 }
 
@@ -97,16 +100,23 @@
   return headers;
 }
 
+bool RequestRouter::IsCharged(const RouteTable& table,
+                              const CallerRequest& caller) const {
+  const Organisation* const organisation =
+      table.FindOrganisation(caller.organisation);
+  return organisation != nullptr && organisation->quota.is_limited() &&
+         hooks_.admit;
+}
+
 std::shared_ptr<HttpExchange> RequestRouter::CheckQuota(
     const RouteTable& table,
     const CallerRequest& caller,
     const std::shared_ptr<HttpExchange>& exchange) {
-  const Organisation* const organisation =
-      table.FindOrganisation(caller.organisation);
-  if (organisation == nullptr || !organisation->quota.is_limited() ||
-      !hooks_.admit) {
+  if (!IsCharged(table, caller)) {
     return exchange;
   }
+  const Organisation* const organisation =
+      table.FindOrganisation(caller.organisation);
   const QuotaVerdict verdict = hooks_.admit(*organisation);
   const std::string decision = verdict.admitted   ? "admitted"
                                : verdict.is_alone ? "beyond_own_share"
@@ -133,26 +143,46 @@
       });
 }
 
-bool RequestRouter::AcceptForwarded(const RouteTable& table,
-                                    const Route& route,
-                                    const ForwardInfo& info,
-                                    CallerRequest& caller) const {
-  if (!info.organisation) {
-    // The other instance knows no organisations.
-    const CallerAccess access =
-        DecideAccess(table, route, dialect_.key_scheme, CredentialsOf(caller));
-    UseOrganisation(table, access.organisation ? access.organisation->name : "",
-                    caller);
-    return access.verdict == AccessVerdict::kAllowed;
-  }
-  const Organisation* const organisation =
-      table.FindOrganisation(*info.organisation);
-  if (organisation == nullptr && !info.organisation->empty()) {
+bool RequestRouter::CanDecide(const RouteTable& table,
+                              const ForwardInfo& info) {
+  if (table.version() < info.configuration) {
     return false;
   }
-  UseOrganisation(table, *info.organisation, caller);
-  const RequestTerms terms = TermsOf(route, organisation);
-  return !terms.is_restricted || !terms.allowed_regions.empty();
+  // A sender of an earlier release names the organisation of a key by its own
+  // configuration. Another one may not have the key.
+  return info.caller || !info.organisation ||
+         (table.version() == info.configuration &&
+          (info.organisation->empty() ||
+           table.FindOrganisation(*info.organisation) != nullptr));
+}
+
+bool RequestRouter::CheckForwardedAccess(
+    const RouteTable& table,
+    const Route& route,
+    const ForwardInfo& info,
+    CallerRequest& caller,
+    const std::shared_ptr<HttpExchange>& exchange) {
+  if (info.caller) {
+    caller.key = info.caller->key;
+  } else if (info.organisation) {
+    UseOrganisation(table, *info.organisation, caller);
+    return true;
+  } else {
+    caller.key = KeyOf(caller);
+  }
+  return CheckAccess(table, route, caller, exchange);
+}
+
+std::shared_ptr<HttpExchange> RequestRouter::CheckForwardedQuota(
+    const RouteTable& table,
+    const ForwardInfo& info,
+    const CallerRequest& caller,
+    const std::shared_ptr<HttpExchange>& exchange) {
+  const bool is_charged =
+      info.caller ? info.caller->is_charged : info.organisation.has_value();
+  return is_charged && info.organisation == caller.organisation
+             ? exchange
+             : CheckQuota(table, caller, exchange);
 }
 
 }  // namespace greengage
--- a/tests/caller_access_test.cc
+++ b/tests/caller_access_test.cc
@@ -50,7 +50,8 @@
 CallerAccess Decide(const RouteTable& table,
                     const std::string& path,
                     const std::optional<std::string>& authorization) {
-  return DecideAccess(table, *table.Find("h", path), kScheme, authorization);
+  return DecideAccess(table, *table.Find("h", path),
+                      KeyOfCaller(kScheme, authorization));
 }
 
 }  // namespace
--- a/tests/gatherers_test.cc
+++ b/tests/gatherers_test.cc
@@ -3,11 +3,13 @@
 #include <algorithm>
 #include <chrono>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
 
 #include "greengage/coordination/instance_share.h"
+#include "greengage/state/key_digest.h"
 #include "greengage/transport/gather_forwarder.h"
 
 #include <criterion/criterion.h>
@@ -125,11 +127,33 @@
   cr_assert(headers.size() == 1);
 }
 
+Test(ForwardInfo, KeepsWhatItSaysOfTheCaller) {
+  for (const bool has_key : {false, true}) {
+    for (const bool is_charged : {false, true}) {
+      ForwardedCaller caller;
+      caller.key = has_key ? std::optional(DigestOfKey("k")) : std::nullopt;
+      caller.is_charged = is_charged;
+      HeaderList headers;
+      AddForwardInfo({7, "a;b", caller}, headers);
+      const auto info = TakeForwardInfo(headers);
+      cr_assert(info && info->caller && headers.empty());
+      cr_assert(info->organisation == "a;b");
+      cr_assert(info->caller->key == caller.key);
+      cr_assert(info->caller->is_charged == is_charged);
+    }
+  }
+}
+
 Test(ForwardInfo, RejectsMalformedHeaders) {
   for (const std::string version : {"", "x", "7x", "-1"}) {
     HeaderList headers{{"Greengage-Configuration", version}};
     cr_assert(!TakeForwardInfo(headers));
   }
+  for (const std::string caller : {"", "k", "key=1", "key=;x", "7"}) {
+    HeaderList headers{{"Greengage-Configuration", "7;a"},
+                       {"Greengage-Configuration", caller}};
+    cr_assert(!TakeForwardInfo(headers), "%s", caller.c_str());
+  }
 }
 
 Test(GathererChooser, ChoosesOthersOnlyWhileNoGathererIsUsable) {
--- a/tests/harness/router_fixture.h
+++ b/tests/harness/router_fixture.h
@@ -21,34 +21,40 @@
 
 namespace greengage {
 
-// Has one route, for all requests to the host "h", and the services "s0" and
-// "s1" with one searcher each.
+// Has the services "s0" and "s1" with one searcher each.
 class RouterFixture {
  public:
   // Returns the bytes of the answer to a request.
   using Answer =
       std::function<std::string(const std::string& service, const RawRequest&)>;
 
+  // Uses a configuration with one route, for all requests to the host "h".
   RouterFixture(Route route, Answer answer)
+      : RouterFixture(TableOf(std::move(route)), std::move(answer)) {}
+
+  // `change_hooks` may replace hooks of the router.
+  RouterFixture(
+      RouteTablePtr table,
+      Answer answer,
+      const std::function<void(RequestRouter::Hooks&)>& change_hooks = nullptr)
       : answer_(std::move(answer)),
         servers_{Serve("s0"), Serve("s1")},
         plans_({[](const RoutedSearcher&) {},
                 [](const RoutedSearcher&, std::string_view) {}},
                {},
                "here"),
+        table_(std::move(table)),
         clients_(std::make_shared<SearcherClients>(
             context_,
             [](const std::string&) { return 2; },
-            nullptr)),
-        router_(std::make_shared<RequestRouter>(context_,
-                                                CallDialect(),
-                                                RequestRouter::Limits{1},
-                                                &plans_,
-                                                &suspects_,
-                                                &reach_,
-                                                clients_,
-                                                &metrics_,
-                                                MakeHooks())) {
+            nullptr)) {
+    RequestRouter::Hooks hooks = MakeHooks();
+    if (change_hooks) {
+      change_hooks(hooks);
+    }
+    router_ = std::make_shared<RequestRouter>(
+        context_, CallDialect(), RequestRouter::Limits{1}, &plans_, &suspects_,
+        &reach_, clients_, &metrics_, std::move(hooks));
     std::vector<SearcherEntry> entries;
     for (size_t i = 0; i < servers_.size(); ++i) {
       SearcherEntry entry;
@@ -59,26 +65,56 @@
       entries.push_back(std::move(entry));
     }
     plans_.searchers.Replace(std::chrono::steady_clock::now(), entries);
+  }
+
+  // Returns a configuration with `route` for all requests to the host "h".
+  static RouteTablePtr TableOf(Route route) {
     route.host = "h";
     route.path_prefix = "/";
     RouteTable::Builder builder;
     builder.Add(std::move(route));
-    table_ = *builder.Build();
+    return *builder.Build();
+  }
+
+  // Returns a request with the id "id".
+  static HttpRequest MakeRequest() {
+    return {.method = "GET",
+            .path = "/",
+            .target = "/",
+            .headers = {{"Host", "h"}, {CallDialect().request_id, "id"}}};
   }
 
-  // Handles a request with the id "id". Its answer comes while the context
-  // runs.
-  void Handle(const std::shared_ptr<HttpExchange>& exchange) {
-    router_->Handle(MakeRequest(), exchange);
+  // Handles a request. Its answer comes while the context runs.
+  void Handle(const std::shared_ptr<HttpExchange>& exchange,
+              HttpRequest request = MakeRequest()) {
+    router_->Handle(std::move(request), exchange);
   }
 
   // The same for a request that a peer passed on.
   void HandleForwarded(const std::shared_ptr<HttpExchange>& exchange) {
     HttpRequest request = MakeRequest();
     AddForwardInfo({}, request.headers);
+    HandleForwarded(exchange, std::move(request));
+  }
+  void HandleForwarded(const std::shared_ptr<HttpExchange>& exchange,
+                       HttpRequest request) {
     router_->HandleForwarded(std::move(request), exchange);
   }
 
+  // Replaces the configuration for the requests to come.
+  void UseTable(RouteTablePtr table) { table_ = std::move(table); }
+
+  // Makes the router believe that it reaches no searcher.
+  void CutOff() {
+    const TimePoint now = std::chrono::steady_clock::now();
+    for (const char* const searcher : {"a", "b", "c"}) {
+      reach_.OnUnreachable(now, searcher);
+    }
+    for (size_t trials = reach_.TakeTrial(now); trials > 0; --trials) {
+      reach_.OnTrialResult(TrialResult::kUnreachable);
+    }
+  }
+
   boost::asio::io_context& context() { return context_; }
   size_t in_flight() const { return router_->in_flight(); }
   size_t outstanding() const {
@@ -91,13 +127,6 @@
   }
 
  private:
-  static HttpRequest MakeRequest() {
-    return {.method = "GET",
-            .path = "/",
-            .target = "/",
-            .headers = {{"Host", "h"}, {CallDialect().request_id, "id"}}};
-  }
-
   std::shared_ptr<RawServer> Serve(const std::string& service) {
     return RawServer::Start(context_,
                             [this, service](const RawRequest& request) {
