Send bodies of restricted requests to instances in their regions only

After the loss of all instances of tw-north, its callers reached those of tw-central, and the one that does not gather there sent requests with a home in tw-south to the gatherer beside it.

Cause: PlacementRules::AllowsPeer took the region of the instance for that of its caller. The platform gives callers of a region without instances those of the nearest data centre, and nothing tells an instance where its caller is.

Only instances in the allowed regions get a body now. An instance outside of them that does not gather uses the gatherers there, or gathers itself. One that is cut off from the searchers rejects a restricted request that no peer there takes at once with 503, unless a searcher there has answered it lately.

--- a/include/greengage/coordination/gatherers.h
+++ b/include/greengage/coordination/gatherers.h
@@ -20,6 +20,7 @@
   // The gatherers of the own data centre. Empty if each instance gathers its
   // own queries.
   std::vector<InstanceRecord> local;
+  std::vector<InstanceRecord> remote;  // Those of other data centres.
   std::vector<std::string> ids;  // Of those of all data centres, sorted.
 
   size_t total() const { return ids.size(); }
--- a/include/greengage/coordination/placement_rules.h
+++ b/include/greengage/coordination/placement_rules.h
@@ -29,11 +29,17 @@
   bool AllowsSearcher(const RequestTerms& terms,
                       const std::string& data_centre) const;
 
-  // Returns whether an instance in `data_centre` may get the body of the
-  // request. Instances in the region of this one, where the caller is, may.
+  // Returns whether another instance, in `data_centre`, may get the body of the
+  // request. Being in the region of this instance does not suffice: callers
+  // whose own region has lost its instances come here from elsewhere.
   bool AllowsPeer(const RequestTerms& terms,
                   const std::string& data_centre) const;
 
+  // Returns whether a gatherer in `data_centre` may get the request. Requests
+  // without a restriction stay in this data centre.
+  bool AllowsGatherer(const RequestTerms& terms,
+                      const std::string& data_centre) const;
+
   // Returns how far a data centre is from this one.
   Locality LocalityOf(const std::string& data_centre) const;
 
--- a/include/greengage/coordination/searcher_reach.h
+++ b/include/greengage/coordination/searcher_reach.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 
@@ -29,6 +30,9 @@
   Duration retrial_interval = std::chrono::milliseconds(500);
   // Interval of the trials while it is not.
   Duration trial_interval = std::chrono::seconds(2);
+  // Time for which an answer shows that a data centre is reached. It covers
+  // several trials, each of which tries few data centres.
+  Duration reached_time = std::chrono::seconds(3);
 };
 
 // An instance that gets an answer from no searcher may have lost its own
@@ -49,6 +53,11 @@
     answered_since_trial_ = true;
   }
 
+  // Reports that a searcher in `data_centre` answered an attempt or a trial.
+  void OnReached(TimePoint now, const std::string& data_centre) {
+    reached_at_[data_centre] = now;
+  }
+
   // Reports that the searcher could not be connected to, or that its connection
   // ended or stayed silent.
   void OnUnreachable(TimePoint now, const std::string& searcher) {
@@ -58,6 +67,12 @@
   // Returns true if peers are to serve the requests of this instance.
   bool is_cut_off() const { return is_cut_off_; }
 
+  // Returns whether a searcher in a data centre that `filter` accepts has
+  // answered lately, and since the instance was found to be cut off. The
+  // searchers of most data centres may be lost while those of others are not.
+  bool HasReached(TimePoint now,
+                  const std::function<bool(const std::string&)>& filter) const;
+
   // Returns how many searchers to try to reach now; zero if no trial is due.
   size_t TakeTrial(TimePoint now);
 
@@ -69,6 +84,7 @@
  private:
   const SearcherReachOptions options_;
   std::map<std::string, TimePoint> unreachable_at_;  // By searcher's id.
+  std::map<std::string, TimePoint> reached_at_;      // By data centre.
   bool is_cut_off_ = false;
   bool answered_since_trial_ = false;
   TimePoint next_trial_;
--- a/include/greengage/transport/request_router.h
+++ b/include/greengage/transport/request_router.h
@@ -172,14 +172,28 @@
                                            const std::shared_ptr<HttpExchange>&,
                                            const RouteTablePtr&,
                                            const Route*);
-  // Forwards the request. If no peer takes it, continues with `otherwise`.
+  // A way to other instances.
+  struct Hop {
+    const ForwardHook& forward;
+    // Says whether an instance in a data centre may get the request.
+    bool (PlacementRules::*allows)(const RequestTerms& terms,
+                                   const std::string& data_centre) const;
+    Continue otherwise;  // Runs if no instance takes the request.
+  };
   void Forward(HttpRequest request,
                CallerRequest caller,
                const std::shared_ptr<HttpExchange>& exchange,
                const RouteTablePtr& table,
                const Route* route,
-               const ForwardHook& forward,
-               Continue otherwise);
+               const Hop& hop);
+  // Serves a request that no peer took, while this instance is cut off from
+  // the searchers. One that is restricted to regions of which it reaches none
+  // is rejected: all instances that it may go to have been asked.
+  void ServeIfReachable(HttpRequest request,
+                        CallerRequest caller,
+                        const std::shared_ptr<HttpExchange>& exchange,
+                        const RouteTablePtr& table,
+                        const Route* route);
   // Serves the request here, even if the searchers cannot be reached.
   void ServeHere(HttpRequest request,
                  CallerRequest caller,
--- a/src/coordination/gatherers.cc
+++ b/src/coordination/gatherers.cc
@@ -1,6 +1,7 @@
 #include "greengage/coordination/gatherers.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 
 #include "greengage/coordination/feed_source.h"
@@ -53,6 +54,8 @@
     }
     if (name == data_centre) {
       set.local = std::move(ranked);
+    } else {
+      std::move(ranked.begin(), ranked.end(), std::back_inserter(set.remote));
     }
   }
   std::sort(set.ids.begin(), set.ids.end());
--- a/src/coordination/placement_rules.cc
+++ b/src/coordination/placement_rules.cc
@@ -15,8 +15,13 @@
 
 bool PlacementRules::AllowsPeer(const RequestTerms& terms,
                                 const std::string& data_centre) const {
-  return LocalityOf(data_centre) != Locality::kElsewhere ||
-         terms.AllowsRegion(RegionOf(data_centre));
+  return terms.AllowsRegion(RegionOf(data_centre));
+}
+
+bool PlacementRules::AllowsGatherer(const RequestTerms& terms,
+                                    const std::string& data_centre) const {
+  return terms.is_restricted ? AllowsPeer(terms, data_centre)
+                             : data_centre == own_;
 }
 
 Locality PlacementRules::LocalityOf(const std::string& data_centre) const {
--- a/src/coordination/searcher_reach.cc
+++ b/src/coordination/searcher_reach.cc
@@ -1,5 +1,8 @@
 #include "greengage/coordination/searcher_reach.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace greengage {
 
 size_t SearcherReach::TakeTrial(TimePoint now) {
@@ -25,11 +28,22 @@
   ++(succeeded ? succeeded_ : failed_);
   const size_t majority = options_.connections / 2 + 1;
   if (failed_ == majority) {
-    is_cut_off_ = true;
+    if (!std::exchange(is_cut_off_, true)) {
+      reached_at_.clear();
+    }
   } else if (succeeded_ == majority) {
     is_cut_off_ = false;
     unreachable_at_.clear();
   }
 }
 
+bool SearcherReach::HasReached(
+    TimePoint now,
+    const std::function<bool(const std::string&)>& filter) const {
+  return std::any_of(
+      reached_at_.begin(), reached_at_.end(), [&](const auto& item) {
+        return now - item.second < options_.reached_time && filter(item.first);
+      });
+}
+
 }  // namespace greengage
--- a/src/routed_instance_feed.cc
+++ b/src/routed_instance_feed.cc
@@ -252,7 +252,8 @@
     gatherers = SelectGatherers(known_instances_, settings_.data_centre,
                                 *max_connections);
   }
-  gatherers_.SetGatherers(std::move(gatherers.local));
+  gatherers_.SetGatherers(std::move(gatherers.local),
+                          std::move(gatherers.remote));
   gatherer_ids_ = std::move(gatherers.ids);
   SetInstanceCount(instance_count_);
 }
--- a/src/routed_instance_impl.h
+++ b/src/routed_instance_impl.h
@@ -102,7 +102,7 @@
                                                  GathererChooser* chooser);
   // Finds out whether the searchers can be reached, if there is a doubt.
   void TrySearchers();
-  void OnTrialResult(TrialResult result);
+  void OnTrialResult(TrialResult result, const std::string& data_centre);
   void OnForwarded(const std::string& request_id,
                    const std::string& gatherer,
                    uint64_t configuration,
--- a/src/routed_instance_stop.cc
+++ b/src/routed_instance_stop.cc
@@ -88,17 +88,23 @@
     const RoutedService* const service =
         route_table_ ? route_table_->FindService(searcher.service) : nullptr;
     TryServer(context_, searcher.endpoint, service ? service->health_path : "/",
-              TrialTimeouts{}, [weak = weak_from_this()](TrialResult result) {
+              TrialTimeouts{},
+              [weak = weak_from_this(),
+               data_centre = searcher.data_centre](TrialResult result) {
                 if (const auto self = weak.lock()) {
-                  self->OnTrialResult(result);
+                  self->OnTrialResult(result, data_centre);
                 }
               });
   }
 }
 
-void RoutedInstanceImpl::OnTrialResult(TrialResult result) {
+void RoutedInstanceImpl::OnTrialResult(TrialResult result,
+                                       const std::string& data_centre) {
   const bool was_cut_off = reach_.is_cut_off();
   reach_.OnTrialResult(result);
+  if (result == TrialResult::kAnswered) {
+    reach_.OnReached(Now(), data_centre);
+  }
   if (reach_.is_cut_off() != was_cut_off) {
     LogLine(was_cut_off ? DecisionEvent::kSearchersReachedAgain
                         : DecisionEvent::kSearchersUnreachable)
--- a/src/transport/request_router.cc
+++ b/src/transport/request_router.cc
@@ -188,7 +188,8 @@
   }
   if (route->gather && hooks_.forwards_gathers()) {
     Forward(std::move(request), *std::move(caller), counted, table, route,
-            hooks_.forward_to_gatherer, &RequestRouter::Serve);
+            Hop{hooks_.forward_to_gatherer, &PlacementRules::AllowsGatherer,
+                &RequestRouter::Serve});
     return;
   }
   Serve(std::move(request), *std::move(caller), counted, table, route);
@@ -216,7 +217,29 @@
                           const Route* route) {
   if (reach_->is_cut_off()) {
     Forward(std::move(request), std::move(caller), exchange, table, route,
-            hooks_.forward_to_peer, &RequestRouter::ServeHere);
+            Hop{hooks_.forward_to_peer, &PlacementRules::AllowsPeer,
+                &RequestRouter::ServeIfReachable});
+    return;
+  }
+  ServeHere(std::move(request), std::move(caller), exchange, table, route);
+}
+
+void RequestRouter::ServeIfReachable(
+    HttpRequest request,
+    CallerRequest caller,
+    const std::shared_ptr<HttpExchange>& exchange,
+    const RouteTablePtr& table,
+    const Route* route) {
+  const RequestTerms terms =
+      TermsOf(*route, table->FindOrganisation(caller.organisation));
+  const auto is_allowed = [this, &terms](const std::string& data_centre) {
+    return plans_->placement.AllowsSearcher(terms, data_centre);
+  };
+  if (terms.is_restricted && !reach_->HasReached(Now(), is_allowed)) {
+    Reject(caller.id, exchange,
+           Failure{FailureKind::kUnavailable, "route " + route->name,
+                   "no searcher in its regions is reached from here, and no "
+                   "instance there took the request"});
     return;
   }
   ServeHere(std::move(request), std::move(caller), exchange, table, route);
@@ -303,8 +326,7 @@
                             const std::shared_ptr<HttpExchange>& exchange,
                             const RouteTablePtr& table,
                             const Route* route,
-                            const ForwardHook& forward,
-                            Continue otherwise) {
+                            const Hop& hop) {
   const TimePoint now = Now();
   const RequestDigest digest =
       DigestOf(caller, request.method, request.target, request.body);
@@ -317,10 +339,10 @@
   ForwardedQuery query;
   query.request_id = caller.id;
   query.may_get =
-      [plans = plans_,
+      [plans = plans_, allows = hop.allows,
        terms = TermsOf(*route, table->FindOrganisation(caller.organisation))](
           const InstanceRecord& peer) {
-        return plans->placement.AllowsPeer(terms, peer.data_centre);
+        return (plans->placement.*allows)(terms, peer.data_centre);
       };
   query.info.configuration = table->version();
   if (table->requires_keys() || !route->allowed_regions.empty()) {
@@ -344,20 +366,21 @@
     }
     return std::optional<Failure>();
   };
-  forward(std::move(query), exchange,
-          [weak = weak_from_this(), request = std::move(request),
-           caller = std::move(caller), table, route, now, time_left,
-           otherwise](const std::shared_ptr<HttpExchange>& returned) {
-            const auto self = weak.lock();
-            if (!self) {
-              return;
-            }
-            CallerRequest late = caller;
-            late.time_left = std::max(std::chrono::milliseconds(1),
-                                      ToMilliseconds(now + time_left - Now()));
-            ((*self).*otherwise)(request, std::move(late), returned, table,
-                                 route);
-          });
+  hop.forward(
+      std::move(query), exchange,
+      [weak = weak_from_this(), request = std::move(request),
+       caller = std::move(caller), table, route, now, time_left,
+       otherwise =
+           hop.otherwise](const std::shared_ptr<HttpExchange>& returned) {
+        const auto self = weak.lock();
+        if (!self) {
+          return;
+        }
+        CallerRequest late = caller;
+        late.time_left = std::max(std::chrono::milliseconds(1),
+                                  ToMilliseconds(now + time_left - Now()));
+        ((*self).*otherwise)(request, std::move(late), returned, table, route);
+      });
 }
 
 void RequestRouter::Reject(const std::string& request_id,
@@ -659,6 +682,7 @@
   const std::string& searcher = sent.searcher->entry().id;
   if (result.response) {
     reach_->OnAnswered(searcher);
+    reach_->OnReached(now, sent.searcher->entry().data_centre);
     return;
   }
   const FailureKind kind = result.response.last_reason().kind;
--- a/tests/gatherers_test.cc
+++ b/tests/gatherers_test.cc
@@ -57,6 +57,20 @@
   }
 }
 
+// Requests that may not be gathered in this data centre go to others.
+Test(Gatherers, AreKnownOfAllDataCentres) {
+  const std::vector<InstanceRecord> instances = MakeInstances(300, 17);
+  const GathererSet set = SelectGatherers(instances, "b", 175);
+  cr_assert(set.local.size() + set.remote.size() == set.total());
+  for (const char* const data_centre : {"a", "c", "d", "e", "f"}) {
+    for (const InstanceRecord& gatherer :
+         SelectGatherers(instances, data_centre, 175).local) {
+      cr_assert(std::find(set.remote.begin(), set.remote.end(), gatherer) !=
+                set.remote.end());
+    }
+  }
+}
+
 // All instances must choose the same gatherers from the same registry.
 Test(Gatherers, DoNotDependOnTheOrderOfTheRegistry) {
   std::vector<InstanceRecord> instances = MakeInstances(300, 1);
--- a/tests/harness/router_fixture.h
+++ b/tests/harness/router_fixture.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cstddef>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -32,17 +33,20 @@
   RouterFixture(Route route, Answer answer)
       : RouterFixture(TableOf(std::move(route)), std::move(answer)) {}
 
-  // `change_hooks` may replace hooks of the router.
+  // `change_hooks` may replace hooks of the router. The instance and its
+  // searchers are in the data centre "here"; `regions` has the region of each.
   RouterFixture(
       RouteTablePtr table,
       Answer answer,
-      const std::function<void(RequestRouter::Hooks&)>& change_hooks = nullptr)
+      const std::function<void(RequestRouter::Hooks&)>& change_hooks = nullptr,
+      std::map<std::string, std::string> regions = {})
       : answer_(std::move(answer)),
         servers_{Serve("s0"), Serve("s1")},
         plans_({[](const RoutedSearcher&) {},
                 [](const RoutedSearcher&, std::string_view) {}},
                {},
-               "here"),
+               "here",
+               std::move(regions)),
         table_(std::move(table)),
         clients_(std::make_shared<SearcherClients>(
             context_,
@@ -61,6 +65,7 @@
       entry.service = "s" + std::to_string(i);
       entry.id = entry.service + "/0";
       entry.endpoint = servers_[i]->endpoint();
+      entry.data_centre = "here";
       entry.slots = 2;
       entries.push_back(std::move(entry));
     }
@@ -115,6 +120,16 @@
     }
   }
 
+  // Makes the router believe that a searcher in `data_centre` has answered.
+  void Reach(const std::string& data_centre) {
+    reach_.OnReached(std::chrono::steady_clock::now(), data_centre);
+  }
+
+  // Keeps all requests away from the searchers of a data centre.
+  void Evacuate(const std::string& data_centre) {
+    plans_.placement.SetEvacuated(data_centre, true);
+  }
+
   boost::asio::io_context& context() { return context_; }
   size_t in_flight() const { return router_->in_flight(); }
   size_t outstanding() const {
--- a/tests/placement_rules_test.cc
+++ b/tests/placement_rules_test.cc
@@ -42,18 +42,30 @@
   cr_assert(rules.AllowsSearcher(RequestTerms{}, "unknown"));
 }
 
-// The caller's own region may have the body even if its searchers may not serve
-// the request.
-Test(PlacementRules, RestrictsPeersToTheAllowedAndTheCallersRegion) {
+// The region of the instance need not be the caller's.
+Test(PlacementRules, RestrictsPeersToTheAllowedRegions) {
   const PlacementRules rules("north-a", kRegions);
   const RequestTerms south = RestrictedTo({"south"});
-  cr_assert(rules.AllowsPeer(south, "north-a"));
-  cr_assert(rules.AllowsPeer(south, "north-b"));
+  cr_assert_not(rules.AllowsPeer(south, "north-a"));
+  cr_assert_not(rules.AllowsPeer(south, "north-b"));
   cr_assert(rules.AllowsPeer(south, "south-a"));
+  cr_assert(rules.AllowsPeer(RequestTerms{}, "south-a"));
+  cr_assert(rules.AllowsPeer(RequestTerms{}, "unknown"));
   cr_assert_not(rules.AllowsPeer(RestrictedTo({"north"}), "south-a"));
   cr_assert_not(rules.AllowsPeer(south, "unknown"));
 }
 
+// Bytes between data centres are expensive, so that only requests that must
+// leave this one do.
+Test(PlacementRules, KeepsUnrestrictedGathersInTheDataCentre) {
+  const PlacementRules rules("north-a", kRegions);
+  cr_assert(rules.AllowsGatherer(RequestTerms{}, "north-a"));
+  cr_assert_not(rules.AllowsGatherer(RequestTerms{}, "north-b"));
+  cr_assert(rules.AllowsGatherer(RestrictedTo({"north"}), "north-b"));
+  cr_assert(rules.AllowsGatherer(RestrictedTo({"south"}), "south-a"));
+  cr_assert_not(rules.AllowsGatherer(RestrictedTo({"south"}), "north-a"));
+}
+
 Test(PlacementRules, ExcludesEvacuatedDataCentresUntilTheyAreBack) {
   PlacementRules rules("north-a", kRegions);
   cr_assert(rules.SetEvacuated("north-b", true));
