Pass a searcher's word that it leaves on between instances

Cause: only answers of an instance's own attempts were read for what a searcher says of itself. An answer that comes through a peer does not name its searcher. The log tells the hypotheses apart: it says that the searcher leaves only when an attempt of the instance's own is answered.

An instance that serves a request for a peer now names the processes of the searchers that said in it that they leave. The peer notes that, also for processes which it does not know yet.

--- a/include/greengage/coordination/searcher_directory.h
+++ b/include/greengage/coordination/searcher_directory.h
@@ -68,6 +68,10 @@
   // may not say so yet, or be out of reach. Older entries do not take it back.
   void OnAnnouncedLeaving(const RoutedSearcherPtr& searcher);
 
+  // The same for an answer that another instance got. `entry` identifies the
+  // process, which need not be known here yet; it is remembered for a while.
+  void OnAnnouncedLeaving(TimePoint now, const SearcherEntry& entry);
+
   // Removes searchers that have been missing for longer than their grace
   // period. Must be called about once per second.
   void Expire(TimePoint now);
@@ -89,7 +93,8 @@
   size_t size() const { return by_id_.size(); }
 
  private:
-  // The last known entry of a searcher that is no longer in the directory.
+  // The last known entry of a searcher that is no longer in the directory, or
+  // that of one of which another instance said that it leaves.
   struct Departure {
     SearcherEntry entry;
     TimePoint at;
@@ -97,6 +102,8 @@
 
   void Upsert(TimePoint now, const SearcherEntry& entry);
   bool HasDeparted(const SearcherEntry& entry) const;
+  // Returns whether the process was draining when it was last known.
+  bool IsKnownToLeave(const SearcherEntry& entry) const;
   void Remove(TimePoint now,
               const RoutedSearcherPtr& searcher,
               std::string_view reason);
@@ -105,6 +112,7 @@
   std::unordered_map<std::string, RoutedSearcherPtr> by_id_;
   std::unordered_map<std::string, std::vector<RoutedSearcherPtr>> by_service_;
   std::unordered_map<std::string, Departure> departures_;  // By id.
+  std::unordered_map<std::string, Departure> announced_;   // By id.
 };
 
 }  // namespace greengage
--- a/include/greengage/transport/gather_forwarder.h
+++ b/include/greengage/transport/gather_forwarder.h
@@ -17,6 +17,7 @@
 #include "greengage/protocol/header_list.h"
 #include "greengage/state/endpoint.h"
 #include "greengage/state/key_digest.h"
+#include "greengage/state/searcher_entry.h"
 #include "greengage/state/time.h"
 #include "greengage/transport/http_client.h"
 #include "greengage/transport/http_server.h"
@@ -103,6 +104,9 @@
                        const std::string& gatherer,
                        const std::string& detail)>
         on_failed;
+    // Runs for each searcher that said that it leaves, in an answer of which a
+    // gatherer made its own. Before on_answered.
+    std::function<void(const SearcherEntry&)> on_leaving;
   };
 
   // `chooser` and `random` must outlive the forwarder. Each query is offered to
--- a/include/greengage/transport/request_router.h
+++ b/include/greengage/transport/request_router.h
@@ -115,7 +115,8 @@
   // kForwardRefusedStatus if the other instance has a newer configuration or
   // this one cannot take it. Otherwise it is decided and served by the
   // configuration of this instance alone. An answer has kAnsweredRequestHeader,
-  // and kNotRunHeader if the request has not run.
+  // kNotRunHeader if the request has not run, and names the searchers that said
+  // that they leave when they answered.
   void HandleForwarded(HttpRequest request,
                        const std::shared_ptr<HttpExchange>& exchange);
 
@@ -140,7 +141,8 @@
                     CallerRequest caller,
                     const std::shared_ptr<HttpExchange>& exchange,
                     RouteTablePtr table,
-                    const Route* route);
+                    const Route* route,
+                    bool is_for_peer = false);
   // Sends a suspected request once it has a slot.
   void AwaitSlot(uint64_t number, Arrival arrival, size_t slots);
   void OnSlot(uint64_t number, const Result<std::optional<CrashSlot>>& slot);
--- a/src/coordination/searcher_directory.cc
+++ b/src/coordination/searcher_directory.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstddef>
 #include <unordered_set>
 #include <utility>
 
@@ -21,6 +22,10 @@
 // copy that has its entry.
 constexpr Duration kDepartureMemory = std::chrono::seconds(60);
 
+// Searchers of which other instances say that they leave, and that are not
+// known here.
+constexpr size_t kMaxAnnounced = 4096;
+
 }  // namespace
 
 Duration ListingGracePeriod(Duration replaced_state_age, Duration leave_time) {
@@ -66,9 +71,7 @@
     return;
   }
   const auto searcher = std::make_shared<RoutedSearcher>(now, entry);
-  const auto departed = departures_.find(entry.id);
-  if (departed != departures_.end() && departed->second.entry.draining &&
-      departed->second.entry.SameProcess(entry)) {
+  if (IsKnownToLeave(entry)) {
     searcher->SetDraining();
   }
   by_id_[entry.id] = searcher;
@@ -81,6 +84,15 @@
   return found != departures_.end() && entry.IsNotAfter(found->second.entry);
 }
 
+bool SearcherDirectory::IsKnownToLeave(const SearcherEntry& entry) const {
+  const auto has_left = [&entry](const auto& known) {
+    const auto found = known.find(entry.id);
+    return found != known.end() && found->second.entry.draining &&
+           found->second.entry.SameProcess(entry);
+  };
+  return has_left(departures_) || has_left(announced_);
+}
+
 void SearcherDirectory::Apply(TimePoint now,
                               const std::vector<SearcherChange>& changes) {
   for (const SearcherChange& change : changes) {
@@ -102,6 +114,17 @@
   }
 }
 
+void SearcherDirectory::OnAnnouncedLeaving(TimePoint now,
+                                           const SearcherEntry& entry) {
+  const auto found = by_id_.find(entry.id);
+  if (found != by_id_.end() && found->second->entry().SameProcess(entry)) {
+    OnAnnouncedLeaving(found->second);
+  } else if (announced_.size() < kMaxAnnounced) {
+    announced_[entry.id] = {entry, now};
+    announced_[entry.id].entry.draining = true;
+  }
+}
+
 void SearcherDirectory::Expire(TimePoint now) {
   std::vector<RoutedSearcherPtr> expired;
   for (const auto& [id, searcher] : by_id_) {
@@ -112,9 +135,11 @@
   for (const RoutedSearcherPtr& searcher : expired) {
     Remove(now, searcher, "gone");
   }
-  std::erase_if(departures_, [now](const auto& item) {
-    return now - item.second.at >= kDepartureMemory;
-  });
+  for (auto* const known : {&departures_, &announced_}) {
+    std::erase_if(*known, [now](const auto& item) {
+      return now - item.second.at >= kDepartureMemory;
+    });
+  }
 }
 
 std::vector<std::pair<RoutedSearcherPtr, RateLimitReport>>
--- a/src/routed_instance.cc
+++ b/src/routed_instance.cc
@@ -106,6 +106,9 @@
                 .Add("gatherer", gatherer)
                 .Add("detail", detail)
                 .Write();
+          },
+          [this](const SearcherEntry& searcher) {
+            plan_context_.searchers.OnAnnouncedLeaving(Now(), searcher);
           }});
 }
 
--- a/src/transport/gather_forwarder.cc
+++ b/src/transport/gather_forwarder.cc
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "greengage/protocol/caller_codec.h"
+#include "greengage/protocol/leaving_codec.h"
 #include "greengage/state/searcher_answer.h"
 #include "greengage/transport/guard.h"
 #include "transport/clock.h"
@@ -269,6 +270,12 @@
              IsSameHeader(header.first, "Server") ||
              IsSameHeader(header.first, "Keep-Alive");
     });
+    for (const SearcherEntry& leaving :
+         TakeLeavingSearchers(response.headers)) {
+      if (forwarder_->hooks_.on_leaving) {
+        forwarder_->hooks_.on_leaving(leaving);
+      }
+    }
     forwarder_->hooks_.on_answered(query_.request_id, tried_.back(),
                                    query_.info.configuration, response.status,
                                    now - started_);
--- a/src/transport/request_router.cc
+++ b/src/transport/request_router.cc
@@ -9,6 +9,7 @@
 
 #include "greengage/coordination/record_merger.h"
 #include "greengage/protocol/caller_codec.h"
+#include "greengage/protocol/leaving_codec.h"
 #include "greengage/transport/log_line.h"
 #include "transport/clock.h"
 #include "transport/deadline_timer.h"
@@ -317,7 +318,8 @@
   const std::shared_ptr<HttpExchange> counted =
       CheckForwardedQuota(*table, *info, *caller, answered);
   if (counted) {
-    StartRequest(std::move(request), *std::move(caller), counted, table, route);
+    StartRequest(std::move(request), *std::move(caller), counted, table, route,
+                 true);
   }
 }
 
@@ -424,7 +426,8 @@
                                  CallerRequest caller,
                                  const std::shared_ptr<HttpExchange>& exchange,
                                  RouteTablePtr table,
-                                 const Route* route) {
+                                 const Route* route,
+                                 bool is_for_peer) {
   const TimePoint now = Now();
   const RequestDigest digest =
       DigestOf(caller, request.method, request.target, request.body);
@@ -451,6 +454,7 @@
   arrival.exchange = exchange;
   arrival.table = std::move(table);
   arrival.route = route;
+  arrival.is_for_peer = is_for_peer;
   if (arrival.is_suspect) {
     AwaitSlot(number, std::move(arrival), verdict.slots);
   } else {
@@ -652,6 +656,7 @@
   RecordReach(sent, result);
   if (outcome.leaving) {
     plans_->searchers.OnAnnouncedLeaving(sent.searcher);
+    found->second->leaving.push_back(sent.searcher->entry());
   }
   if (outcome.end == AttemptEnd::kLost ||
       outcome.end == AttemptEnd::kAbandoned) {
@@ -723,6 +728,9 @@
   metrics_->request_time[route.name].Record(now - active.arrived);
   HttpResponse response = ToResponse(route, result);
   LogRequestEnd(active, result, response.status, now);
+  if (active.is_for_peer) {
+    SetLeavingSearchers(active.leaving, response.headers);
+  }
   active.exchange->Reply(std::move(response));
 }
 
--- a/src/transport/request_router_state.h
+++ b/src/transport/request_router_state.h
@@ -43,6 +43,7 @@
   const Route* route = nullptr;
   RequestDigest digest;
   bool is_suspect = false;  // It may end the searchers that run it.
+  bool is_for_peer = false;
   TimePoint arrived;
   TimePoint deadline;
 };
@@ -63,7 +64,8 @@
   uint64_t number = 0;
   HeaderList headers;  // Headers forwarded to the searchers.
   std::optional<CrashSlot> slot;
-  bool searcher_ended = false;  // While it had the request.
+  bool searcher_ended = false;         // While it had the request.
+  std::vector<SearcherEntry> leaving;  // Searchers whose answers say so.
   // Searchers that got the request and did not answer.
   std::vector<RoutedSearcherPtr> unanswered;
   size_t checks = 0;  // Checks of `unanswered` that have not ended.
--- a/tests/searcher_directory_test.cc
+++ b/tests/searcher_directory_test.cc
@@ -258,6 +258,23 @@
   cr_assert(fixture.UsabilityOf(kStart + Ms(400)) == Usability::kHealthy);
 }
 
+// An instance that is cut off from the searchers and the store hears from a
+// peer that a searcher leaves.
+Test(SearcherDirectory, SearcherThatLeavesByThePeersWordIsNotUsedAgain) {
+  Fixture fixture;
+  fixture.directory.Replace(kStart, {MakeEntry("a")});
+  fixture.directory.OnAnnouncedLeaving(kStart, MakeEntry("a", Ms(2)));
+  cr_assert(fixture.UsabilityOf(kStart) == Usability::kHealthy);
+  fixture.directory.OnAnnouncedLeaving(kStart, MakeEntry("a"));
+  cr_assert(fixture.UsabilityOf(kStart) == Usability::kUnusable);
+  cr_assert(fixture.leaving == std::vector<std::string>{"announced"});
+  // The process that the first word was about gets known later.
+  fixture.directory.Replace(kStart + Ms(400), {MakeEntry("a", Ms(2))});
+  cr_assert(fixture.UsabilityOf(kStart + Ms(400)) == Usability::kUnusable);
+  fixture.directory.Replace(kStart + Ms(500), {MakeEntry("a", Ms(3))});
+  cr_assert(fixture.UsabilityOf(kStart + Ms(500)) == Usability::kHealthy);
+}
+
 // A latency that overflows would be negative, and the searcher the best.
 Test(RoutedSearcher, AbsurdLoadMakesASearcherNoBetter) {
   const TimePoint now{std::chrono::seconds(100)};
