Count instances that stop for a minute longer

Cause: a stop removed the instance's entry from the registry, whose inexpensive reads may be seconds old. A new process knows nothing but what it reads, and did not count itself.

A stop now marks the entry. InstanceCounter counts this instance, those listed, and for 60 s those that have stopped or are missing; extra arrivals, connections to searchers, named limits, quotas without a ledger and the shares of gatherers use it. That replaces the time for which a count was kept after a restore of the store. Entries marked for 10 minutes are removed.

Route.RegistersInTheStoreAndDeregistersOnShutdown asserted the removal; the test that replaces it asserts that the entry stays and is marked.

--- a/include/greengage/coordination/gatherers.h
+++ b/include/greengage/coordination/gatherers.h
@@ -21,7 +21,7 @@
   // own queries.
   std::vector<InstanceRecord> local;
   std::vector<InstanceRecord> remote;  // Those of other data centres.
-  std::vector<std::string> ids;  // Of those of all data centres, sorted.
+  std::vector<std::string> ids;        // Of those of all data centres, sorted.
 
   size_t total() const { return ids.size(); }
 };
--- a/include/greengage/protocol/routed_call_codec.h
+++ b/include/greengage/protocol/routed_call_codec.h
@@ -24,9 +24,9 @@
   std::chrono::milliseconds time_left{};   // Zero if the header is absent.
   std::optional<std::string> credentials;  // The first Authorization header.
   bool has_ambiguous_credentials = false;  // There are several.
-  // Not from the headers: the digest of the key in the credentials, and the name
-  // of the organisation on whose behalf the caller sends, which is empty if
-  // there is none.
+  // Not from the headers: the digest of the key in the credentials, and the
+  // name of the organisation on whose behalf the caller sends, which is empty
+  // if there is none.
   std::optional<KeyDigest> key;
   std::string organisation;
 };
--- a/include/greengage/routed_instance.h
+++ b/include/greengage/routed_instance.h
@@ -51,6 +51,11 @@
   std::function<void(const InstanceRecord&,
                      std::function<void(Result<Registration>)>)>
       add;
+  // Replaces the entry of an instance that stops by `record`.
+  std::function<void(const InstanceRecord& record,
+                     std::function<void(Result<Done>)>)>
+      mark_stopped;
+  // Succeeds if there is no such entry.
   std::function<void(const std::string& id, std::function<void(Result<Done>)>)>
       remove;
   // Lists the registered instances; the result may be some seconds old.
--- a/include/greengage/state/instance_record.h
+++ b/include/greengage/state/instance_record.h
@@ -11,8 +11,9 @@
 struct InstanceRecord {
   std::string id;
   std::string data_centre;
-  Endpoint peer;        // Where other instances connect to (TCP).
-  double capacity = 0;  // Processor cores that the instance may use.
+  Endpoint peer;            // Where other instances connect to (TCP).
+  double capacity = 0;      // Processor cores that the instance may use.
+  bool is_stopped = false;  // It stops or has stopped, and may start again.
 
   friend bool operator==(const InstanceRecord&,
                          const InstanceRecord&) = default;
--- a/src/protocol/feed_codec.cc
+++ b/src/protocol/feed_codec.cc
@@ -46,6 +46,7 @@
     instance->set_data_centre(record->data_centre);
     EncodeEndpoint(record->peer, instance->mutable_peer());
     instance->set_capacity(record->capacity);
+    instance->set_is_stopped(record->is_stopped);
   } else if (const auto* report = std::get_if<CrashReport>(&object.value)) {
     wire::FeedCrashReport* const crash = written->mutable_crash_report();
     crash->set_digest(ToString(report->digest));
@@ -92,7 +93,8 @@
   if (!peer) {
     return std::nullopt;
   }
-  return InstanceRecord{id, message.data_centre(), *peer, message.capacity()};
+  return InstanceRecord{id, message.data_centre(), *peer, message.capacity(),
+                        message.is_stopped()};
 }
 
 std::optional<CrashReport> Read(const wire::FeedCrashReport& message) {
--- a/src/routed_instance_feed.cc
+++ b/src/routed_instance_feed.cc
@@ -2,6 +2,7 @@
 // the configuration and the searchers from the store or from a peer.
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -25,11 +26,6 @@
 // reads of the registry may be some seconds old.
 constexpr std::chrono::seconds kRegistrationVisibleTime{10};
 
-// Time after a restore of the store until all instances have registered again:
-// two reads of the registry, by the one that passes it on and by the one that
-// is missing.
-constexpr std::chrono::seconds kRegistrationsReturnTime{25};
-
 // Time that the instances of a new deployment need to register. The registry is
 // first read after it.
 constexpr milliseconds kRegistrationTime{700};
@@ -132,12 +128,6 @@
   });
 }
 
-// Entries that the store lost must not make the others use more of the common
-// limits before they are back.
-void RoutedInstanceImpl::OnStoreRestored() {
-  instance_count_kept_until_ = Now() + kRegistrationsReturnTime;
-}
-
 // A store that was restored from a copy may lack the entry.
 void RoutedInstanceImpl::RestoreRegistration() {
   const bool is_listed = std::any_of(
@@ -195,26 +185,45 @@
   }
   feed_cache_.Replace(NowWithSuspension(), FeedKind::kInstance, {},
                       std::move(objects));
-  feed_source_.SetInstances(instances);
-  known_instances_ = instances;
-  instance_ids_.clear();
-  for (const InstanceRecord& instance : instances) {
-    instance_ids_.push_back(instance.id);
-  }
-  std::sort(instance_ids_.begin(), instance_ids_.end());
+  known_instances_ = RunningInstances(instances);
+  feed_source_.SetInstances(known_instances_);
+  instance_counter_.OnReading(Now(), instances);
   UpdatePeers();
+  CountInstances();
   UpdateGatherers();
   UpdateQuotas();
-  const size_t count = Now() < instance_count_kept_until_
-                           ? std::max(instance_count_, instances.size())
-                           : instances.size();
-  if (count != instance_count_) {
-    SetInstanceCount(count);
+  RemoveOutdatedEntries();
+  RestoreRegistration();
+}
+
+bool RoutedInstanceImpl::CountInstances() {
+  std::vector<std::string> ids;
+  for (const InstanceRecord& instance : instance_counter_.Counted(Now())) {
+    ids.push_back(instance.id);
+  }
+  if (ids == instance_ids_) {
+    return false;
+  }
+  instance_ids_ = std::move(ids);
+  if (instance_ids_.size() != instance_count_) {
+    SetInstanceCount(instance_ids_.size());
     LogLine(DecisionEvent::kInstancesCounted)
         .Add("instances", instance_count_)
         .Write();
   }
-  RestoreRegistration();
+  return true;
+}
+
+// Only instances that read the store do so, which are few.
+void RoutedInstanceImpl::RemoveOutdatedEntries() {
+  if (!searcher_watcher_) {
+    return;
+  }
+  for (const std::string& id : instance_counter_.Outdated(Now())) {
+    platform_.instances.remove(id, [](const Result<Done>&) {
+      // The next reading tries again.
+    });
+  }
 }
 
 // Peers of the own data centre go first: bytes between regions are expensive.
@@ -255,6 +264,17 @@
   gatherers_.SetGatherers(std::move(gatherers.local),
                           std::move(gatherers.remote));
   gatherer_ids_ = std::move(gatherers.ids);
+  if (max_connections) {
+    // Those that would gather if none had stopped share the limits, too.
+    const GathererSet counted =
+        SelectGatherers(instance_counter_.Counted(Now()), settings_.data_centre,
+                        *max_connections);
+    std::vector<std::string> all;
+    std::set_union(gatherer_ids_.begin(), gatherer_ids_.end(),
+                   counted.ids.begin(), counted.ids.end(),
+                   std::back_inserter(all));
+    gatherer_ids_ = std::move(all);
+  }
   SetInstanceCount(instance_count_);
 }
 
@@ -350,10 +370,6 @@
 }
 
 void RoutedInstanceImpl::OnPeerPage(const FeedPage& page) {
-  if (searchers_known_ &&
-      page.searchers_revision.era > searchers_revision_.era) {
-    OnStoreRestored();
-  }
   searchers_revision_ = page.searchers_revision;
   std::vector<SearcherChange> searchers;
   bool instances_changed = false;
--- a/src/routed_instance_impl.h
+++ b/src/routed_instance_impl.h
@@ -23,6 +23,7 @@
 #include "greengage/coordination/feed_source.h"
 #include "greengage/coordination/gatherers.h"
 #include "greengage/coordination/held_crash_slots.h"
+#include "greengage/coordination/instance_counter.h"
 #include "greengage/coordination/instance_share.h"
 #include "greengage/coordination/searcher_reach.h"
 #include "greengage/coordination/stop_sequence.h"
@@ -87,10 +88,14 @@
   void RegisterInstance(std::function<void(Registration)> done);
   // Registers this instance again if its entry is missing from the registry.
   void RestoreRegistration();
-  void OnStoreRestored();
   void ReadInstancesAfter(Duration delay);
   void ReadInstances();
   void OnInstances(const std::vector<InstanceRecord>& instances);
+  // Divides the common limits among the instances that count now. Returns
+  // whether they have changed.
+  bool CountInstances();
+  // Removes the entries of instances that stopped long ago.
+  void RemoveOutdatedEntries();
   // Reads the store or a peer, as `feed_source_` decides.
   void UpdateFeed();
   void ScheduleFeedUpdate(Duration delay);
@@ -225,11 +230,12 @@
   Duration watch_delay_{};  // Of the running `searcher_watcher_`.
   StoreRevision searchers_revision_;
   FeedCache feed_cache_;
+  InstanceCounter instance_counter_;
   FeedSource feed_source_;
   std::shared_ptr<FeedServer> feed_server_;
   std::shared_ptr<FeedClient> feed_client_;
   GathererChooser gatherers_;
-  // Of the gatherers of all data centres, and of the instances in the registry,
+  // Of the gatherers of all data centres, and of the instances that count,
   // sorted.
   std::vector<std::string> gatherer_ids_;
   std::vector<std::string> instance_ids_;
@@ -243,7 +249,7 @@
   // first state, the time until which peers may take to provide it.
   TimePoint state_known_at_;
   std::map<std::string, InstanceRecord> instances_;  // As peers reported them.
-  std::vector<InstanceRecord> known_instances_;
+  std::vector<InstanceRecord> known_instances_;  // Those that have not stopped.
   bool instances_read_ = false;  // The first read of the registry has ended.
   RouteTablePtr route_table_;
   // Services from which a route of the table gathers parts.
@@ -263,7 +269,6 @@
   boost::asio::steady_timer feed_timer_;
   size_t instance_count_ = 1;
   // Until then, the instance count does not fall.
-  TimePoint instance_count_kept_until_;
   bool registration_failed_ = false;
   TimePoint registered_at_;  // Time of the latest attempt.
 };
@@ -305,7 +310,6 @@
         .Add("known_revision", known.number)
         .Write();
     metrics_.store_changes[{feed, "restored"}].Add();
-    OnStoreRestored();
     ReadInstancesAfter(kRestoredInstancesReadDelay);
   };
   return hooks;
--- a/src/routed_instance_stop.cc
+++ b/src/routed_instance_stop.cc
@@ -38,6 +38,9 @@
 void RoutedInstanceImpl::RunHousekeeping() {
   ScheduleHousekeeping();
   plan_context_.searchers.Expire(Now());
+  if (!instance_ids_.empty() && CountInstances()) {
+    UpdateGatherers();
+  }
   LogRateLimits();
   TrySearchers();
   ShareCrashReports();
@@ -122,9 +125,11 @@
       .Write();
   caller_server_->DisableKeepAlive();
   instances_timer_.cancel();
-  platform_.instances.remove(settings_.id, [](const Result<Done>&) {
-    // If the removal fails, the other instances count one instance too many
-    // and use smaller shares of the common limits.
+  InstanceRecord record = SelfRecord();
+  record.is_stopped = true;
+  platform_.instances.mark_stopped(record, [](const Result<Done>&) {
+    // If the call fails, the other instances count one instance too many for as
+    // long as it is stopped, and use smaller shares of the common limits.
   });
   stop_sequence_.emplace(
       Now(), settings_.stop_notice, settings_.stop_grace,
