--- a/include/greengage/transport/request_router.h
+++ b/include/greengage/transport/request_router.h
@@ -137,6 +137,7 @@
   struct WaitingRequest;
   class Timers;
 
+  // `is_for_peer` says that another instance forwarded the request.
   void StartRequest(HttpRequest request,
                     CallerRequest caller,
                     const std::shared_ptr<HttpExchange>& exchange,
@@ -190,7 +191,7 @@
                const Hop& hop);
   // Serves a request that no peer took, while this instance is cut off from
   // the searchers. One that is restricted to regions of which it reaches none
-  // is rejected: all instances that it may go to have been asked.
+  // is rejected: no instance that may have it can serve it.
   void ServeIfReachable(HttpRequest request,
                         CallerRequest caller,
                         const std::shared_ptr<HttpExchange>& exchange,
@@ -233,9 +234,10 @@
       const RouteTable& table,
       const CallerRequest& caller,
       const std::shared_ptr<HttpExchange>& exchange);
-  // Returns whether an admitted request counts against a quota.
+  // Returns whether a request of the caller counts against a quota.
   bool IsCharged(const RouteTable& table, const CallerRequest& caller) const;
-  // Returns whether `table` alone can decide about a forwarded request.
+  // Returns whether `table` is as new as that of the sender of a forwarded
+  // request, and what is known of the caller is enough to decide about it.
   static bool CanDecide(const RouteTable& table, const ForwardInfo& info);
   // As CheckAccess(), for a forwarded request.
   bool CheckForwardedAccess(const RouteTable& table,
